--- /dev/null
+++ b/include/marjoramhaven/node/NodeApi.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <QObject>
+#include <memory>
+#include <string>
+
+#include "marjoramhaven/http/HttpServer.h"
+#include "marjoramhaven/node/NodeCore.h"
+#include "marjoramhaven/node/ShortCarrier.h"
+
+namespace marjoramhaven {
+
+/// The HTTP interface of a node for callers and operators. Lives on the front thread.
+class NodeApi : public QObject
+{
+    Q_OBJECT
+
+public:
+    NodeApi(const Settings &settings, NodeCore &core, NodeShared &shared);
+
+    /// Starts to listen; gives the port, or 0 with a last reason.
+    int start();
+    /// Closes all connections. Call on the front thread before the object is destroyed.
+    void shutDown();
+    /// Requests that wait for their answer.
+    int inFlight() const { return m_server ? m_server->inFlight() : 0; }
+
+private:
+    void handle(const HttpRequest &request, const HttpRespond &respond);
+    void route(const HttpRequest &request, const HttpRespond &respond);
+    void routeJobs(const HttpRequest &request, const HttpRespond &respond);
+    void routeConfig(const HttpRequest &request, const HttpRespond &respond);
+    void postRequest(const HttpRequest &request, const HttpRespond &respond);
+    void getRequest(const std::string &id, const HttpRespond &respond);
+    void postJob(const HttpRequest &request, const HttpRespond &respond);
+    void acceptJob(const JobSpec &spec, const std::string &home, const HttpRespond &respond);
+    void getJob(const std::string &id, const HttpRespond &respond);
+    void listJobs(const HttpRespond &respond);
+    void cancelJob(const std::string &id, const HttpRespond &respond);
+    void postPatch(const HttpRequest &request, const HttpRespond &respond);
+    void appendPatch(const ConfigurationPatch &patch, const HttpRespond &respond);
+    void getPatch(const std::string &id, const HttpRespond &respond);
+    void getStatus(const HttpRespond &respond);
+    std::optional<JobSpec> readSpec(const HttpRequest &request, const HttpRespond &respond);
+
+    Settings m_settings;
+    NodeCore &m_core;
+    NodeShared &m_shared;
+    ShortCarrier m_carrier;
+    std::unique_ptr<HttpServer> m_server;
+    Log m_log {"api"};
+};
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/node/NodeCore.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "marjoramhaven/config/Settings.h"
+#include "marjoramhaven/http/HttpClient.h"
+#include "marjoramhaven/node/NodeShared.h"
+#include "marjoramhaven/platform/HttpLogService.h"
+#include "marjoramhaven/platform/HttpWorkerService.h"
+#include "marjoramhaven/telemetry/Log.h"
+#include "marjoramhaven/wire/PeerHub.h"
+#include "marjoramhaven/zone/Leadership.h"
+
+namespace marjoramhaven {
+
+/// What the leader of a job's home zone says of it.
+struct JobLive {
+    /// False when no leader could be asked.
+    bool reached = false;
+    bool couldFit = true;
+    int running = 0;
+};
+
+/// The decision side of a node: membership, leadership, the log, and the zone's decisions while it leads.
+///
+/// Lives on its own thread. Every function runs there; other threads come in through postTo().
+class NodeCore : public QObject
+{
+    Q_OBJECT
+
+public:
+    NodeCore(Settings settings, NodeShared &shared);
+
+    /// Opens the peer socket and starts to work. False, with a last reason, when it can't listen.
+    bool start();
+    /// Asks the leader of the request's zone for a decision. Calls back within the budget.
+    void askShort(const JobSpec &spec, Millis budget, const std::string &traceparent, ShortDecided decided);
+    /// Tells the leader that an attempt did not start and never will.
+    void shortClosed(const std::string &zone, const std::string &key, const AttemptId &attempt);
+    /// Asks the leader of a zone about a job.
+    void askJob(const std::string &zone, const std::string &id, const Resources &resources, std::function<void(const JobLive &)> answered);
+    /// Queues a record for the log. False when it is full or known to be down and `evenIfFailing` is not set.
+    bool append(const LogRecord &record, bool evenIfFailing);
+    /// Calls back with true as soon as the condition holds after a fold, or with false after the wait.
+    void whenFolded(std::function<bool()> condition, Millis wait, std::function<void(bool)> done);
+    /// Ends all work without calling back. Call on the decision thread before the object is destroyed.
+    void shutDown();
+    /// Gives up leadership for good.
+    void retire();
+    /// True when nothing waits to be appended.
+    bool isFlushed() const { return m_appender.pending() == 0; }
+
+private:
+    struct ShortCall {
+        std::string peer;
+        TimePoint deadline {};
+        ShortDecided decided;
+    };
+    struct JobCall {
+        std::string peer;
+        TimePoint deadline {};
+        std::function<void(const JobLive &)> answered;
+    };
+    struct Waiter {
+        std::function<bool()> condition;
+        TimePoint deadline {};
+        std::function<void(bool)> done;
+    };
+    struct ZoneView {
+        std::string leader;
+        std::int64_t epoch = 0;
+    };
+
+    void tick();
+    void updateRole(TimePoint now);
+    void sendBeats(TimePoint now);
+    void publishStatus(TimePoint now);
+    void expireCalls(TimePoint now);
+    void checkWaiters(TimePoint now);
+    void readLog();
+    void handleBatch(const std::optional<LogBatch> &batch, TimePoint now);
+    void listVms(TimePoint now);
+    void exportSpans(TimePoint now);
+    std::string leaderOf(const std::string &zone) const;
+
+    void handleMessage(const std::string &from, const PeerMessage &message);
+    void handle(const std::string &from, const BeatMessage &message, TimePoint now);
+    void handle(const std::string &from, const ShortAskMessage &message, TimePoint now);
+    void handle(const std::string &from, const ShortAnswerMessage &message, TimePoint now);
+    void handle(const std::string &from, const ShortClosedMessage &message, TimePoint now);
+    void handle(const std::string &from, const ConfigurationAskMessage &message, TimePoint now);
+    void handle(const std::string &from, const ConfigurationNewsMessage &message, TimePoint now);
+    void handle(const std::string &from, const JobAskMessage &message, TimePoint now);
+    void handle(const std::string &from, const JobAnswerMessage &message, TimePoint now);
+    void handle(const std::string &from, const HelloMessage &message, TimePoint now);
+    void handlePeerUp(const std::string &name, const std::string &zone);
+    void handlePeerDown(const std::string &name);
+
+    Settings m_settings;
+    NodeShared &m_shared;
+    Log m_log {"core"};
+    HttpClient m_http;
+    HttpLogService m_logService;
+    HttpVmList m_vmList;
+    HttpWorkerDirectory m_workers;
+    LogAppender m_appender;
+    PeerHub m_hub;
+    Leadership m_leadership;
+    std::unique_ptr<ZoneLeader> m_leader;
+    QTimer m_timer;
+    std::map<std::string, std::string> m_peerZones;
+    std::map<std::string, ZoneView> m_zones;
+    /// Clock readings last received from peers, echoed with the next beat.
+    std::map<std::string, std::int64_t> m_echoes;
+    std::optional<std::vector<Vm>> m_vms;
+    std::map<std::uint64_t, ShortCall> m_shortCalls;
+    std::map<std::uint64_t, JobCall> m_jobCalls;
+    std::vector<Waiter> m_waiters;
+    std::uint64_t m_nextCall = 1;
+    TimePoint m_nextBeat {};
+    TimePoint m_nextList {};
+    TimePoint m_nextStatus {};
+    TimePoint m_nextExport {};
+    TimePoint m_nextRead {};
+    TimePoint m_nextConfigurationAsk {};
+    std::uint64_t m_beats = 0;
+    int m_readFailures = 0;
+    bool m_reading = false;
+    bool m_listing = false;
+    bool m_fenced = false;
+};
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/platform/WorkerCodec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <QJsonObject>
+
+#include "marjoramhaven/platform/VmList.h"
+#include "marjoramhaven/platform/WorkerService.h"
+
+namespace marjoramhaven {
+
+// JSON forms of the messages of the worker contract and of the list of VMs. docs/platform-contract.md describes them.
+
+QJsonObject toJson(const AttemptId &attempt);
+QJsonObject toJson(const AttemptReport &report);
+QJsonObject toJson(const SessionOpened &answer);
+QJsonObject toJson(const RenewRequest &request);
+QJsonObject toJson(const Renewed &answer);
+QJsonObject toJson(const StartRequest &request);
+QJsonObject toJson(const Started &answer);
+QJsonObject toJson(const Vm &vm);
+
+AttemptId attemptIdFromJson(const QJsonObject &object);
+AttemptReport attemptReportFromJson(const QJsonObject &object);
+SessionOpened sessionOpenedFromJson(const QJsonObject &object);
+RenewRequest renewRequestFromJson(const QJsonObject &object);
+Renewed renewedFromJson(const QJsonObject &object);
+StartRequest startRequestFromJson(const QJsonObject &object);
+Started startedFromJson(const QJsonObject &object);
+Vm vmFromJson(const QJsonObject &object);
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/wire/PeerMessage.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace marjoramhaven {
+
+// Messages between entry processes. Each is a msgpack array: a reader takes a shorter array from an older
+// neighbour, leaving the rest at their defaults, and ignores further elements from a newer one.
+
+/// Version of the messages; a process greets with it.
+inline constexpr int WireVersion = 1;
+
+/// The first message on a link: who speaks.
+struct HelloMessage {
+    int version = WireVersion;
+    std::string name;
+    std::string zone;
+    MSGPACK_DEFINE(version, name, zone)
+};
+
+/// Sent to each peer of the zone at every beat, and to peers of other zones once a second.
+struct BeatMessage {
+    std::int64_t epoch = 0;
+    bool leading = false;
+    std::string follows;
+    std::int64_t leaderAge = -1;
+    /// The sender's clock; the peer's next beat echoes it.
+    std::int64_t sentAt = 0;
+    std::int64_t echo = 0;
+    std::int64_t configurationNumber = 0;
+    std::uint64_t configurationHash = 0;
+    MSGPACK_DEFINE(epoch, leading, follows, leaderAge, sentAt, echo, configurationNumber, configurationHash)
+};
+
+/// Asks the leader to decide a short request. The specification is JSON text.
+struct ShortAskMessage {
+    std::uint64_t call = 0;
+    std::string spec;
+    std::int64_t budgetMs = 0;
+    std::string traceparent;
+    MSGPACK_DEFINE(call, spec, budgetMs, traceparent)
+};
+
+/// The leader's decision.
+struct ShortAnswerMessage {
+    std::uint64_t call = 0;
+    std::string verdict;
+    std::string reason;
+    std::int64_t retryAfterMs = 0;
+    std::string workerUrl;
+    /// The start to send, as JSON text.
+    std::string start;
+    std::string outcome;
+    std::string result;
+    MSGPACK_DEFINE(call, verdict, reason, retryAfterMs, workerUrl, start, outcome, result)
+};
+
+/// Tells the leader that an attempt did not start and never will.
+struct ShortClosedMessage {
+    std::string key;
+    std::string task;
+    std::int64_t attempt = 0;
+    MSGPACK_DEFINE(key, task, attempt)
+};
+
+/// Asks for accepted configuration versions above a number.
+struct ConfigurationAskMessage {
+    std::int64_t above = 0;
+    MSGPACK_DEFINE(above)
+};
+
+/// Accepted configuration versions, oldest first, each as JSON text.
+struct ConfigurationNewsMessage {
+    std::vector<std::string> versions;
+    MSGPACK_DEFINE(versions)
+};
+
+/// Asks the leader whether a job could ever run, and what of it runs now.
+struct JobAskMessage {
+    std::uint64_t call = 0;
+    std::string id;
+    std::string resources;
+    MSGPACK_DEFINE(call, id, resources)
+};
+
+/// What the leader says of a job.
+struct JobAnswerMessage {
+    std::uint64_t call = 0;
+    bool leading = false;
+    bool couldFit = true;
+    int running = 0;
+    MSGPACK_DEFINE(call, leading, couldFit, running)
+};
+
+using PeerMessage = std::variant<HelloMessage,
+                                 BeatMessage,
+                                 ShortAskMessage,
+                                 ShortAnswerMessage,
+                                 ShortClosedMessage,
+                                 ConfigurationAskMessage,
+                                 ConfigurationNewsMessage,
+                                 JobAskMessage,
+                                 JobAnswerMessage>;
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/zone/Leadership.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "marjoramhaven/base/Time.h"
+
+namespace marjoramhaven {
+
+/// What an entry process tells the others of its zone about leadership.
+struct ZoneBeat {
+    std::string from;
+    /// Highest epoch seen by the sender.
+    std::int64_t epoch = 0;
+    bool leading = false;
+    /// The leader the sender follows; empty when it knows none.
+    std::string follows;
+    /// Milliseconds since the sender heard its leader; negative when it knows none.
+    std::int64_t leaderAge = -1;
+};
+
+/// Decides which entry process of a zone leads. It keeps the zone live; safety rests on the workers' sessions.
+///
+/// The incumbent stays. A silent leader is replaced by the first live member in the order of names, and only
+/// when no member still hears the leader. A leader refused by a worker steps down and backs off.
+class Leadership
+{
+public:
+    /// The seed drives the jitter of the back-off.
+    Leadership(std::string self, std::uint64_t seed, TimePoint now);
+
+    /// The link to a member opened.
+    void memberUp(const std::string &member, TimePoint now);
+    /// The link to a member closed.
+    void memberDown(const std::string &member, TimePoint now);
+    /// A beat arrived from a member.
+    void onBeat(const ZoneBeat &beat, TimePoint now);
+    /// A worker refused this process because another opened a newer session.
+    void onFenced(TimePoint now);
+    /// Gives up leadership, for a planned stop, and never takes it again.
+    void retire();
+    /// Moves on; call at least every 50 ms.
+    void tick(TimePoint now);
+
+    /// The beat to send now.
+    ZoneBeat beat(TimePoint now) const;
+    bool isLeading() const { return m_leader == m_self; }
+    /// The leader known here; empty when there is none.
+    const std::string &leader() const { return m_leader; }
+    std::int64_t epoch() const { return m_epoch; }
+    /// Members with an open link that were heard lately, this one included, in the order of names.
+    std::vector<std::string> liveMembers(TimePoint now) const;
+
+    /// Interval between beats.
+    static constexpr Millis BeatEvery {200};
+    /// A leader silent this long is suspected.
+    static constexpr Millis SuspectAfter {600};
+
+private:
+    struct Member {
+        bool up = false;
+        TimePoint heard {};
+        TimePoint leaderHeard {};
+        std::string follows;
+    };
+
+    bool leaderIsLive(TimePoint now) const;
+    bool someoneHearsLeader(TimePoint now) const;
+    void follow(const std::string &leader, std::int64_t epoch, TimePoint now);
+    void lead(TimePoint now);
+
+    std::string m_self;
+    std::string m_leader;
+    std::int64_t m_epoch = 0;
+    TimePoint m_leaderHeard {};
+    TimePoint m_leaderlessSince {};
+    TimePoint m_retakeAfter {};
+    TimePoint m_ledSince {};
+    int m_fencings = 0;
+    bool m_retired = false;
+    std::map<std::string, Member> m_members;
+    std::mt19937_64 m_random;
+};
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/zone/ShortDecision.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "marjoramhaven/base/EnumNames.h"
+#include "marjoramhaven/platform/WorkerService.h"
+
+namespace marjoramhaven {
+
+/// What the leader decides about a short request.
+enum class ShortVerdict {
+    /// The entry process shall start the attempt at the worker.
+    Start,
+    /// The attempt runs already; the entry process shall wait for its end at the worker.
+    Attach,
+    /// The request ended before; the result is here.
+    Ended,
+    /// It does not run. The reason says why.
+    Refused,
+    /// The process asked is not the leader, or has only just begun to lead.
+    NotLeader,
+};
+
+template<>
+struct EnumTable<ShortVerdict> {
+    static constexpr EnumName<ShortVerdict> Rows[] = {
+        {ShortVerdict::Start, "start"},
+        {ShortVerdict::Attach, "attach"},
+        {ShortVerdict::Ended, "ended"},
+        {ShortVerdict::Refused, "refused"},
+        {ShortVerdict::NotLeader, "not-leader"},
+    };
+};
+
+/// The decision with what the entry process needs to carry it out.
+struct ShortDecision {
+    ShortVerdict verdict = ShortVerdict::Refused;
+    std::string reason;
+    /// Time after which a refused caller may come back.
+    Millis retryAfter {0};
+    std::string workerUrl;
+    StartRequest start;
+    TaskOutcome outcome = TaskOutcome::Done;
+    std::string result;
+};
+
+using ShortDecided = std::function<void(const ShortDecision &)>;
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/zone/ZoneLeader.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "marjoramhaven/ledger/LogAppender.h"
+#include "marjoramhaven/ledger/LogFold.h"
+#include "marjoramhaven/platform/VmList.h"
+#include "marjoramhaven/zone/FollowerProofs.h"
+#include "marjoramhaven/zone/JobProgress.h"
+#include "marjoramhaven/zone/ShortDesk.h"
+#include "marjoramhaven/zone/WorkerHealth.h"
+#include "marjoramhaven/zone/WorkerLink.h"
+#include "marjoramhaven/zone/ZoneScheduler.h"
+
+namespace marjoramhaven {
+
+/// Who leads which zone, and how it keeps its leases.
+struct ZoneLeaderOptions {
+    std::string self;
+    std::string zone;
+    WorkerLinkTimes times;
+};
+
+/// A zone leader's counts, for status pages and metrics.
+struct ZoneCounts {
+    int workers = 0;
+    int openWorkers = 0;
+    int running = 0;
+    int waiting = 0;
+    int shortActive = 0;
+    std::size_t quarantined = 0;
+    bool recovered = false;
+};
+
+/// All decisions of one zone while this process leads it: sessions, placements, ends, restarts.
+///
+/// One instance is one leadership. It starts nothing that may already run: until every worker either opened a
+/// session or has surely let its leases lapse, nothing is started.
+/// Not thread-safe; it lives on its node's decision thread.
+class ZoneLeader : public WorkerLinkListener
+{
+public:
+    /// Begins to lead. Open jobs of the zone are taken from the fold.
+    ZoneLeader(ZoneLeaderOptions options, std::int64_t epoch, WorkerDirectory &workers, LogFold &fold, LogAppender &appender, TimePoint now);
+
+    /// Called when a worker refuses this leadership.
+    void setFencedHandler(std::function<void(TimePoint)> handler) { m_fenced = std::move(handler); }
+    /// Takes over the platform's list of the zone's VMs.
+    void setFleet(const std::vector<Vm> &vms, TimePoint now);
+    /// Another entry process of the zone followed this leadership at an instant, by proof of an echo sent then.
+    void confirmFollower(const std::string &name, TimePoint at);
+    /// Moves on; call at least every 50 ms.
+    void tick(TimePoint now);
+    /// Hears of a record after it was folded.
+    void onRecord(const LogRecord &record, TimePoint now);
+    /// Puts the configuration now in force to use.
+    void onConfiguration();
+
+    /// Decides a short request; the callback may come later, but before the class's hold time is over.
+    void decideShort(const JobSpec &spec, TimePoint now, ShortDecided decided);
+    /// Answers all held requests that this process no longer leads.
+    void abandonHeld();
+    /// An entry process knows that this attempt did not start and never will.
+    void onShortClosed(const std::string &key, const AttemptId &attempt, TimePoint now);
+    /// True when the resources fit on some known worker, or no worker is known yet.
+    bool couldEverFit(const Resources &resources) const;
+
+    /// True when nothing can run in the zone that this leader does not know of.
+    bool isRecovered() const { return m_recovered; }
+    ZoneCounts counts(TimePoint now) const;
+    const ZoneScheduler &scheduler() const { return m_scheduler; }
+    /// A job's running tasks by index with their workers; empty when none runs.
+    std::map<int, std::string> runningTasks(const std::string &jobId) const;
+    std::int64_t epoch() const { return m_epoch; }
+
+    void onOpened(WorkerLink &link, const SessionOpened &inventory, TimePoint now) override;
+    void onEnded(WorkerLink &link, const AttemptReport &report, TimePoint now) override;
+    void onFenced(WorkerLink &link, TimePoint now) override;
+    void onSilent(WorkerLink &link, TimePoint now) override;
+
+private:
+    struct EarlyEnd {
+        std::string worker;
+        AttemptReport report;
+    };
+
+    void loadJob(const std::string &id, TimePoint now);
+    void adoptRunning(JobProgress &job);
+    void syncBook(WorkerLink &link, const SessionOpened &inventory, TimePoint now);
+    void adoptReport(WorkerLink &link, const AttemptReport &report, TimePoint now);
+    void enqueueTasks(const JobProgress &job, std::deque<int> indices, TimePoint now);
+    void updateRecovery(TimePoint now);
+    void finishRecovery(TimePoint now);
+    bool hasLapsed(const WorkerLink &link, TimePoint now) const;
+    void dropLapsedWorkers(TimePoint now);
+    void updateUsable(TimePoint now);
+
+    void startPlaced(const Placed &placed, TimePoint now);
+    void claimThenStart(const Placed &placed, JobProgress &job, TimePoint now);
+    void sendStart(const Placed &placed, const JobProgress &job, TimePoint now);
+    void handleStarted(const Placed &placed, const std::optional<Started> &answer, TimePoint now);
+    void closeUncertain(TimePoint now);
+    void settleClosed(const std::string &worker, const AttemptId &attempt, TimePoint now);
+
+    void handleJobTaskEnded(WorkerLink &link, const AttemptReport &report, const TaskLabel &label, TimePoint now);
+    void handleShortEnded(WorkerLink &link, const AttemptReport &report, const TaskLabel &label, TimePoint now);
+    void handleLost(const std::string &worker, const AttemptId &attempt, TimePoint now);
+    void retryOrEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result, TimePoint now);
+    void delayTask(JobProgress &job, int index, TimePoint now);
+    void recordEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result);
+    void releaseDelayed(TimePoint now);
+
+    void cancelJob(const std::string &id, TimePoint now);
+    void stopTask(const std::string &jobId, int index, TimePoint now);
+    void handleClaimFolded(const ClaimMade &record, TimePoint now);
+    void handleEndFolded(const TaskEnded &record);
+    void handleSettledFolded(const ClaimSettled &record);
+    void applyEarlyEnds(JobProgress &job, TimePoint now);
+
+    void decideHeld(TimePoint now);
+    std::optional<ShortDecision> knownShort(const std::string &key) const;
+    std::optional<ShortDecision> placeShort(const JobSpec &spec, TimePoint now, NoPlace &cause);
+    void lookUpShorts(TimePoint now);
+    ShortDecision startDecision(const JobSpec &spec, const Placed &placed, TimePoint now) const;
+    JobProgress *findJob(const std::string &id);
+    WorkerLink *findLink(const std::string &worker);
+    TaskProgress *findTask(const AttemptId &attempt, JobProgress **job, int *index);
+
+    ZoneLeaderOptions m_options;
+    std::int64_t m_epoch;
+    WorkerDirectory &m_workers;
+    LogFold &m_fold;
+    LogAppender &m_appender;
+    TimePoint m_begunAt;
+    ZoneScheduler m_scheduler;
+    WorkerHealth m_health;
+    ShortDesk m_shorts;
+    std::map<std::string, std::unique_ptr<WorkerLink>> m_links;
+    std::map<std::string, JobProgress> m_jobs;
+    /// Attempts whose start was not answered, with the worker that may have them.
+    std::map<AttemptId, std::string> m_uncertain;
+    TimePoint m_closeUncertainAt {};
+    /// Ends told by workers before the record of their job was read, by task.
+    std::map<std::string, EarlyEnd> m_earlyEnds;
+    /// Attempts of unrepeatable requests whose outcome is on its way to the log, by request.
+    std::map<std::string, EarlyEnd> m_settling;
+    FollowerProofs m_followers;
+    bool m_fleetKnown = false;
+    bool m_recovered = false;
+    bool m_isFenced = false;
+    std::int64_t m_claims = 0;
+    std::function<void(TimePoint)> m_fenced;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/base/Findings.cpp
@@ -0,0 +1,42 @@
+#include "marjoramhaven/base/Findings.h"
+
+namespace marjoramhaven {
+
+std::string Place::toString() const
+{
+    std::string out = source;
+    if (line > 0) {
+        out += ":" + std::to_string(line) + ":" + std::to_string(column);
+    }
+    if (!pointer.empty()) {
+        out += (out.empty() ? "" : ": ") + pointer;
+    }
+    return out;
+}
+
+void Findings::add(Place place, std::string message)
+{
+    m_items.push_back({std::move(place), std::move(message)});
+}
+
+void Findings::add(std::string pointer, std::string message)
+{
+    add(Place {.source = {}, .line = 0, .column = 0, .pointer = std::move(pointer)}, std::move(message));
+}
+
+void Findings::append(const Findings &other)
+{
+    m_items.insert(m_items.end(), other.m_items.begin(), other.m_items.end());
+}
+
+std::string Findings::toString() const
+{
+    std::string out;
+    for (const auto &it : m_items) {
+        const auto place = it.place.toString();
+        out += (out.empty() ? "" : "\n") + (place.empty() ? it.message : place + ": " + it.message);
+    }
+    return out;
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/cli/ServeCommands.cpp
@@ -0,0 +1,126 @@
+#include "ServeCommands.h"
+
+#include <QCoreApplication>
+#include <QTimer>
+#include <atomic>
+#include <csignal>
+#include <iostream>
+
+#include "CommandLine.h"
+#include "marjoramhaven/base/Json.h"
+#include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/node/EntryNode.h"
+#include "marjoramhaven/standin/StandInPlatform.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr int CheckSignalMs = 50;
+std::atomic<bool> stopRequested {false};
+
+void onSignal(int /*signal*/)
+{
+    stopRequested = true;
+}
+
+// Runs the event loop until SIGTERM or SIGINT.
+void runUntilSignal()
+{
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    QTimer timer;
+    QObject::connect(&timer, &QTimer::timeout, &timer, []() {
+        if (stopRequested) {
+            QCoreApplication::quit();
+        }
+    });
+    timer.start(CheckSignalMs);
+    QCoreApplication::exec();
+}
+
+// Reads "name=zone" pairs of entry processes for the stand-in's list.
+std::optional<std::vector<Vm>> readEntries(const std::vector<std::string> &texts)
+{
+    std::vector<Vm> out;
+    for (const auto &it : texts) {
+        const auto at = it.find('=');
+        if (at == std::string::npos) {
+            setLastReason("an entry must be name=zone: " + it);
+            return std::nullopt;
+        }
+        Vm vm;
+        vm.name = it.substr(0, at);
+        vm.role = VmRole::Entry;
+        vm.zone = it.substr(at + 1);
+        out.push_back(std::move(vm));
+    }
+    return out;
+}
+
+} // namespace
+
+ExitCode runServe(std::vector<std::string> arguments)
+{
+    TCLAP::CmdLine line("Runs an entry process until SIGTERM, then stops gracefully.", ' ', MARJORAMHAVEN_VERSION);
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> file("s", "settings", "Settings of this process", true, "", "FILE", line);
+    line.parse(arguments);
+    Findings findings;
+    const auto document = YamlDocument::load(file.getValue(), findings);
+    const auto settings = document ? Settings::read(*document, findings) : std::nullopt;
+    if (!settings) {
+        printError("\n" + findings.toString());
+        return ExitCode::Invalid;
+    }
+    setUpLogging(settings->logLevel);
+    const Log log("serve");
+    const auto node = EntryNode::start(*settings);
+    if (!node) {
+        printError(lastReason());
+        return ExitCode::Failed;
+    }
+    log.info("listens for callers on " + settings->callers.toString());
+    runUntilSignal();
+    log.info("stops");
+    const bool clean = node->stop();
+    log.info(clean ? "stopped with nothing in flight" : "stopped with work in flight, the time allowed is over");
+    return clean ? ExitCode::Ok : ExitCode::Failed;
+}
+
+ExitCode runStandIn(std::vector<std::string> arguments)
+{
+    constexpr int MostWorkers = 200;
+    TCLAP::CmdLine line("Runs a stand-in for the platform (log, workers, list of VMs) to try the system out.", ' ', MARJORAMHAVEN_VERSION);
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<int> port("p", "port", "Port to listen on", false, 8900, "port", line);
+    TCLAP::ValueArg<int> workers("w", "workers", "Workers in each zone", false, 4, "n", line);
+    TCLAP::MultiArg<std::string> zones("z", "zone", "A zone (default: local)", false, "name", line);
+    TCLAP::MultiArg<std::string> entries("e", "entry", "An entry VM to list, as name=zone", false, "name=zone", line);
+    line.parse(arguments);
+    StandInFleet fleet;
+    fleet.zones = zones.isSet() ? zones.getValue() : std::vector<std::string> {"local"};
+    fleet.workersPerZone = workers.getValue();
+    const auto listed = readEntries(entries.getValue());
+    if (!listed) {
+        printError(lastReason());
+        return ExitCode::Invalid;
+    }
+    if (fleet.workersPerZone < 1 || fleet.workersPerZone > MostWorkers) {
+        printError("--workers must be from 1 to 200");
+        return ExitCode::Invalid;
+    }
+    fleet.entries = *listed;
+    setUpLogging("warn");
+    StandInPlatform platform(fleet);
+    const int bound = platform.listenOn(port.getValue());
+    if (bound == 0) {
+        printError(lastReason());
+        return ExitCode::Failed;
+    }
+    std::cout << "stand-in listens on 127.0.0.1:" << bound << std::endl;
+    runUntilSignal();
+    return ExitCode::Ok;
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/cli/ServeCommands.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "marjoramhaven/cli/ExitCode.h"
+
+namespace marjoramhaven {
+
+// Subcommands that run until they are told to stop: serve and stand-in.
+
+ExitCode runServe(std::vector<std::string> arguments);
+ExitCode runStandIn(std::vector<std::string> arguments);
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/history/Placeholder.cpp
@@ -0,0 +1,2 @@
+namespace marjoramhaven {
+}
--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,96 @@
+#include "marjoramhaven/http/HttpClient.h"
+
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <QUrl>
+
+#include "OneShotBody.h"
+#include "marjoramhaven/base/Json.h"
+
+namespace marjoramhaven {
+
+namespace {
+// Qt opens at most this many connections from one manager to one host.
+constexpr int ConnectionsPerLane = 6;
+} // namespace
+
+HttpClient::HttpClient(QObject *parent)
+    : QObject(parent)
+{
+}
+
+HttpClient::Lane &HttpClient::laneFor(const QString &host)
+{
+    for (auto &it : m_lanes) {
+        if (it->busy[host] < ConnectionsPerLane) {
+            return *it;
+        }
+    }
+    m_lanes.push_back(std::make_unique<Lane>());
+    m_lanes.back()->manager = std::make_unique<QNetworkAccessManager>();
+    return *m_lanes.back();
+}
+
+void HttpClient::call(const QByteArray &method, const QString &url, const QByteArray &body, Millis timeout, Done done, const std::string &traceparent)
+{
+    if (m_isShutDown) {
+        return;
+    }
+    const QUrl target(url);
+    const QString host = target.authority();
+    auto &lane = laneFor(host);
+    ++lane.busy[host];
+    ++m_inFlight;
+    QNetworkRequest request(target);
+    request.setTransferTimeout(static_cast<int>(timeout.count()));
+    request.setAttribute(QNetworkRequest::RedirectPolicyAttribute, QNetworkRequest::ManualRedirectPolicy);
+    if (!traceparent.empty()) {
+        request.setRawHeader("traceparent", QByteArray::fromStdString(traceparent));
+    }
+    QNetworkReply *reply = nullptr;
+    if (body.isEmpty()) {
+        reply = lane.manager->sendCustomRequest(request, method);
+    } else {
+        request.setHeader(QNetworkRequest::ContentTypeHeader, QLatin1String("application/json"));
+        request.setHeader(QNetworkRequest::ContentLengthHeader, body.size());
+        request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+        auto *device = new OneShotBody(body);
+        reply = lane.manager->sendCustomRequest(request, method, device);
+        device->setParent(reply);
+        m_bodyBytes += body.size();
+    }
+    connect(reply, &QNetworkReply::finished, this, [this, reply, &lane, host, done = std::move(done)]() {
+        --lane.busy[host];
+        finish(reply, done);
+    });
+}
+
+void HttpClient::shutDown()
+{
+    m_isShutDown = true;
+    for (auto &it : m_lanes) {
+        for (auto *reply : it->manager->findChildren<QNetworkReply *>()) {
+            disconnect(reply, nullptr, this, nullptr);
+        }
+    }
+    m_lanes.clear();
+}
+
+void HttpClient::finish(QNetworkReply *reply, const Done &done)
+{
+    --m_inFlight;
+    HttpAnswer out;
+    out.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    const bool whole = reply->error() == QNetworkReply::NoError || (out.status >= 400 && reply->error() > QNetworkReply::ProxyAuthenticationRequiredError);
+    out.answered = whole && out.status != 0;
+    out.body = reply->readAll();
+    out.retryAfterSeconds = reply->rawHeader("Retry-After").toInt();
+    if (!out.answered) {
+        out.error = reply->errorString().toStdString();
+    }
+    m_bodyBytes += out.body.size();
+    reply->deleteLater();
+    done(out);
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/node/NodeApi.cpp
@@ -0,0 +1,526 @@
+#include "marjoramhaven/node/NodeApi.h"
+
+#include <QJsonArray>
+#include <algorithm>
+
+#include "marjoramhaven/base/Json.h"
+#include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/config/MergePatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis RecordWithin {5000};
+constexpr std::size_t JobsListed = 1000;
+
+int statusOf(ShortAnswerKind kind)
+{
+    switch (kind) {
+    case ShortAnswerKind::Done:
+    case ShortAnswerKind::Failed:
+        return 200;
+    case ShortAnswerKind::NotRun:
+        return 503;
+    case ShortAnswerKind::Unknown:
+        break;
+    }
+    return 504;
+}
+
+QByteArray retryAfterHeader(Millis retryAfter)
+{
+    return QByteArray::number(std::max<std::int64_t>(1, (retryAfter.count() + 999) / 1000));
+}
+
+QJsonArray findingsToJson(const Findings &findings)
+{
+    QJsonArray out;
+    for (const auto &it : findings.items()) {
+        out.append(QJsonObject {{QLatin1String("pointer"), toQt(it.place.pointer)}, {QLatin1String("message"), toQt(it.message)}});
+    }
+    return out;
+}
+
+// Problem details with the answer word that a caller acts on.
+HttpResponse answerProblem(int status, const char *answer, const std::string &id, const std::string &detail, Millis retryAfter = Millis(0))
+{
+    QJsonObject out {{QLatin1String("title"), QLatin1String(answer)},
+                     {QLatin1String("status"), status},
+                     {QLatin1String("detail"), toQt(detail)},
+                     {QLatin1String("answer"), QLatin1String(answer)},
+                     {QLatin1String("id"), toQt(id)}};
+    auto response = HttpResponse::json(status, out);
+    response.type = "application/problem+json";
+    if (retryAfter > Millis(0)) {
+        response.headers.emplace_back("Retry-After", retryAfterHeader(retryAfter));
+    }
+    return response;
+}
+
+HttpResponse invalid(const Findings &findings)
+{
+    auto response = HttpResponse::json(422,
+                                       {{QLatin1String("title"), QLatin1String("not valid")},
+                                        {QLatin1String("status"), 422},
+                                        {QLatin1String("detail"), toQt(findings.toString())},
+                                        {QLatin1String("answer"), QLatin1String("not-run")},
+                                        {QLatin1String("findings"), findingsToJson(findings)}});
+    response.type = "application/problem+json";
+    return response;
+}
+
+QJsonObject jobToJson(const JobEntry &entry)
+{
+    std::map<std::string, int> counts;
+    QJsonArray results;
+    for (const auto &[index, end] : entry.ended) {
+        ++counts[std::string(nameOf(end.outcome))];
+        results.append(
+            QJsonObject {{QLatin1String("index"), index}, {QLatin1String("outcome"), toQt(nameOf(end.outcome))}, {QLatin1String("result"), toQt(end.result)}});
+    }
+    QJsonObject ended;
+    for (const auto &[name, n] : counts) {
+        ended.insert(toQt(name), n);
+    }
+    const char *state = entry.isFinished() ? "finished" : entry.cancelled ? "cancelling" : "accepted";
+    return {{QLatin1String("id"), toQt(entry.spec.id)},
+            {QLatin1String("team"), toQt(entry.spec.team)},
+            {QLatin1String("kind"), toQt(nameOf(entry.spec.kind))},
+            {QLatin1String("zone"), toQt(entry.homeZone)},
+            {QLatin1String("state"), QLatin1String(state)},
+            {QLatin1String("tasks"), entry.spec.tasks},
+            {QLatin1String("ended"), ended},
+            {QLatin1String("results"), results}};
+}
+
+HttpResponse accepted(const JobEntry &entry)
+{
+    auto response = HttpResponse::json(202,
+                                       {{QLatin1String("answer"), QLatin1String("accepted")},
+                                        {QLatin1String("id"), toQt(entry.spec.id)},
+                                        {QLatin1String("zone"), toQt(entry.homeZone)},
+                                        {QLatin1String("location"), toQt("/v1/jobs/" + entry.spec.id)},
+                                        {QLatin1String("kept_by"), QLatin1String("the platform's log")}});
+    response.headers.emplace_back("Location", QByteArray::fromStdString("/v1/jobs/" + entry.spec.id));
+    return response;
+}
+
+HttpResponse versionResponse(const ConfigurationVersion &version)
+{
+    auto object = toJson(version);
+    object.insert(QLatin1String("version"), static_cast<qint64>(version.number));
+    return HttpResponse::json(200, object);
+}
+
+HttpResponse verdictResponse(const PatchVerdict &verdict)
+{
+    const bool ok = verdict.state == PatchState::Accepted;
+    const int status = ok ? 200 : 409;
+    return HttpResponse::json(status,
+                              {{QLatin1String("answer"), toQt(nameOf(verdict.state))},
+                               {QLatin1String("version"), static_cast<qint64>(verdict.version)},
+                               {QLatin1String("findings"), findingsToJson(verdict.findings)}});
+}
+
+} // namespace
+
+NodeApi::NodeApi(const Settings &settings, NodeCore &core, NodeShared &shared)
+    : m_settings(settings)
+    , m_core(core)
+    , m_shared(shared)
+    , m_carrier(core, shared, std::hash<std::string>()(settings.name))
+{
+}
+
+int NodeApi::start()
+{
+    m_server = std::make_unique<HttpServer>([this](const HttpRequest &request, const HttpRespond &respond) { handle(request, respond); }, HttpLimits());
+    return m_server->listenOn(QHostAddress(toQt(m_settings.callers.host)), m_settings.callers.port);
+}
+
+void NodeApi::shutDown()
+{
+    m_carrier.shutDown();
+    m_server.reset();
+}
+
+void NodeApi::handle(const HttpRequest &request, const HttpRespond &respond)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    auto span = m_shared.tracer.begin(request.method + " " + request.path, request.traceparent);
+    HttpRequest traced = request;
+    traced.traceparent = span.context.toHeader();
+    route(traced, [this, begun, span, respond](HttpResponse response) {
+        const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - begun;
+        m_shared.metrics.observeMillis("http_request_ms", took.count());
+        m_shared.metrics.count("http_answers_total{status=\"" + std::to_string(response.status) + "\"}");
+        m_shared.tracer.end(span, response.status >= 500);
+        respond(std::move(response));
+    });
+}
+
+void NodeApi::route(const HttpRequest &request, const HttpRespond &respond)
+{
+    const auto &parts = request.parts;
+    if (request.path == "/healthz") {
+        respond(HttpResponse::json(200, {{QLatin1String("healthy"), true}}));
+    } else if (request.path == "/readyz") {
+        const bool ready = !m_shared.draining;
+        respond(HttpResponse::json(ready ? 200 : 503, {{QLatin1String("ready"), ready}}));
+    } else if (request.path == "/metrics") {
+        HttpResponse out;
+        out.type = "text/plain; version=0.0.4";
+        out.body = QByteArray::fromStdString(m_shared.metrics.render());
+        respond(std::move(out));
+    } else if (parts.size() < 2 || parts[0] != "v1") {
+        respond(HttpResponse::problem(404, "no such resource", "there is nothing at " + request.path));
+    } else if (parts[1] == "requests" && parts.size() == 2 && request.method == "POST") {
+        postRequest(request, respond);
+    } else if (parts[1] == "requests" && parts.size() == 3 && request.method == "GET") {
+        getRequest(parts[2], respond);
+    } else if (parts[1] == "jobs") {
+        routeJobs(request, respond);
+    } else if (parts[1] == "config") {
+        routeConfig(request, respond);
+    } else if (parts[1] == "status" && parts.size() == 2 && request.method == "GET") {
+        getStatus(respond);
+    } else if (parts[1] == "drain" && parts.size() == 2 && request.method == "POST") {
+        m_shared.draining = true;
+        m_log.info("drains by an operator's request");
+        respond(HttpResponse::json(200, {{QLatin1String("draining"), true}}));
+    } else {
+        respond(HttpResponse::problem(404, "no such resource", "there is nothing for " + request.method + " at " + request.path));
+    }
+}
+
+void NodeApi::routeJobs(const HttpRequest &request, const HttpRespond &respond)
+{
+    const auto &parts = request.parts;
+    if (parts.size() == 2 && request.method == "POST") {
+        postJob(request, respond);
+    } else if (parts.size() == 2 && request.method == "GET") {
+        listJobs(respond);
+    } else if (parts.size() == 3 && request.method == "GET") {
+        getJob(parts[2], respond);
+    } else if (parts.size() == 3 && request.method == "DELETE") {
+        cancelJob(parts[2], respond);
+    } else {
+        respond(HttpResponse::problem(405, "not allowed", request.method + " does not work on " + request.path));
+    }
+}
+
+void NodeApi::routeConfig(const HttpRequest &request, const HttpRespond &respond)
+{
+    const auto &parts = request.parts;
+    const auto &history = m_shared.fold.configuration();
+    if (parts.size() == 2 && request.method == "GET") {
+        respond(versionResponse(history.current()));
+    } else if (parts.size() == 3 && parts[2] == "patches" && request.method == "POST") {
+        postPatch(request, respond);
+    } else if (parts.size() == 4 && parts[2] == "patches" && request.method == "GET") {
+        getPatch(parts[3], respond);
+    } else if (parts.size() == 3 && parts[2] == "versions" && request.method == "GET") {
+        QJsonArray out;
+        for (const auto &it : history.since(-1, JobsListed)) {
+            auto row = toJson(it);
+            row.remove(QLatin1String("document"));
+            out.append(row);
+        }
+        respond(HttpResponse::json(200, {{QLatin1String("versions"), out}}));
+    } else if (parts.size() == 4 && parts[2] == "versions" && request.method == "GET") {
+        const auto version = history.version(toQt(parts[3]).toLongLong());
+        respond(version ? versionResponse(*version) : HttpResponse::problem(404, "no such version", lastReason()));
+    } else {
+        respond(HttpResponse::problem(405, "not allowed", request.method + " does not work on " + request.path));
+    }
+}
+
+std::optional<JobSpec> NodeApi::readSpec(const HttpRequest &request, const HttpRespond &respond)
+{
+    if (m_shared.refusing) {
+        respond(answerProblem(503, "not-run", "", "this process is stopping", Millis(1000)));
+        return std::nullopt;
+    }
+    const auto object = parseJsonObject(request.body);
+    if (!object) {
+        respond(answerProblem(400, "not-run", "", lastReason()));
+        return std::nullopt;
+    }
+    Findings findings;
+    auto spec = JobSpec::fromJson(*object, findings);
+    if (findings.isEmpty()) {
+        spec.checkAgainst(*m_shared.fold.configuration().configuration(), findings);
+    }
+    if (!findings.isEmpty()) {
+        respond(invalid(findings));
+        return std::nullopt;
+    }
+    if (spec.zone.empty()) {
+        spec.zone = m_settings.zone;
+    }
+    return spec;
+}
+
+void NodeApi::postRequest(const HttpRequest &request, const HttpRespond &respond)
+{
+    auto spec = readSpec(request, respond);
+    if (!spec) {
+        return;
+    }
+    spec->kind = JobKind::ShortRequest;
+    m_carrier.carry(*spec, request.traceparent, monotonicNow(), [respond, id = spec->id, zone = spec->zone](const ShortAnswer &answer) {
+        if (answer.kind == ShortAnswerKind::NotRun || answer.kind == ShortAnswerKind::Unknown) {
+            const auto retryAfter = answer.kind == ShortAnswerKind::NotRun ? std::max(answer.retryAfter, Millis(1)) : Millis(0);
+            respond(answerProblem(statusOf(answer.kind), nameOf(answer.kind).data(), id, answer.reason, retryAfter));
+            return;
+        }
+        respond(HttpResponse::json(200,
+                                   {{QLatin1String("answer"), toQt(nameOf(answer.kind))},
+                                    {QLatin1String("id"), toQt(id)},
+                                    {QLatin1String("zone"), toQt(zone)},
+                                    {QLatin1String("result"), toQt(answer.result)}}));
+    });
+}
+
+void NodeApi::getRequest(const std::string &id, const HttpRespond &respond)
+{
+    const auto claim = m_shared.fold.claims().claim(id);
+    if (claim && claim->end) {
+        respond(HttpResponse::json(200,
+                                   {{QLatin1String("answer"), toQt(nameOf(claim->end->outcome))},
+                                    {QLatin1String("id"), toQt(id)},
+                                    {QLatin1String("result"), toQt(claim->end->result)}}));
+    } else if (claim && !claim->nonce.empty()) {
+        respond(answerProblem(504, "unknown", id, "the request is claimed and its outcome is not recorded yet"));
+    } else {
+        respond(HttpResponse::problem(404, "not known", "no unrepeatable request with this id is recorded"));
+    }
+}
+
+void NodeApi::postJob(const HttpRequest &request, const HttpRespond &respond)
+{
+    auto spec = readSpec(request, respond);
+    if (!spec) {
+        return;
+    }
+    if (spec->kind == JobKind::ShortRequest) {
+        respond(answerProblem(422, "not-run", spec->id, "a short request goes to /v1/requests"));
+        return;
+    }
+    const auto home = spec->zone;
+    if (const auto known = m_shared.fold.jobs().job(spec->id)) {
+        const bool same = known->fingerprint == spec->fingerprint();
+        respond(same ? accepted(*known) : answerProblem(409, "refused", spec->id, "the id was used before for another job"));
+        return;
+    }
+    postTo(&m_core, [this, spec = *spec, home, respond]() {
+        m_core.askJob(home, spec.id, spec.resources, [this, spec, home, respond](const JobLive &live) {
+            postTo(this, [this, spec, home, respond, live]() {
+                if (live.reached && !live.couldFit) {
+                    respond(answerProblem(422, "not-run", spec.id, "each task is larger than any worker of zone " + home));
+                } else {
+                    acceptJob(spec, home, respond);
+                }
+            });
+        });
+    });
+}
+
+void NodeApi::acceptJob(const JobSpec &spec, const std::string &home, const HttpRespond &respond)
+{
+    postTo(&m_core, [this, spec, home, respond]() {
+        const bool evenIfFailing = false;
+        if (!m_core.append(JobAccepted {spec, home}, evenIfFailing)) {
+            postTo(this, [spec, respond, reason = lastReason()]() {
+                respond(answerProblem(503, "not-run", spec.id, "the job can't be recorded: " + reason, Millis(2000)));
+            });
+            return;
+        }
+        const auto condition = [this, id = spec.id]() { return m_shared.fold.jobs().job(id).has_value(); };
+        m_core.whenFolded(condition, RecordWithin, [this, spec, respond](bool folded) {
+            postTo(this, [this, spec, respond, folded]() {
+                const auto entry = m_shared.fold.jobs().job(spec.id);
+                if (!folded || !entry) {
+                    respond(answerProblem(504, "unknown", spec.id, "the log did not confirm the job in time; ask for it at /v1/jobs/" + spec.id));
+                    return;
+                }
+                const bool same = entry->fingerprint == spec.fingerprint();
+                respond(same ? accepted(*entry) : answerProblem(409, "refused", spec.id, "the id was used before for another job"));
+            });
+        });
+    });
+}
+
+void NodeApi::getJob(const std::string &id, const HttpRespond &respond)
+{
+    const auto entry = m_shared.fold.jobs().job(id);
+    if (!entry) {
+        respond(HttpResponse::problem(404, "no such job", "no job " + id + " is recorded, as far as this process has read the log"));
+        return;
+    }
+    if (entry->isFinished()) {
+        respond(HttpResponse::json(200, jobToJson(*entry)));
+        return;
+    }
+    postTo(&m_core, [this, entry, respond]() {
+        m_core.askJob(entry->homeZone, entry->spec.id, entry->spec.resources, [this, entry, respond](const JobLive &live) {
+            postTo(this, [entry, respond, live]() {
+                auto out = jobToJson(*entry);
+                if (live.reached) {
+                    out.insert(QLatin1String("running"), live.running);
+                    out.insert(QLatin1String("could_fit"), live.couldFit);
+                }
+                respond(HttpResponse::json(200, out));
+            });
+        });
+    });
+}
+
+void NodeApi::listJobs(const HttpRespond &respond)
+{
+    QJsonArray out;
+    m_shared.fold.jobs().forEach([&](const JobEntry &it) {
+        if (out.size() < static_cast<qsizetype>(JobsListed)) {
+            auto row = jobToJson(it);
+            row.remove(QLatin1String("results"));
+            out.append(row);
+        }
+    });
+    respond(HttpResponse::json(200, {{QLatin1String("jobs"), out}, {QLatin1String("total"), static_cast<qint64>(m_shared.fold.jobs().size())}}));
+}
+
+void NodeApi::cancelJob(const std::string &id, const HttpRespond &respond)
+{
+    if (!m_shared.fold.jobs().job(id)) {
+        respond(HttpResponse::problem(404, "no such job", "no job " + id + " is recorded, as far as this process has read the log"));
+        return;
+    }
+    postTo(&m_core, [this, id, respond]() {
+        const bool evenIfFailing = false;
+        if (!m_core.append(JobCancelled {id}, evenIfFailing)) {
+            postTo(this, [id, respond, reason = lastReason()]() {
+                respond(answerProblem(503, "refused", id, "the cancellation can't be recorded: " + reason, Millis(2000)));
+            });
+            return;
+        }
+        const auto condition = [this, id]() {
+            const auto entry = m_shared.fold.jobs().job(id);
+            return entry && entry->isFinished();
+        };
+        m_core.whenFolded(condition, RecordWithin, [this, id, respond](bool) {
+            postTo(this, [this, id, respond]() {
+                const auto entry = m_shared.fold.jobs().job(id);
+                respond(HttpResponse::json(entry && entry->isFinished() ? 200 : 202, entry ? jobToJson(*entry) : QJsonObject()));
+            });
+        });
+    });
+}
+
+void NodeApi::postPatch(const HttpRequest &request, const HttpRespond &respond)
+{
+    constexpr std::size_t MaxIdBytes = 200;
+    constexpr std::int64_t LargestVersion = 1'000'000'000;
+    const auto object = parseJsonObject(request.body);
+    if (!object) {
+        respond(answerProblem(400, "refused", "", lastReason()));
+        return;
+    }
+    Findings findings;
+    JsonReader reader(*object, "", findings);
+    ConfigurationPatch patch;
+    patch.id = reader.requiredText("id", MaxIdBytes);
+    patch.base = reader.integer("base", -1, 0, LargestVersion);
+    patch.author = reader.text("author");
+    patch.patch = reader.object("patch");
+    reader.rejectUnknown();
+    if (patch.base < 0 && findings.isEmpty()) {
+        findings.add("/base", "is required");
+    }
+    if (!findings.isEmpty()) {
+        respond(invalid(findings));
+        return;
+    }
+    const auto &history = m_shared.fold.configuration();
+    if (const auto known = history.verdict(patch.id)) {
+        respond(verdictResponse(*known));
+        return;
+    }
+    const auto current = history.current();
+    PatchVerdict early;
+    early.version = current.number;
+    if (patch.base < current.number) {
+        early.findings.add("/base",
+                           "the patch was written against version " + std::to_string(patch.base) + ", but version " + std::to_string(current.number)
+                               + " is in force");
+    } else if (patch.base == current.number) {
+        Configuration::read(applyMergePatch(current.document, patch.patch), early.findings);
+    }
+    if (!early.findings.isEmpty()) {
+        respond(verdictResponse(early));
+        return;
+    }
+    appendPatch(patch, respond);
+}
+
+void NodeApi::appendPatch(const ConfigurationPatch &patch, const HttpRespond &respond)
+{
+    postTo(&m_core, [this, patch, respond]() {
+        const bool evenIfFailing = false;
+        if (!m_core.append(patch, evenIfFailing)) {
+            postTo(this, [patch, respond, reason = lastReason()]() {
+                respond(answerProblem(503, "refused", patch.id, "the patch can't be recorded: " + reason, Millis(2000)));
+            });
+            return;
+        }
+        const auto condition = [this, id = patch.id]() { return m_shared.fold.configuration().verdict(id).has_value(); };
+        m_core.whenFolded(condition, RecordWithin, [this, id = patch.id, respond](bool) {
+            postTo(this, [this, id, respond]() {
+                const auto verdict = m_shared.fold.configuration().verdict(id);
+                respond(verdict ? verdictResponse(*verdict)
+                                : answerProblem(504, "unknown", id, "the log did not confirm the patch in time; ask at /v1/config/patches/" + id));
+            });
+        });
+    });
+}
+
+void NodeApi::getPatch(const std::string &id, const HttpRespond &respond)
+{
+    const auto verdict = m_shared.fold.configuration().verdict(id);
+    respond(verdict ? verdictResponse(*verdict) : HttpResponse::problem(404, "not known", "no patch " + id + " is recorded, as far as this process has read"));
+}
+
+void NodeApi::getStatus(const HttpRespond &respond)
+{
+    const auto status = m_shared.status();
+    const auto current = m_shared.fold.configuration().current();
+    QJsonArray peers;
+    for (const auto &it : status.peers) {
+        peers.append(toQt(it));
+    }
+    const QJsonObject zone {{QLatin1String("workers"), status.zone.workers},
+                            {QLatin1String("workers_open"), status.zone.openWorkers},
+                            {QLatin1String("tasks_running"), status.zone.running},
+                            {QLatin1String("tasks_waiting"), status.zone.waiting},
+                            {QLatin1String("short_active"), status.zone.shortActive},
+                            {QLatin1String("workers_quarantined"), static_cast<qint64>(status.zone.quarantined)},
+                            {QLatin1String("recovered"), status.zone.recovered}};
+    QJsonObject out {{QLatin1String("name"), toQt(m_settings.name)},
+                     {QLatin1String("zone"), toQt(m_settings.zone)},
+                     {QLatin1String("leader"), toQt(status.leader)},
+                     {QLatin1String("epoch"), static_cast<qint64>(status.epoch)},
+                     {QLatin1String("leading"), status.leading},
+                     {QLatin1String("peers"), peers},
+                     {QLatin1String("configuration"), static_cast<qint64>(current.number)},
+                     {QLatin1String("configuration_hash"), QString::number(static_cast<qulonglong>(current.hash), 16)},
+                     {QLatin1String("log_offset"), static_cast<qint64>(status.logOffset)},
+                     {QLatin1String("log_failing"), status.logFailing},
+                     {QLatin1String("jobs_known"), static_cast<qint64>(m_shared.fold.jobs().size())},
+                     {QLatin1String("draining"), m_shared.draining.load()}};
+    if (status.leading) {
+        out.insert(QLatin1String("zone_state"), zone);
+    }
+    respond(HttpResponse::json(200, out));
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/node/NodeCoreMessages.cpp
@@ -0,0 +1,189 @@
+#include "marjoramhaven/base/Json.h"
+#include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/node/NodeCore.h"
+#include "marjoramhaven/platform/WorkerCodec.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr std::size_t VersionsPerMessage = 50;
+constexpr Millis AskConfigurationEvery {100};
+
+ShortAnswerMessage toMessage(std::uint64_t call, const ShortDecision &decision)
+{
+    ShortAnswerMessage out;
+    out.call = call;
+    out.verdict = nameOf(decision.verdict);
+    out.reason = decision.reason;
+    out.retryAfterMs = decision.retryAfter.count();
+    out.workerUrl = decision.workerUrl;
+    out.outcome = nameOf(decision.outcome);
+    out.result = decision.result;
+    if (decision.verdict == ShortVerdict::Start || decision.verdict == ShortVerdict::Attach) {
+        out.start = jsonBytes(toJson(decision.start)).toStdString();
+    }
+    return out;
+}
+
+ShortDecision fromMessage(const ShortAnswerMessage &message)
+{
+    ShortDecision out;
+    out.verdict = valueOf<ShortVerdict>(message.verdict).value_or(ShortVerdict::NotLeader);
+    out.reason = message.reason;
+    out.retryAfter = Millis(message.retryAfterMs);
+    out.workerUrl = message.workerUrl;
+    out.outcome = valueOf<TaskOutcome>(message.outcome).value_or(TaskOutcome::Unknown);
+    out.result = message.result;
+    if (const auto start = parseJsonObject(QByteArray::fromStdString(message.start))) {
+        out.start = startRequestFromJson(*start);
+    }
+    return out;
+}
+
+} // namespace
+
+void NodeCore::handleMessage(const std::string &from, const PeerMessage &message)
+{
+    const auto now = monotonicNow();
+    std::visit([&](const auto &it) { handle(from, it, now); }, message);
+}
+
+void NodeCore::handle(const std::string & /*from*/, const HelloMessage & /*message*/, TimePoint /*now*/) { }
+
+void NodeCore::handle(const std::string &from, const BeatMessage &message, TimePoint now)
+{
+    m_echoes[from] = message.sentAt;
+    const auto &zone = m_peerZones[from];
+    if (zone == m_settings.zone) {
+        m_leadership.onBeat({from, message.epoch, message.leading, message.follows, message.leaderAge}, now);
+        updateRole(now);
+        const bool follows = !message.leading && message.follows == m_settings.name && message.epoch == m_leadership.epoch();
+        if (m_leader && follows && message.echo > 0) {
+            // What the peer echoes was sent after this leadership began, and so was its answer.
+            m_leader->confirmFollower(from, atMillis(message.echo));
+        }
+    } else {
+        auto &view = m_zones[zone];
+        if (message.leading && message.epoch >= view.epoch) {
+            view = {from, message.epoch};
+        } else if (view.leader == from && !message.leading) {
+            view.leader = message.follows;
+        } else if (view.leader.empty()) {
+            view = {message.follows, message.epoch};
+        }
+    }
+    if (message.configurationNumber > m_shared.fold.configuration().number() && now >= m_nextConfigurationAsk) {
+        m_nextConfigurationAsk = now + AskConfigurationEvery;
+        m_hub.send(from, ConfigurationAskMessage {m_shared.fold.configuration().number()});
+    }
+}
+
+void NodeCore::handle(const std::string &from, const ShortAskMessage &message, TimePoint now)
+{
+    const auto reply = [this, from, call = message.call](const ShortDecision &decision) { m_hub.send(from, toMessage(call, decision)); };
+    const auto object = parseJsonObject(QByteArray::fromStdString(message.spec));
+    Findings findings;
+    auto spec = JobSpec::fromJson(object.value_or(QJsonObject()), findings);
+    if (!m_leader || !findings.isEmpty()) {
+        ShortDecision out;
+        out.verdict = ShortVerdict::NotLeader;
+        out.reason = findings.toString();
+        reply(out);
+        return;
+    }
+    spec.deadline = std::min(spec.deadline, Millis(message.budgetMs));
+    auto span = m_shared.tracer.begin("decide", message.traceparent);
+    m_leader->decideShort(spec, now, [this, reply, span](const ShortDecision &decision) {
+        m_shared.tracer.end(span, decision.verdict == ShortVerdict::Refused);
+        reply(decision);
+    });
+}
+
+void NodeCore::handle(const std::string & /*from*/, const ShortAnswerMessage &message, TimePoint /*now*/)
+{
+    const auto node = m_shortCalls.extract(message.call);
+    if (node) {
+        node.mapped().decided(fromMessage(message));
+    }
+}
+
+void NodeCore::handle(const std::string & /*from*/, const ShortClosedMessage &message, TimePoint now)
+{
+    if (m_leader) {
+        m_leader->onShortClosed(message.key, {message.task, message.attempt}, now);
+    }
+}
+
+void NodeCore::handle(const std::string &from, const ConfigurationAskMessage &message, TimePoint /*now*/)
+{
+    const auto &history = m_shared.fold.configuration();
+    auto versions = history.since(message.above, VersionsPerMessage);
+    if (versions.empty()) {
+        return;
+    }
+    ConfigurationNewsMessage news;
+    if (versions.front().number != message.above + 1) {
+        news.versions.push_back(jsonBytes(toJson(history.current())).toStdString());
+    } else {
+        for (auto &it : versions) {
+            // The receiver makes the document from its own and the patch.
+            it.document = {};
+            news.versions.push_back(jsonBytes(toJson(it)).toStdString());
+        }
+    }
+    m_hub.send(from, news);
+}
+
+void NodeCore::handle(const std::string &from, const ConfigurationNewsMessage &message, TimePoint now)
+{
+    auto &history = m_shared.fold.configuration();
+    const auto before = history.number();
+    for (const auto &text : message.versions) {
+        const auto object = parseJsonObject(QByteArray::fromStdString(text));
+        if (!object) {
+            continue;
+        }
+        const auto version = configurationVersionFromJson(*object);
+        if (version.number <= history.number()) {
+            continue;
+        }
+        const bool taken = version.document.isEmpty() ? history.adopt(version) : history.restore(version);
+        if (!taken) {
+            m_log.warn("configuration " + std::to_string(version.number) + " from " + from + " is not taken: " + lastReason());
+            break;
+        }
+    }
+    if (history.number() != before) {
+        m_log.info("configuration " + std::to_string(history.number()) + " is in force, learnt from " + from);
+        if (m_leader) {
+            m_leader->onConfiguration();
+        }
+        m_nextBeat = now;
+        checkWaiters(now);
+    }
+}
+
+void NodeCore::handle(const std::string &from, const JobAskMessage &message, TimePoint /*now*/)
+{
+    JobAnswerMessage out;
+    out.call = message.call;
+    out.leading = m_leader != nullptr;
+    const auto object = parseJsonObject(QByteArray::fromStdString(message.resources));
+    if (m_leader && object) {
+        Findings findings;
+        out.couldFit = m_leader->couldEverFit(Resources::fromJson(*object, "", findings));
+        out.running = static_cast<int>(m_leader->runningTasks(message.id).size());
+    }
+    m_hub.send(from, out);
+}
+
+void NodeCore::handle(const std::string & /*from*/, const JobAnswerMessage &message, TimePoint /*now*/)
+{
+    const auto node = m_jobCalls.extract(message.call);
+    if (node) {
+        node.mapped().answered({message.leading, message.couldFit, message.running});
+    }
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/platform/HttpWorkerService.cpp
@@ -0,0 +1,78 @@
+#include "marjoramhaven/platform/HttpWorkerService.h"
+
+#include "marjoramhaven/base/Json.h"
+#include "marjoramhaven/platform/WorkerCodec.h"
+
+namespace marjoramhaven {
+
+namespace {
+constexpr Millis AnswerWithin {1500};
+constexpr int StatusOk = 200;
+
+// Adapts a typed callback to the JSON answer.
+template<typename T>
+auto reading(std::function<void(std::optional<T>, TimePoint)> done, T (*read)(const QJsonObject &))
+{
+    return
+        [done = std::move(done), read](const std::optional<QJsonObject> &body, TimePoint at) { done(body ? std::optional<T>(read(*body)) : std::nullopt, at); };
+}
+} // namespace
+
+HttpWorkerService::HttpWorkerService(HttpClient &client, QString baseUrl)
+    : m_client(client)
+    , m_baseUrl(std::move(baseUrl))
+{
+}
+
+void HttpWorkerService::post(const char *path,
+                             const QJsonObject &body,
+                             Millis timeout,
+                             const std::function<void(const std::optional<QJsonObject> &, TimePoint)> &done)
+{
+    m_client.call("POST", m_baseUrl + QLatin1String(path), jsonBytes(body), timeout, [done](const HttpAnswer &answer) {
+        const bool ok = answer.answered && answer.status == StatusOk;
+        done(ok ? parseJsonObject(answer.body) : std::nullopt, monotonicNow());
+    });
+}
+
+void HttpWorkerService::open(const std::string &owner, OpenDone done)
+{
+    post("/v1/session", {{QLatin1String("owner"), toQt(owner)}}, AnswerWithin, reading<SessionOpened>(std::move(done), sessionOpenedFromJson));
+}
+
+void HttpWorkerService::renew(const RenewRequest &request, RenewDone done)
+{
+    post("/v1/renew", toJson(request), request.wait + AnswerWithin, reading<Renewed>(std::move(done), renewedFromJson));
+}
+
+void HttpWorkerService::start(const StartRequest &request, StartDone done)
+{
+    post("/v1/start", toJson(request), request.awaitEnd ? m_awaitFor : AnswerWithin, reading<Started>(std::move(done), startedFromJson));
+}
+
+void HttpWorkerService::close(const AttemptId &attempt, ReportDone done)
+{
+    post("/v1/close", toJson(attempt), AnswerWithin, reading<AttemptReport>(std::move(done), attemptReportFromJson));
+}
+
+void HttpWorkerService::stop(std::int64_t session, const AttemptId &attempt, ReportDone done)
+{
+    const QJsonObject body {{QLatin1String("session"), static_cast<qint64>(session)}, {QLatin1String("attempt"), toJson(attempt)}};
+    post("/v1/stop", body, AnswerWithin, reading<AttemptReport>(std::move(done), attemptReportFromJson));
+}
+
+HttpWorkerDirectory::HttpWorkerDirectory(HttpClient &client)
+    : m_client(client)
+{
+}
+
+WorkerService &HttpWorkerDirectory::worker(const std::string &url)
+{
+    auto &it = m_workers[url];
+    if (!it) {
+        it = std::make_unique<HttpWorkerService>(m_client, toQt(url));
+    }
+    return *it;
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/telemetry/Metrics.cpp
@@ -0,0 +1,106 @@
+#include "marjoramhaven/telemetry/Metrics.h"
+
+#include <functional>
+#include <sstream>
+
+namespace marjoramhaven {
+
+namespace {
+constexpr int Bins = 40;
+constexpr double SmallestMs = 0.01;
+constexpr double LargestMs = 1'000'000;
+
+// The name without its labels.
+std::string baseOf(const std::string &name)
+{
+    return name.substr(0, name.find('{'));
+}
+
+void renderPlain(std::ostringstream &out, const std::map<std::string, double> &values, const char *type, std::string &lastBase)
+{
+    for (const auto &[name, value] : values) {
+        const auto base = baseOf(name);
+        if (base != lastBase) {
+            out << "# TYPE marjoramhaven_" << base << " " << type << "\n";
+            lastBase = base;
+        }
+        out << "marjoramhaven_" << name << " " << value << "\n";
+    }
+}
+} // namespace
+
+Metrics::Metrics() = default;
+
+Metrics::Shard &Metrics::shardOf(const std::string &name)
+{
+    return m_shards[std::hash<std::string>()(baseOf(name)) % ShardCount];
+}
+
+const Metrics::Shard &Metrics::shardOf(const std::string &name) const
+{
+    return m_shards[std::hash<std::string>()(baseOf(name)) % ShardCount];
+}
+
+void Metrics::count(const std::string &name, double n)
+{
+    auto &shard = shardOf(name);
+    const std::lock_guard guard(shard.lock);
+    shard.counters[name] += n;
+}
+
+void Metrics::gauge(const std::string &name, double value)
+{
+    auto &shard = shardOf(name);
+    const std::lock_guard guard(shard.lock);
+    shard.gauges[name] = value;
+}
+
+void Metrics::observeMillis(const std::string &name, double ms)
+{
+    auto &shard = shardOf(name);
+    const std::lock_guard guard(shard.lock);
+    auto it = shard.timings.find(name);
+    if (it == shard.timings.end()) {
+        it = shard.timings.emplace(name, Timing {boost::histogram::make_histogram(Axis(Bins, SmallestMs, LargestMs))}).first;
+    }
+    it->second.histogram(ms);
+    it->second.sum += ms;
+    it->second.n += 1;
+}
+
+double Metrics::value(const std::string &name) const
+{
+    const auto &shard = shardOf(name);
+    const std::lock_guard guard(shard.lock);
+    const auto counter = shard.counters.find(name);
+    if (counter != shard.counters.end()) {
+        return counter->second;
+    }
+    const auto gauge = shard.gauges.find(name);
+    return gauge == shard.gauges.end() ? 0 : gauge->second;
+}
+
+std::string Metrics::render() const
+{
+    std::ostringstream out;
+    for (const auto &shard : m_shards) {
+        const std::lock_guard guard(shard.lock);
+        std::string base;
+        renderPlain(out, shard.counters, "counter", base);
+        renderPlain(out, shard.gauges, "gauge", base);
+        for (const auto &[name, timing] : shard.timings) {
+            out << "# TYPE marjoramhaven_" << name << " histogram\n";
+            double sum = timing.histogram.at(-1);
+            for (int i = 0; i < Bins; ++i) {
+                sum += timing.histogram.at(i);
+                out << "marjoramhaven_" << name << "_bucket{le=\"" << timing.histogram.axis().bin(i).upper() << "\"} " << sum << "\n";
+            }
+            out << "marjoramhaven_" << name << "_bucket{le=\"+Inf\"} " << timing.n << "\n";
+            out << "marjoramhaven_" << name << "_sum " << timing.sum << "\n";
+            out << "marjoramhaven_" << name << "_count " << timing.n << "\n";
+        }
+    }
+    return out.str();
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/wire/PeerHub.cpp
@@ -0,0 +1,233 @@
+#include "marjoramhaven/wire/PeerHub.h"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+
+#include "marjoramhaven/base/Json.h"
+#include "marjoramhaven/base/LastReason.h"
+
+namespace marjoramhaven {
+
+namespace {
+constexpr Millis FirstRetry {100};
+constexpr int MaxRetryDoublings = 4;
+// The peer whose name comes later leaves the first dial to the other.
+constexpr Millis LeaveFirstDial {600};
+constexpr qint64 MaxUnsentBytes = 8 << 20;
+} // namespace
+
+// One open socket; its peer is known after the greeting.
+struct PeerHub::Link {
+    QTcpSocket *socket = nullptr;
+    FrameReader reader;
+    PeerInfo peer;
+};
+
+// The state of dialling one known peer.
+struct PeerHub::Dial {
+    PeerAddress address;
+    TimePoint nextAt {};
+    int failures = 0;
+    QTcpSocket *socket = nullptr;
+};
+
+PeerHub::PeerHub(PeerInfo self, std::uint64_t seed, QObject *parent)
+    : QObject(parent)
+    , m_self(std::move(self))
+    , m_random(seed)
+{
+    connect(&m_server, &QTcpServer::newConnection, this, [this]() {
+        while (auto *socket = m_server.nextPendingConnection()) {
+            attach(socket);
+        }
+    });
+}
+
+PeerHub::~PeerHub() = default;
+
+void PeerHub::shutDown()
+{
+    m_server.close();
+    for (auto &[name, it] : m_dials) {
+        if (it.socket != nullptr) {
+            disconnect(it.socket, nullptr, this, nullptr);
+            it.socket->abort();
+        }
+    }
+    for (auto &[socket, link] : m_links) {
+        disconnect(socket, nullptr, this, nullptr);
+        socket->abort();
+        socket->deleteLater();
+    }
+    m_dials.clear();
+    m_byName.clear();
+    m_links.clear();
+}
+
+int PeerHub::listenOn(const std::string &host, int port)
+{
+    if (!m_server.listen(QHostAddress(toQt(host)), static_cast<quint16>(port))) {
+        setLastReason("can't listen for peers: " + m_server.errorString().toStdString());
+        return 0;
+    }
+    return m_server.serverPort();
+}
+
+void PeerHub::setPeers(std::vector<PeerAddress> peers)
+{
+    for (auto &it : peers) {
+        auto &dial = m_dials[it.name];
+        dial.address = std::move(it);
+    }
+}
+
+void PeerHub::attach(QTcpSocket *socket)
+{
+    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    auto link = std::make_unique<Link>();
+    link->socket = socket;
+    m_links[socket] = std::move(link);
+    connect(socket, &QTcpSocket::readyRead, this, [this, socket]() { handleBytes(socket); });
+    connect(socket, &QTcpSocket::disconnected, this, [this, socket]() { drop(socket); });
+    const auto hello = encodeFrame(HelloMessage {WireVersion, m_self.name, m_self.zone});
+    m_bytes += hello.size();
+    socket->write(hello);
+}
+
+void PeerHub::dial(Dial &dial, TimePoint now)
+{
+    const auto pause = FirstRetry * (1 << std::min(dial.failures, MaxRetryDoublings));
+    dial.nextAt = now + pause + Millis(static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(pause.count())));
+    ++dial.failures;
+    auto *socket = new QTcpSocket(this);
+    dial.socket = socket;
+    connect(socket, &QTcpSocket::connected, this, [this, socket]() { attach(socket); });
+    connect(socket, &QTcpSocket::errorOccurred, this, [this, socket]() {
+        if (!m_links.contains(socket)) {
+            socket->deleteLater();
+        }
+    });
+    connect(socket, &QObject::destroyed, this, [this, socket]() {
+        for (auto &[name, it] : m_dials) {
+            if (it.socket == socket) {
+                it.socket = nullptr;
+            }
+        }
+    });
+    socket->connectToHost(QHostAddress(toQt(dial.address.host)), static_cast<quint16>(dial.address.port));
+}
+
+void PeerHub::tick(TimePoint now)
+{
+    for (auto &[name, it] : m_dials) {
+        if (m_byName.contains(name)) {
+            it.failures = 0;
+            it.nextAt = now + (m_self.name < name ? Millis(0) : LeaveFirstDial);
+            continue;
+        }
+        if (it.nextAt == TimePoint {} && m_self.name > name) {
+            it.nextAt = now + LeaveFirstDial;
+        }
+        if (now < it.nextAt) {
+            continue;
+        }
+        if (it.socket != nullptr && !m_links.contains(it.socket)) {
+            it.socket->abort();
+            it.socket->deleteLater();
+            it.socket = nullptr;
+        }
+        dial(it, now);
+    }
+}
+
+bool PeerHub::send(const std::string &peer, const PeerMessage &message)
+{
+    const auto it = m_byName.find(peer);
+    if (it == m_byName.end()) {
+        return false;
+    }
+    auto *socket = it->second->socket;
+    if (socket->bytesToWrite() > MaxUnsentBytes) {
+        socket->abort();
+        return false;
+    }
+    const auto frame = encodeFrame(message);
+    m_bytes += frame.size();
+    socket->write(frame);
+    return true;
+}
+
+std::vector<PeerInfo> PeerHub::linked() const
+{
+    std::vector<PeerInfo> out;
+    for (const auto &[name, link] : m_byName) {
+        out.push_back(link->peer);
+    }
+    return out;
+}
+
+void PeerHub::handleBytes(QTcpSocket *socket)
+{
+    const QByteArray bytes = socket->readAll();
+    m_bytes += bytes.size();
+    const auto messages = m_links.at(socket)->reader.feed(bytes);
+    if (!messages) {
+        m_log.warn("closed a link: " + lastReason());
+        socket->abort();
+        return;
+    }
+    for (const auto &it : *messages) {
+        const auto found = m_links.find(socket);
+        if (found == m_links.end()) {
+            return;
+        }
+        if (const auto *hello = std::get_if<HelloMessage>(&it)) {
+            handleHello(*found->second, *hello);
+        } else if (!found->second->peer.name.empty()) {
+            Q_EMIT received(found->second->peer.name, it);
+        }
+    }
+}
+
+void PeerHub::handleHello(Link &link, const HelloMessage &hello)
+{
+    if (hello.name.empty() || hello.name == m_self.name) {
+        m_log.warn("closed a link: the peer has no name, or that of this process");
+        link.socket->abort();
+        return;
+    }
+    link.peer = {hello.name, hello.zone};
+    const auto old = m_byName.find(hello.name);
+    if (old != m_byName.end()) {
+        // A newer link of the same peer takes the place of the older.
+        auto *socket = old->second->socket;
+        m_byName.erase(old);
+        Q_EMIT peerDown(hello.name);
+        socket->abort();
+    }
+    m_byName[hello.name] = &link;
+    m_log.info("linked with " + hello.name + " of zone " + hello.zone);
+    Q_EMIT peerUp(hello.name, hello.zone);
+}
+
+void PeerHub::drop(QTcpSocket *socket)
+{
+    const auto it = m_links.find(socket);
+    if (it == m_links.end()) {
+        return;
+    }
+    const auto name = it->second->peer.name;
+    const auto byName = m_byName.find(name);
+    const bool wasLinked = byName != m_byName.end() && byName->second == it->second.get();
+    if (wasLinked) {
+        m_byName.erase(byName);
+    }
+    m_links.erase(it);
+    socket->deleteLater();
+    if (wasLinked) {
+        m_log.info("lost the link to " + name);
+        Q_EMIT peerDown(name);
+    }
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/zone/WorkerLink.cpp
@@ -0,0 +1,135 @@
+#include "marjoramhaven/zone/WorkerLink.h"
+
+#include <algorithm>
+
+namespace marjoramhaven {
+
+namespace {
+constexpr Millis RetryFirst {100};
+constexpr int MaxRetryDoublings = 4;
+constexpr Millis BetweenRenewals {20};
+// Clocks of two machines may run this much apart during one lease.
+constexpr Millis ClockMargin {100};
+} // namespace
+
+WorkerLink::WorkerLink(Vm vm, std::string owner, WorkerService &service, WorkerLinkTimes times, WorkerLinkListener &listener)
+    : m_vm(std::move(vm))
+    , m_owner(std::move(owner))
+    , m_service(service)
+    , m_times(times)
+    , m_listener(listener)
+{
+}
+
+std::int64_t WorkerLink::workerClock(TimePoint now) const
+{
+    return m_clock + (now - m_clockReadAt).count();
+}
+
+std::int64_t WorkerLink::grantLease(TimePoint now)
+{
+    m_lapsedAt = std::max(m_lapsedAt, now + m_times.lease + ClockMargin);
+    return workerClock(now) + m_times.lease.count();
+}
+
+void WorkerLink::readClock(std::int64_t clock, TimePoint now)
+{
+    m_clock = clock;
+    m_clockReadAt = now;
+}
+
+void WorkerLink::acknowledge(const AttemptId &attempt)
+{
+    if (std::find(m_acknowledged.begin(), m_acknowledged.end(), attempt) == m_acknowledged.end()) {
+        m_acknowledged.push_back(attempt);
+    }
+}
+
+void WorkerLink::tick(TimePoint now)
+{
+    if (now < m_nextAt) {
+        return;
+    }
+    if (m_state == State::Closed) {
+        open();
+    } else if (m_state == State::Open && !m_renewing) {
+        renew(now);
+    }
+}
+
+void WorkerLink::open()
+{
+    m_state = State::Opening;
+    const std::weak_ptr<bool> alive = m_alive;
+    m_service.open(m_owner, [this, alive](const std::optional<SessionOpened> &answer, TimePoint at) {
+        if (!alive.expired()) {
+            handleOpened(answer, at);
+        }
+    });
+}
+
+void WorkerLink::handleOpened(const std::optional<SessionOpened> &answer, TimePoint now)
+{
+    if (!answer) {
+        m_state = State::Closed;
+        handleNoAnswer(now);
+        return;
+    }
+    m_state = State::Open;
+    m_failures = 0;
+    m_session = answer->session;
+    m_nextAt = now;
+    readClock(answer->clock, now);
+    m_listener.onOpened(*this, *answer, now);
+}
+
+void WorkerLink::renew(TimePoint now)
+{
+    m_renewing = true;
+    RenewRequest request;
+    request.session = m_session;
+    request.leaseUntil = grantLease(now);
+    request.acknowledged = std::exchange(m_acknowledged, {});
+    request.wait = m_times.renewEvery;
+    const std::weak_ptr<bool> alive = m_alive;
+    m_service.renew(request, [this, alive, acknowledged = request.acknowledged](const std::optional<Renewed> &answer, TimePoint at) {
+        if (!alive.expired()) {
+            handleRenewed(answer, acknowledged, at);
+        }
+    });
+}
+
+void WorkerLink::handleRenewed(const std::optional<Renewed> &answer, const std::vector<AttemptId> &acknowledged, TimePoint now)
+{
+    m_renewing = false;
+    if (!answer) {
+        m_acknowledged.insert(m_acknowledged.end(), acknowledged.begin(), acknowledged.end());
+        // What happened meanwhile is read from a fresh inventory.
+        m_state = State::Closed;
+        handleNoAnswer(now);
+        return;
+    }
+    if (!answer->current) {
+        m_state = State::Closed;
+        m_listener.onFenced(*this, now);
+        return;
+    }
+    m_failures = 0;
+    m_usage = answer->usage;
+    readClock(answer->clock, now);
+    m_nextAt = now + BetweenRenewals;
+    for (const auto &it : answer->ended) {
+        m_listener.onEnded(*this, it, now);
+    }
+}
+
+void WorkerLink::handleNoAnswer(TimePoint now)
+{
+    m_nextAt = now + RetryFirst * (1 << std::min(m_failures, MaxRetryDoublings));
+    ++m_failures;
+    if (m_failures == 1) {
+        m_listener.onSilent(*this, now);
+    }
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -0,0 +1,448 @@
+#include <algorithm>
+
+#include "marjoramhaven/zone/ZoneLeader.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+// A start that reaches its worker later than this is refused there.
+constexpr Millis StartWithin {1000};
+constexpr Millis ClaimWithin {5000};
+constexpr Millis FirstRestart {200};
+constexpr Millis ShortLived {10'000};
+constexpr int MaxRestartDoublings = 8;
+constexpr int MaxTries = 3;
+
+int indexOf(const AttemptId &attempt)
+{
+    const auto slash = attempt.task.rfind('/');
+    return slash == std::string::npos ? ShortRequestIndex : std::stoi(attempt.task.substr(slash + 1));
+}
+
+std::string jobOf(const AttemptId &attempt)
+{
+    return attempt.task.substr(0, attempt.task.rfind('/'));
+}
+
+} // namespace
+
+JobProgress *ZoneLeader::findJob(const std::string &id)
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+TaskProgress *ZoneLeader::findTask(const AttemptId &attempt, JobProgress **job, int *index)
+{
+    *index = indexOf(attempt);
+    *job = findJob(jobOf(attempt));
+    if (*job == nullptr) {
+        return nullptr;
+    }
+    const auto it = (*job)->tasks.find(*index);
+    if (it == (*job)->tasks.end() || it->second.attempt != attempt) {
+        return nullptr;
+    }
+    return &it->second;
+}
+
+void ZoneLeader::loadJob(const std::string &id, TimePoint now)
+{
+    const auto entry = m_fold.jobs().job(id);
+    if (!entry || entry->homeZone != m_options.zone || entry->isFinished() || m_jobs.contains(id)) {
+        return;
+    }
+    auto &job = m_jobs[id];
+    job.spec = entry->spec;
+    std::deque<int> waiting;
+    for (int i = 0; i < job.spec.tasks; ++i) {
+        if (!entry->ended.contains(i)) {
+            job.tasks[i].phase = TaskPhase::Unseen;
+            waiting.push_back(i);
+        }
+    }
+    adoptRunning(job);
+    applyEarlyEnds(job, now);
+    if (m_recovered) {
+        std::erase_if(waiting, [&](int index) { return job.tasks[index].phase != TaskPhase::Unseen; });
+        enqueueTasks(job, std::move(waiting), now);
+    }
+    if (entry->cancelled) {
+        cancelJob(id, now);
+    }
+}
+
+// Finds tasks of a job that workers reported before its record was read.
+void ZoneLeader::adoptRunning(JobProgress &job)
+{
+    for (const auto &[worker, book] : m_scheduler.books()) {
+        for (const auto &[attempt, entry] : book.entries()) {
+            const auto it = entry.owner.jobId == job.spec.id ? job.tasks.find(indexOf(attempt)) : job.tasks.end();
+            if (it != job.tasks.end()) {
+                it->second.phase = TaskPhase::Running;
+                it->second.worker = worker;
+                it->second.attempt = attempt;
+            }
+        }
+    }
+}
+
+void ZoneLeader::applyEarlyEnds(JobProgress &job, TimePoint now)
+{
+    for (auto &[index, task] : job.tasks) {
+        const auto node = m_earlyEnds.extract(taskId(job.spec.id, index));
+        auto *link = node.empty() ? nullptr : findLink(node.mapped().worker);
+        const auto label = node.empty() ? std::nullopt : TaskLabel::fromText(node.mapped().report.label);
+        if (link != nullptr && label) {
+            handleJobTaskEnded(*link, node.mapped().report, *label, now);
+        }
+    }
+}
+
+void ZoneLeader::enqueueTasks(const JobProgress &job, std::deque<int> indices, TimePoint now)
+{
+    auto &tasks = m_jobs[job.spec.id].tasks;
+    for (const int index : indices) {
+        tasks[index].phase = TaskPhase::Queued;
+    }
+    WaitingJob waiting;
+    waiting.jobId = job.spec.id;
+    waiting.team = job.spec.team;
+    waiting.urgency = job.spec.urgency;
+    waiting.resources = job.spec.resources;
+    // Tasks that come back one by one after the common start are placed one by one.
+    waiting.allAtOnce = job.spec.kind == JobKind::AllAtOnce && static_cast<int>(indices.size()) == job.spec.tasks;
+    waiting.spread = job.spec.kind == JobKind::Service;
+    waiting.since = now;
+    waiting.indices = std::move(indices);
+    m_scheduler.enqueue(std::move(waiting));
+}
+
+void ZoneLeader::startPlaced(const Placed &placed, TimePoint now)
+{
+    auto *job = findJob(placed.jobId);
+    if (job == nullptr) {
+        m_scheduler.release(placed.worker, placed.attempt);
+        return;
+    }
+    auto &task = job->tasks[placed.index];
+    task.worker = placed.worker;
+    task.attempt = placed.attempt;
+    if (job->spec.repeatable) {
+        sendStart(placed, *job, now);
+    } else {
+        claimThenStart(placed, *job, now);
+    }
+}
+
+void ZoneLeader::claimThenStart(const Placed &placed, JobProgress &job, TimePoint now)
+{
+    auto &task = job.tasks[placed.index];
+    const auto claim = m_fold.claims().claim(placed.attempt.task);
+    if (claim && !claim->nonce.empty() && claim->nonce == task.claimNonce) {
+        sendStart(placed, job, now);
+        return;
+    }
+    task.phase = TaskPhase::Claiming;
+    task.due = now + ClaimWithin;
+    task.claimNonce = m_options.self + ":" + std::to_string(m_epoch) + ":" + std::to_string(++m_claims) + ":" + std::to_string(millisOf(m_begunAt));
+    m_appender.add(ClaimMade {placed.attempt.task, task.claimNonce, m_options.self, job.spec.fingerprint()});
+}
+
+void ZoneLeader::handleClaimFolded(const ClaimMade &record, TimePoint now)
+{
+    const AttemptId key {record.key, 0};
+    auto *job = findJob(jobOf(key));
+    const auto it = job == nullptr ? std::map<int, TaskProgress>::iterator() : job->tasks.find(indexOf(key));
+    if (job == nullptr || it == job->tasks.end() || it->second.phase != TaskPhase::Claiming) {
+        return;
+    }
+    auto &task = it->second;
+    const auto claim = m_fold.claims().claim(record.key);
+    if (!claim || claim->nonce.empty()) {
+        return;
+    }
+    if (claim->nonce == task.claimNonce) {
+        sendStart({job->spec.id, it->first, task.worker, task.attempt, job->spec.resources, {job->spec.team, job->spec.urgency, job->spec.id}}, *job, now);
+        return;
+    }
+    m_scheduler.release(task.worker, task.attempt);
+    recordEnd(*job, it->first, TaskOutcome::Unknown, "another process had claimed the start");
+}
+
+void ZoneLeader::sendStart(const Placed &placed, const JobProgress &job, TimePoint now)
+{
+    auto &task = m_jobs[placed.jobId].tasks[placed.index];
+    auto *link = findLink(placed.worker);
+    if (link == nullptr || !link->isOpen()) {
+        settleClosed(placed.worker, placed.attempt, now);
+        return;
+    }
+    task.phase = TaskPhase::Running;
+    task.startedAt = now;
+    StartRequest request;
+    request.session = link->session();
+    request.attempt = placed.attempt;
+    request.reservation = placed.reservation;
+    request.notAfter = link->workerClock(now) + StartWithin.count();
+    request.leaseUntil = link->grantLease(now);
+    request.label = TaskLabel {placed.jobId, placed.index, job.spec.kind, placed.owner, job.spec.repeatable}.toText();
+    request.work = job.spec.work;
+    const std::weak_ptr<bool> alive = m_alive;
+    link->service().start(request, [this, alive, placed](const std::optional<Started> &answer, TimePoint at) {
+        if (!alive.expired()) {
+            handleStarted(placed, answer, at);
+        }
+    });
+}
+
+void ZoneLeader::handleStarted(const Placed &placed, const std::optional<Started> &answer, TimePoint now)
+{
+    if (!answer) {
+        m_uncertain.emplace(placed.attempt, placed.worker);
+        return;
+    }
+    // A start that ended already is told of by the renewal too, where it is acknowledged.
+    if (answer->report.state == AttemptState::Closed) {
+        settleClosed(placed.worker, placed.attempt, now);
+    }
+}
+
+// The attempt did not run and never will.
+void ZoneLeader::settleClosed(const std::string &worker, const AttemptId &attempt, TimePoint now)
+{
+    m_scheduler.release(worker, attempt);
+    m_uncertain.erase(attempt);
+    const auto *active = m_shorts.active(attempt.task);
+    if (active != nullptr && active->attempt == attempt) {
+        m_shorts.remove(attempt.task);
+        return;
+    }
+    JobProgress *job = nullptr;
+    int index = 0;
+    if (findTask(attempt, &job, &index) == nullptr) {
+        return;
+    }
+    if (job->cancelled) {
+        recordEnd(*job, index, TaskOutcome::NotRun, "cancelled");
+    } else {
+        delayTask(*job, index, now);
+    }
+}
+
+void ZoneLeader::delayTask(JobProgress &job, int index, TimePoint now)
+{
+    auto &task = job.tasks[index];
+    task.phase = TaskPhase::Delayed;
+    task.attempt = {};
+    task.due = now + FirstRestart * (1 << std::min(task.failures, MaxRestartDoublings));
+    ++task.failures;
+}
+
+void ZoneLeader::releaseDelayed(TimePoint now)
+{
+    for (auto &[id, job] : m_jobs) {
+        std::deque<int> due;
+        for (auto &[index, task] : job.tasks) {
+            if (task.phase == TaskPhase::Delayed && now >= task.due && m_recovered) {
+                due.push_back(index);
+            } else if (task.phase == TaskPhase::Claiming && now >= task.due) {
+                m_appender.add(ClaimReleased {taskId(id, index), task.claimNonce});
+                m_scheduler.release(task.worker, task.attempt);
+                delayTask(job, index, now);
+            }
+        }
+        enqueueTasks(job, std::move(due), now);
+    }
+}
+
+void ZoneLeader::handleJobTaskEnded(WorkerLink &link, const AttemptReport &report, const TaskLabel &label, TimePoint now)
+{
+    const auto entry = m_fold.jobs().job(label.jobId);
+    if (entry && entry->ended.contains(label.index)) {
+        link.acknowledge(report.attempt);
+        return;
+    }
+    auto *job = findJob(label.jobId);
+    if (job == nullptr) {
+        // The record of the job may not be read yet, and a session tells of each end once.
+        m_earlyEnds[report.attempt.task] = {link.vm().name, report};
+        return;
+    }
+    const auto it = job->tasks.find(label.index);
+    if (it == job->tasks.end() || it->second.phase == TaskPhase::Recording) {
+        return;
+    }
+    auto &task = it->second;
+    const bool isOther = (task.phase == TaskPhase::Running || task.phase == TaskPhase::Claiming) && task.attempt != report.attempt;
+    if (isOther) {
+        link.acknowledge(report.attempt);
+        return;
+    }
+    if (task.phase == TaskPhase::Queued) {
+        // An end that a former leader did not record: whatever waits to start again is taken back.
+        auto rest = m_scheduler.withdraw(label.jobId);
+        std::erase(rest, label.index);
+        enqueueTasks(*job, {rest.begin(), rest.end()}, now);
+    }
+    task.attempt = report.attempt;
+    retryOrEnd(*job, label.index, report.outcome, report.result, now);
+    if (job->tasks[label.index].phase != TaskPhase::Recording) {
+        link.acknowledge(report.attempt);
+    }
+}
+
+void ZoneLeader::retryOrEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result, TimePoint now)
+{
+    auto &task = job.tasks[index];
+    if (job.cancelled) {
+        recordEnd(job, index, outcome, result);
+        return;
+    }
+    if (job.spec.kind == JobKind::Service) {
+        if (now - task.startedAt > ShortLived) {
+            task.failures = 0;
+        }
+        delayTask(job, index, now);
+        return;
+    }
+    const bool mayRetry = job.spec.repeatable && task.failures + 1 < MaxTries;
+    const bool isFinal = outcome == TaskOutcome::Done || (outcome == TaskOutcome::Failed && !mayRetry) || !job.spec.repeatable;
+    if (isFinal) {
+        recordEnd(job, index, outcome, result);
+    } else {
+        delayTask(job, index, now);
+    }
+}
+
+void ZoneLeader::handleLost(const std::string &worker, const AttemptId &attempt, TimePoint now)
+{
+    m_scheduler.release(worker, attempt);
+    m_uncertain.erase(attempt);
+    const auto *active = m_shorts.active(attempt.task);
+    if (active != nullptr && active->attempt == attempt) {
+        if (!active->repeatable) {
+            m_appender.add(ClaimSettled {attempt.task, TaskOutcome::Unknown, "the worker was lost"});
+        }
+        m_shorts.remove(attempt.task);
+        return;
+    }
+    JobProgress *job = nullptr;
+    int index = 0;
+    if (findTask(attempt, &job, &index) == nullptr) {
+        return;
+    }
+    if (job->cancelled || !job->spec.repeatable) {
+        recordEnd(*job, index, TaskOutcome::Unknown, "the worker was lost");
+    } else {
+        delayTask(*job, index, now);
+    }
+}
+
+void ZoneLeader::recordEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result)
+{
+    constexpr std::size_t MaxResultBytes = 4096;
+    job.tasks[index].phase = TaskPhase::Recording;
+    m_appender.add(TaskEnded {job.spec.id, index, outcome, result.substr(0, MaxResultBytes)});
+}
+
+void ZoneLeader::cancelJob(const std::string &id, TimePoint now)
+{
+    auto *job = findJob(id);
+    if (job == nullptr || job->cancelled) {
+        return;
+    }
+    job->cancelled = true;
+    m_scheduler.withdraw(id);
+    for (auto &[index, task] : job->tasks) {
+        if (task.phase == TaskPhase::Queued || task.phase == TaskPhase::Delayed) {
+            recordEnd(*job, index, TaskOutcome::NotRun, "cancelled");
+        } else if (task.phase == TaskPhase::Claiming) {
+            m_appender.add(ClaimReleased {taskId(id, index), task.claimNonce});
+            m_scheduler.release(task.worker, task.attempt);
+            recordEnd(*job, index, TaskOutcome::NotRun, "cancelled");
+        } else if (task.phase == TaskPhase::Running) {
+            stopTask(id, index, now);
+        }
+    }
+}
+
+void ZoneLeader::stopTask(const std::string &jobId, int index, TimePoint /*now*/)
+{
+    const auto *job = findJob(jobId);
+    if (job == nullptr || !job->tasks.contains(index)) {
+        return;
+    }
+    const auto &task = job->tasks.at(index);
+    auto *link = findLink(task.worker);
+    if (link == nullptr || !link->isOpen()) {
+        return;
+    }
+    const std::weak_ptr<bool> alive = m_alive;
+    link->service().stop(link->session(), task.attempt, [this, alive, worker = task.worker, attempt = task.attempt](const auto &answer, TimePoint at) {
+        if (!alive.expired() && answer && answer->state == AttemptState::Closed) {
+            settleClosed(worker, attempt, at);
+        }
+    });
+}
+
+void ZoneLeader::onRecord(const LogRecord &record, TimePoint now)
+{
+    if (const auto *job = std::get_if<JobAccepted>(&record)) {
+        loadJob(job->spec.id, now);
+    } else if (const auto *cancel = std::get_if<JobCancelled>(&record)) {
+        cancelJob(cancel->jobId, now);
+    } else if (const auto *claim = std::get_if<ClaimMade>(&record)) {
+        handleClaimFolded(*claim, now);
+    } else if (const auto *ended = std::get_if<TaskEnded>(&record)) {
+        handleEndFolded(*ended);
+    } else if (const auto *settled = std::get_if<ClaimSettled>(&record)) {
+        handleSettledFolded(*settled);
+    } else if (std::holds_alternative<ConfigurationPatch>(record)) {
+        onConfiguration();
+    }
+}
+
+void ZoneLeader::handleEndFolded(const TaskEnded &record)
+{
+    auto *progress = findJob(record.jobId);
+    if (progress == nullptr) {
+        return;
+    }
+    const auto it = progress->tasks.find(record.index);
+    if (it != progress->tasks.end()) {
+        if (auto *link = findLink(it->second.worker)) {
+            link->acknowledge(it->second.attempt);
+        }
+        progress->tasks.erase(it);
+    }
+    if (progress->tasks.empty()) {
+        m_jobs.erase(record.jobId);
+    }
+}
+
+void ZoneLeader::handleSettledFolded(const ClaimSettled &record)
+{
+    const auto node = m_settling.extract(record.key);
+    auto *link = node.empty() ? nullptr : findLink(node.mapped().worker);
+    if (link != nullptr) {
+        link->acknowledge(node.mapped().report.attempt);
+    }
+}
+
+std::map<int, std::string> ZoneLeader::runningTasks(const std::string &jobId) const
+{
+    std::map<int, std::string> out;
+    const auto it = m_jobs.find(jobId);
+    if (it != m_jobs.end()) {
+        for (const auto &[index, task] : it->second.tasks) {
+            if (task.phase == TaskPhase::Running) {
+                out.emplace(index, task.worker);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/zone/ZoneLeaderShorts.cpp
@@ -0,0 +1,216 @@
+#include <algorithm>
+
+#include "marjoramhaven/zone/ZoneLeader.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis StartWithin {1000};
+constexpr Millis LookUpMargin {500};
+constexpr Millis LookUpEvery {5000};
+constexpr Millis RetrySoon {500};
+constexpr Millis RetryWhenFull {2000};
+constexpr Millis RetryNever {60'000};
+constexpr Millis HoldForRecovery {1000};
+
+ShortDecision refused(std::string reason, Millis retryAfter)
+{
+    ShortDecision out;
+    out.verdict = ShortVerdict::Refused;
+    out.reason = std::move(reason);
+    out.retryAfter = retryAfter;
+    return out;
+}
+
+ShortDecision refusedFor(NoPlace cause)
+{
+    return refused(std::string(nameOf(cause)), cause == NoPlace::LargerThanAnyWorker ? RetryNever : RetryWhenFull);
+}
+
+} // namespace
+
+std::optional<ShortDecision> ZoneLeader::knownShort(const std::string &key) const
+{
+    ShortDecision out;
+    if (const auto *end = m_shorts.result(key)) {
+        out.verdict = ShortVerdict::Ended;
+        out.outcome = end->outcome;
+        out.result = end->result;
+        return out;
+    }
+    const auto *active = m_shorts.active(key);
+    if (active == nullptr) {
+        return std::nullopt;
+    }
+    out.verdict = ShortVerdict::Attach;
+    out.workerUrl = active->workerUrl;
+    out.start.session = active->session;
+    out.start.attempt = active->attempt;
+    out.start.awaitEnd = true;
+    return out;
+}
+
+ShortDecision ZoneLeader::startDecision(const JobSpec &spec, const Placed &placed, TimePoint now) const
+{
+    auto &link = *m_links.at(placed.worker);
+    ShortDecision out;
+    out.verdict = ShortVerdict::Start;
+    out.workerUrl = link.vm().url;
+    out.start.session = link.session();
+    out.start.attempt = placed.attempt;
+    out.start.reservation = placed.reservation;
+    out.start.notAfter = link.workerClock(now) + StartWithin.count();
+    out.start.leaseUntil = link.grantLease(now);
+    out.start.label = TaskLabel {spec.id, ShortRequestIndex, JobKind::ShortRequest, placed.owner, spec.repeatable}.toText();
+    out.start.work = spec.work;
+    out.start.awaitEnd = true;
+    return out;
+}
+
+std::optional<ShortDecision> ZoneLeader::placeShort(const JobSpec &spec, TimePoint now, NoPlace &cause)
+{
+    const auto placed = m_scheduler.placeNow(spec, cause);
+    if (!placed) {
+        return std::nullopt;
+    }
+    m_shorts.add(spec.id,
+                 {placed->worker,
+                  m_links.at(placed->worker)->vm().url,
+                  placed->attempt,
+                  m_links.at(placed->worker)->session(),
+                  now + StartWithin + LookUpMargin,
+                  spec.repeatable});
+    return startDecision(spec, *placed, now);
+}
+
+void ZoneLeader::decideShort(const JobSpec &spec, TimePoint now, ShortDecided decided)
+{
+    const auto configuration = m_fold.configuration().configuration();
+    const auto *policy = configuration->urgencyClass(spec.urgency);
+    if (m_isFenced || policy == nullptr) {
+        ShortDecision out;
+        out.verdict = ShortVerdict::NotLeader;
+        decided(out);
+        return;
+    }
+    if (m_recovered) {
+        if (const auto known = knownShort(spec.id)) {
+            decided(*known);
+            return;
+        }
+        NoPlace cause {};
+        if (const auto placed = placeShort(spec, now, cause)) {
+            decided(*placed);
+            return;
+        }
+        if (cause == NoPlace::LargerThanAnyWorker || cause == NoPlace::QuotaReached || policy->hold <= Millis(0)) {
+            decided(refusedFor(cause));
+            return;
+        }
+    }
+    if (m_shorts.heldInClass(spec.urgency) >= policy->maxQueued) {
+        decided(refused("too many requests of the class are held already", RetryWhenFull));
+        return;
+    }
+    const auto hold = m_recovered ? policy->hold : HoldForRecovery;
+    m_shorts.hold({spec, now + std::min(hold, spec.deadline), std::move(decided)});
+}
+
+void ZoneLeader::decideHeld(TimePoint now)
+{
+    if (m_shorts.heldCount() == 0) {
+        return;
+    }
+    auto held = m_shorts.takeHeld();
+    const auto configuration = m_fold.configuration().configuration();
+    // Heavier classes choose first; within a class the oldest.
+    std::stable_sort(held.begin(), held.end(), [&](const auto &a, const auto &b) {
+        const auto *x = configuration->urgencyClass(a.spec.urgency);
+        const auto *y = configuration->urgencyClass(b.spec.urgency);
+        return (x == nullptr ? 0 : x->weight) > (y == nullptr ? 0 : y->weight);
+    });
+    for (auto &it : held) {
+        NoPlace cause = NoPlace::NoWorker;
+        std::optional<ShortDecision> decision;
+        if (m_recovered) {
+            decision = knownShort(it.spec.id);
+            if (!decision) {
+                decision = placeShort(it.spec, now, cause);
+            }
+        }
+        if (!decision && now >= it.until) {
+            decision = m_recovered ? refusedFor(cause) : refused("the zone's leader is still taking over", RetrySoon);
+        }
+        if (decision) {
+            it.decided(*decision);
+        } else {
+            m_shorts.hold(std::move(it));
+        }
+    }
+}
+
+void ZoneLeader::abandonHeld()
+{
+    ShortDecision out;
+    out.verdict = ShortVerdict::NotLeader;
+    for (auto &it : m_shorts.takeHeld()) {
+        it.decided(out);
+    }
+}
+
+void ZoneLeader::onShortClosed(const std::string &key, const AttemptId &attempt, TimePoint now)
+{
+    const auto *active = m_shorts.active(key);
+    if (active != nullptr && active->attempt == attempt) {
+        settleClosed(active->worker, attempt, now);
+    }
+}
+
+void ZoneLeader::handleShortEnded(WorkerLink &link, const AttemptReport &report, const TaskLabel &label, TimePoint now)
+{
+    const auto &key = report.attempt.task;
+    const auto *active = m_shorts.active(key);
+    if (active != nullptr && active->attempt == report.attempt) {
+        m_shorts.remove(key);
+    }
+    m_shorts.keepResult(key, {report.outcome, report.result}, now);
+    if (label.repeatable) {
+        link.acknowledge(report.attempt);
+        return;
+    }
+    // The worker keeps the result until the log has it.
+    const auto claim = m_fold.claims().claim(key);
+    if (claim && claim->end) {
+        link.acknowledge(report.attempt);
+        return;
+    }
+    m_settling[key] = {link.vm().name, report};
+    m_appender.add(ClaimSettled {key, report.outcome, report.result});
+}
+
+void ZoneLeader::lookUpShorts(TimePoint now)
+{
+    std::vector<std::string> due;
+    for (const auto &[key, active] : m_shorts.actives()) {
+        if (now >= active.lookUpAt) {
+            due.push_back(key);
+        }
+    }
+    const std::weak_ptr<bool> alive = m_alive;
+    for (const auto &key : due) {
+        m_shorts.lookUpLater(key, now + LookUpEvery);
+        const auto active = *m_shorts.active(key);
+        auto *link = findLink(active.worker);
+        if (link == nullptr || !link->isOpen()) {
+            continue;
+        }
+        link->service().close(active.attempt, [this, alive, active](const std::optional<AttemptReport> &answer, TimePoint at) {
+            if (!alive.expired() && answer && answer->state == AttemptState::Closed) {
+                settleClosed(active.worker, active.attempt, at);
+            }
+        });
+    }
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/tests/ledger/LedgerTest.cpp
@@ -0,0 +1,166 @@
+#include <boost/test/unit_test.hpp>
+
+#include "marjoramhaven/ledger/LogAppender.h"
+#include "marjoramhaven/ledger/LogFold.h"
+#include "marjoramhaven/standin/LogModel.h"
+
+using namespace marjoramhaven;
+
+namespace {
+
+JobSpec jobSpec(const std::string &id, int tasks)
+{
+    JobSpec out;
+    out.id = id;
+    out.team = "a";
+    out.urgency = "standard";
+    out.tasks = tasks;
+    out.resources = Resources(1000, 64, 0, 1, 0);
+    return out;
+}
+
+// A log whose appends take effect, or not, and whose answers come when told.
+class FakeLog : public LogService
+{
+public:
+    void append(const std::vector<QJsonObject> &records, AppendDone done) override
+    {
+        if (takesEffect) {
+            model.append(records);
+        }
+        done(answers, atMillis(clock));
+    }
+    void read(std::int64_t from, Millis /*wait*/, ReadDone done) override { done(model.read(from, 100), atMillis(clock)); }
+
+    LogModel model;
+    bool takesEffect = true;
+    bool answers = true;
+    std::int64_t clock = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Ledger)
+
+BOOST_AUTO_TEST_CASE(recordsSurviveTheLog)
+{
+    const std::vector<LogRecord> records {ConfigurationPatch {"p", 3, "op", {}},
+                                          JobAccepted {jobSpec("j", 2), "north"},
+                                          JobCancelled {"j"},
+                                          TaskEnded {"j", 1, TaskOutcome::Failed, "why"},
+                                          ClaimMade {"k", "n", "h", 0xfedcba9876543210ULL},
+                                          ClaimReleased {"k", "n"},
+                                          ClaimSettled {"k", TaskOutcome::Done, "r"}};
+    for (const auto &it : records) {
+        const auto back = logRecordFromJson(toJson(it));
+        BOOST_REQUIRE(back.has_value());
+        BOOST_TEST((toJson(*back) == toJson(it)));
+    }
+    BOOST_TEST(!logRecordFromJson({}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(theFirstRecordOfAJobAndOfATaskEndCounts)
+{
+    LogFold fold;
+    fold.apply({0,
+                0,
+                {toJson(JobAccepted {jobSpec("j", 2), "north"}),
+                 toJson(JobAccepted {jobSpec("j", 5), "south"}),
+                 toJson(TaskEnded {"j", 0, TaskOutcome::Done, "x"}),
+                 toJson(TaskEnded {"j", 0, TaskOutcome::Failed, "y"}),
+                 toJson(TaskEnded {"j", 7, TaskOutcome::Done, "z"})}});
+    const auto job = fold.jobs().job("j");
+    BOOST_REQUIRE(job.has_value());
+    BOOST_TEST(job->spec.tasks == 2);
+    BOOST_TEST(job->homeZone == "north");
+    BOOST_TEST(job->ended.at(0).result == "x");
+    BOOST_TEST(!job->isFinished());
+}
+
+BOOST_AUTO_TEST_CASE(aBatchReadTwiceChangesNothingAndAGapIsCounted)
+{
+    LogFold fold;
+    int heard = 0;
+    fold.setListener([&](const LogRecord &) { ++heard; });
+    const LogBatch batch {0, 0, {toJson(JobCancelled {"j"}), {}, toJson(JobCancelled {"k"})}};
+    fold.apply(batch);
+    fold.apply(batch);
+    BOOST_TEST(heard == 2);
+    BOOST_TEST(fold.nextOffset() == 3);
+    fold.apply({10, 10, {toJson(JobCancelled {"l"})}});
+    BOOST_TEST(fold.lostRecords() == 7);
+    BOOST_TEST(fold.nextOffset() == 11);
+}
+
+BOOST_AUTO_TEST_CASE(theFirstClaimCountsUntilItsHolderReleasesIt)
+{
+    ClaimLedger claims;
+    claims.apply(ClaimMade {"k", "a", "e1", 1});
+    claims.apply(ClaimMade {"k", "b", "e2", 1});
+    claims.apply(ClaimReleased {"k", "b"});
+    BOOST_TEST(claims.claim("k")->nonce == "a");
+    claims.apply(ClaimReleased {"k", "a"});
+    BOOST_TEST(claims.claim("k")->nonce.empty());
+    // Late copies of released claims never count.
+    claims.apply(ClaimMade {"k", "a", "e1", 1});
+    claims.apply(ClaimMade {"k", "b", "e2", 1});
+    BOOST_TEST(claims.claim("k")->nonce.empty());
+    claims.apply(ClaimMade {"k", "c", "e1", 1});
+    claims.apply(ClaimSettled {"k", TaskOutcome::Done, "r"});
+    claims.apply(ClaimReleased {"k", "c"});
+    BOOST_TEST(claims.claim("k")->nonce == "c");
+}
+
+BOOST_AUTO_TEST_CASE(aLostAnswerIsRepeatedAndHarmless)
+{
+    FakeLog log;
+    LogAppender appender(log);
+    log.answers = false;
+    appender.add(JobAccepted {jobSpec("j", 1), "north"});
+    appender.tick(atMillis(100));
+    BOOST_TEST(appender.isFailing());
+    BOOST_TEST(appender.pending() == 1U);
+    log.answers = true;
+    appender.tick(atMillis(120));
+    BOOST_TEST(appender.pending() == 1U);
+    appender.tick(atMillis(1000));
+    BOOST_TEST(appender.pending() == 0U);
+    BOOST_TEST(!appender.isFailing());
+    LogFold fold;
+    fold.apply(log.model.read(0, 100));
+    BOOST_TEST(log.model.next() == 2);
+    BOOST_TEST(fold.jobs().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(recordsAreGroupedIntoFewAppends)
+{
+    FakeLog log;
+    LogAppender appender(log);
+    for (int i = 0; i < 300; ++i) {
+        appender.add(JobCancelled {std::to_string(i)});
+    }
+    appender.tick(atMillis(100));
+    BOOST_TEST(appender.appendsSent() == 1);
+    BOOST_TEST(appender.recordsConfirmed() == 300);
+}
+
+BOOST_AUTO_TEST_CASE(badSubmissionsAreReportedWhole)
+{
+    const auto bad = [](QJsonObject change) {
+        auto object = jobSpec("j", 1).toJson();
+        for (auto it = change.begin(); it != change.end(); ++it) {
+            object.insert(it.key(), *it);
+        }
+        Findings findings;
+        JobSpec::fromJson(object, findings);
+        return findings.toString();
+    };
+    BOOST_TEST(bad({}) == "");
+    BOOST_TEST(bad({{QLatin1String("tasks"), 0}}) != "");
+    BOOST_TEST(bad({{QLatin1String("id"), QString(10'000, QLatin1Char('x'))}}) != "");
+    BOOST_TEST(bad({{QLatin1String("id"), QLatin1String("a/b")}}) != "");
+    BOOST_TEST(bad({{QLatin1String("kind"), QLatin1String("song")}, {QLatin1String("extra"), 1}}).find("/extra") != std::string::npos);
+    BOOST_TEST(bad({{QLatin1String("resources"), QJsonObject()}}) == "/resources: must reserve something");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node/ThinPathTest.cpp
@@ -0,0 +1,38 @@
+#include <boost/test/unit_test.hpp>
+
+#include "../support/NodeBench.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+BOOST_AUTO_TEST_SUITE(ThinPath)
+
+BOOST_AUTO_TEST_CASE(aShortRequestIsAnsweredWhole)
+{
+    NodeBench bench({"north"}, 1, 2);
+    BOOST_REQUIRE(bench.waitForLeader("north"));
+    BOOST_REQUIRE(bench.addTeam("signal"));
+    const auto answer = bench.call(0, "POST", "/v1/requests", checkRequest("leap-1", 10));
+    BOOST_TEST(word(answer) == "done");
+    BOOST_TEST(word(answer, "result") == "result of leap-1");
+    BOOST_TEST(word(answer, "id") == "leap-1");
+}
+
+BOOST_AUTO_TEST_CASE(aBatchJobRunsToItsEndAndIsSeenEverywhere)
+{
+    NodeBench bench({"north"}, 2, 2);
+    BOOST_REQUIRE(bench.waitForLeader("north"));
+    BOOST_REQUIRE(bench.addTeam("signal"));
+    auto job = checkRequest("sweep-1", 5);
+    job.insert(QLatin1String("kind"), QLatin1String("batch"));
+    job.insert(QLatin1String("tasks"), 20);
+    BOOST_TEST(word(bench.call(0, "POST", "/v1/jobs", job)) == "accepted");
+    BOOST_TEST(word(bench.call(1, "POST", "/v1/jobs", job)) == "accepted");
+    job.insert(QLatin1String("tasks"), 21);
+    BOOST_TEST(word(bench.call(1, "POST", "/v1/jobs", job)) == "refused");
+    BOOST_TEST(bench.waitFor([&]() { return word(bench.call(1, "GET", "/v1/jobs/sweep-1"), "state") == "finished"; }));
+    const auto seen = bench.call(1, "GET", "/v1/jobs/sweep-1");
+    BOOST_TEST(seen->body.value(QLatin1String("ended")).toObject().value(QLatin1String("done")).toInt() == 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/standin/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE standin
+#include <boost/test/unit_test.hpp>
