--- a/src/base/LastReason.cpp
+++ b/src/base/LastReason.cpp
@@ -3,7 +3,11 @@
 namespace marjoramhaven {
 
 namespace {
-thread_local std::string t_reason;
+std::string &reasonOfThread()
+{
+    thread_local std::string reason;
+    return reason;
+}
 }
 
 void setLastReason(std::string reason)
