Keep the heavy headers of codec and histogram out of the public ones

Cause: each unit parsed the msgpack and histogram headers; lint of the largest unit took 18 s, of the whole tree 4 min. Change: messages list their fields, the codec alone includes msgpack; metrics hide their histograms.

--- a/include/marjoramhaven/telemetry/Metrics.h
+++ b/include/marjoramhaven/telemetry/Metrics.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include <array>
-#include <boost/histogram.hpp>
-#include <map>
-#include <mutex>
+#include <memory>
 #include <string>
 
 namespace marjoramhaven {
@@ -13,6 +11,7 @@
 {
 public:
     Metrics();
+    ~Metrics();
 
     /// Adds to a counter. A name may carry labels in the Prometheus form, such as `answers_total{answer="done"}`.
     void count(const std::string &name, double n = 1);
@@ -26,25 +25,13 @@
     std::string render() const;
 
 private:
-    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    using Histogram = decltype(boost::histogram::make_histogram(Axis(1, 1.0, 2.0)));
-    struct Timing {
-        Histogram histogram;
-        double sum = 0;
-        double n = 0;
-    };
-    struct Shard {
-        mutable std::mutex lock;
-        std::map<std::string, double> counters;
-        std::map<std::string, double> gauges;
-        std::map<std::string, Timing> timings;
-    };
+    struct Shard;
     static constexpr std::size_t ShardCount = 8;
 
     Shard &shardOf(const std::string &name);
     const Shard &shardOf(const std::string &name) const;
 
-    std::array<Shard, ShardCount> m_shards;
+    std::array<std::unique_ptr<Shard>, ShardCount> m_shards;
 };
 
 } // namespace marjoramhaven
--- a/include/marjoramhaven/wire/PeerMessage.h
+++ b/include/marjoramhaven/wire/PeerMessage.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <cstdint>
-#include <msgpack.hpp>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
 namespace marjoramhaven {
 
-// Messages between entry processes. Each is a msgpack array: a reader takes a shorter array from an older
+// Messages between entry processes. Each lists its fields in the order of the wire, and is a msgpack array: a reader takes a shorter array from an older
 // neighbour, leaving the rest at their defaults, and ignores further elements from a newer one.
 
 /// Version of the messages; a process greets with it.
@@ -19,7 +19,11 @@
     int version = WireVersion;
     std::string name;
     std::string zone;
-    MSGPACK_DEFINE(version, name, zone)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.version, self.name, self.zone);
+    }
 };
 
 /// Sent to each peer of the zone at every beat, and to peers of other zones once a second.
@@ -33,7 +37,11 @@
     std::int64_t echo = 0;
     std::int64_t configurationNumber = 0;
     std::uint64_t configurationHash = 0;
-    MSGPACK_DEFINE(epoch, leading, follows, leaderAge, sentAt, echo, configurationNumber, configurationHash)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.epoch, self.leading, self.follows, self.leaderAge, self.sentAt, self.echo, self.configurationNumber, self.configurationHash);
+    }
 };
 
 /// Asks the leader to decide a short request. The specification is JSON text.
@@ -42,7 +50,11 @@
     std::string spec;
     std::int64_t budgetMs = 0;
     std::string traceparent;
-    MSGPACK_DEFINE(call, spec, budgetMs, traceparent)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.spec, self.budgetMs, self.traceparent);
+    }
 };
 
 /// The leader's decision.
@@ -56,7 +68,11 @@
     std::string start;
     std::string outcome;
     std::string result;
-    MSGPACK_DEFINE(call, verdict, reason, retryAfterMs, workerUrl, start, outcome, result)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.verdict, self.reason, self.retryAfterMs, self.workerUrl, self.start, self.outcome, self.result);
+    }
 };
 
 /// Tells the leader that an attempt did not start and never will.
@@ -64,19 +80,31 @@
     std::string key;
     std::string task;
     std::int64_t attempt = 0;
-    MSGPACK_DEFINE(key, task, attempt)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.key, self.task, self.attempt);
+    }
 };
 
 /// Asks for accepted configuration versions above a number.
 struct ConfigurationAskMessage {
     std::int64_t above = 0;
-    MSGPACK_DEFINE(above)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.above);
+    }
 };
 
 /// Accepted configuration versions, oldest first, each as JSON text.
 struct ConfigurationNewsMessage {
     std::vector<std::string> versions;
-    MSGPACK_DEFINE(versions)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.versions);
+    }
 };
 
 /// Asks the leader whether a job could ever run, and what of it runs now.
@@ -84,7 +112,11 @@
     std::uint64_t call = 0;
     std::string id;
     std::string resources;
-    MSGPACK_DEFINE(call, id, resources)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.id, self.resources);
+    }
 };
 
 /// What the leader says of a job.
@@ -93,7 +125,11 @@
     bool leading = false;
     bool couldFit = true;
     int running = 0;
-    MSGPACK_DEFINE(call, leading, couldFit, running)
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.leading, self.couldFit, self.running);
+    }
 };
 
 using PeerMessage = std::variant<HelloMessage,
--- a/src/base/LastReason.cpp
+++ b/src/base/LastReason.cpp
@@ -8,7 +8,7 @@
     thread_local std::string reason;
     return reason;
 }
-}
+} // namespace
 
 void setLastReason(std::string reason)
 {
--- a/src/base/Resources.cpp
+++ b/src/base/Resources.cpp
@@ -43,7 +43,9 @@
 
 bool Resources::isNonNegative() const
 {
-    return std::all_of(m_amounts.begin(), m_amounts.end(), [](auto it) { return it >= 0; });
+    return std::all_of(m_amounts.begin(), m_amounts.end(), [](auto it) {
+        return it >= 0;
+    });
 }
 
 double Resources::dominantShareOf(const Resources &total) const
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -69,7 +69,9 @@
         std::cout << "marjoramhaven " << MARJORAMHAVEN_VERSION << std::endl;
         return static_cast<int>(ExitCode::Ok);
     }
-    const auto it = std::find_if(commands().begin(), commands().end(), [&](const Command &command) { return command.name == words[1]; });
+    const auto it = std::find_if(commands().begin(), commands().end(), [&](const Command &command) {
+        return command.name == words[1];
+    });
     if (it == commands().end()) {
         printError("there is no command " + words[1] + "; see marjoramhaven --help");
         return static_cast<int>(ExitCode::Invalid);
--- a/src/config/ConfigurationHistory.cpp
+++ b/src/config/ConfigurationHistory.cpp
@@ -32,7 +32,9 @@
 
 const ConfigurationVersion *ConfigurationHistory::findById(const std::string &patchId) const
 {
-    const auto it = std::find_if(m_versions.begin(), m_versions.end(), [&](const auto &version) { return version.number > 0 && version.patch.id == patchId; });
+    const auto it = std::find_if(m_versions.begin(), m_versions.end(), [&](const auto &version) {
+        return version.number > 0 && version.patch.id == patchId;
+    });
     return it == m_versions.end() ? nullptr : &*it;
 }
 
@@ -54,7 +56,9 @@
         verdict.version = known->number;
         return verdict;
     }
-    const auto earlier = std::find_if(m_refused.begin(), m_refused.end(), [&](const auto &it) { return it.first == patch.id; });
+    const auto earlier = std::find_if(m_refused.begin(), m_refused.end(), [&](const auto &it) {
+        return it.first == patch.id;
+    });
     if (earlier != m_refused.end()) {
         return earlier->second;
     }
--- a/src/history/HistoryChecker.cpp
+++ b/src/history/HistoryChecker.cpp
@@ -22,7 +22,9 @@
         out[it.task].push_back(&it);
     }
     for (auto &[task, runs] : out) {
-        std::sort(runs.begin(), runs.end(), [](const RunSeen *a, const RunSeen *b) { return a->startedAt < b->startedAt; });
+        std::sort(runs.begin(), runs.end(), [](const RunSeen *a, const RunSeen *b) {
+            return a->startedAt < b->startedAt;
+        });
     }
     return out;
 }
@@ -43,8 +45,9 @@
                 edges.push_back({endOf(run), false, &run});
             }
         }
-        std::stable_sort(
-            edges.begin(), edges.end(), [](const Edge &a, const Edge &b) { return a.at != b.at ? a.at < b.at : !a.isStart && b.isStart && a.run != b.run; });
+        std::stable_sort(edges.begin(), edges.end(), [](const Edge &a, const Edge &b) {
+            return a.at != b.at ? a.at < b.at : !a.isStart && b.isStart && a.run != b.run;
+        });
         Resources used;
         for (const auto &edge : edges) {
             if (!edge.isStart) {
@@ -75,8 +78,9 @@
 // A run belongs to a "not run" when it began between that send and its answer, or later with no other send to explain it.
 bool isExplainedByAnother(const RunSeen &run, const CallSeen &told, const std::vector<const CallSeen *> &calls)
 {
-    return std::any_of(
-        calls.begin(), calls.end(), [&](const CallSeen *it) { return it != &told && it->answer != ToldAnswer::NotRun && it->sentAt <= run.startedAt; });
+    return std::any_of(calls.begin(), calls.end(), [&](const CallSeen *it) {
+        return it != &told && it->answer != ToldAnswer::NotRun && it->sentAt <= run.startedAt;
+    });
 }
 
 void checkCalls(const History &history, const std::map<std::string, std::vector<const RunSeen *>> &byTask, std::vector<Breach> &out)
@@ -107,7 +111,9 @@
     }
     for (const auto &[id, calls] : callsById) {
         const auto runs = byTask.find(id);
-        const bool once = std::any_of(calls.begin(), calls.end(), [](const CallSeen *it) { return !it->repeatable; });
+        const bool once = std::any_of(calls.begin(), calls.end(), [](const CallSeen *it) {
+            return !it->repeatable;
+        });
         if (once && runs != byTask.end() && runs->second.size() > 1) {
             out.push_back({Promise::AtMostOnce, id + " is unrepeatable and ran " + std::to_string(runs->second.size()) + " times"});
         }
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -168,7 +168,9 @@
             socket->abort();
         }
     });
-    connect(socket, &QObject::destroyed, this, [this, socket]() { m_connections.erase(socket); });
+    connect(socket, &QObject::destroyed, this, [this, socket]() {
+        m_connections.erase(socket);
+    });
     connect(socket, &QTcpSocket::disconnected, this, [this, socket]() {
         const auto it = m_connections.find(socket);
         if (it != m_connections.end()) {
--- a/src/ledger/JobLedger.cpp
+++ b/src/ledger/JobLedger.cpp
@@ -95,7 +95,9 @@
 {
     for (auto &shard : m_shards) {
         const std::lock_guard guard(shard.lock);
-        std::erase_if(shard.jobs, [offset](const auto &it) { return it.second.offset < offset && it.second.isFinished(); });
+        std::erase_if(shard.jobs, [offset](const auto &it) {
+            return it.second.offset < offset && it.second.isFinished();
+        });
     }
 }
 
--- a/src/ledger/LogFold.cpp
+++ b/src/ledger/LogFold.cpp
@@ -32,11 +32,21 @@
 void LogFold::applyRecord(const LogRecord &record, std::int64_t offset)
 {
     std::visit(Overloaded {
-                   [&](const ConfigurationPatch &it) { m_configuration.applyFromLog(it, offset); },
-                   [&](const JobAccepted &it) { m_jobs.apply(it, offset); },
-                   [&](const JobCancelled &it) { m_jobs.apply(it); },
-                   [&](const TaskEnded &it) { m_jobs.apply(it); },
-                   [&](const auto &it) { m_claims.apply(it); },
+                   [&](const ConfigurationPatch &it) {
+                       m_configuration.applyFromLog(it, offset);
+                   },
+                   [&](const JobAccepted &it) {
+                       m_jobs.apply(it, offset);
+                   },
+                   [&](const JobCancelled &it) {
+                       m_jobs.apply(it);
+                   },
+                   [&](const TaskEnded &it) {
+                       m_jobs.apply(it);
+                   },
+                   [&](const auto &it) {
+                       m_claims.apply(it);
+                   },
                },
                record);
     if (m_listener) {
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -54,7 +54,11 @@
 {
     bool out = false;
     QMetaObject::invokeMethod(
-        target, [&]() { out = function(); }, Qt::BlockingQueuedConnection);
+        target,
+        [&]() {
+            out = function();
+        },
+        Qt::BlockingQueuedConnection);
     return out;
 }
 
@@ -94,7 +98,13 @@
     bool idle = false;
     while (!idle && monotonicNow() < deadline) {
         sleepFor(PollEvery);
-        idle = callIn(&m_frontAnchor, [this]() { return m_api->inFlight() == 0; }) && callIn(&m_coreAnchor, [this]() { return m_core->isFlushed(); });
+        idle = callIn(&m_frontAnchor,
+                      [this]() {
+                          return m_api->inFlight() == 0;
+                      })
+            && callIn(&m_coreAnchor, [this]() {
+                   return m_core->isFlushed();
+               });
     }
     return idle;
 }
--- a/src/node/NodeApi.cpp
+++ b/src/node/NodeApi.cpp
@@ -135,7 +135,11 @@
 
 int NodeApi::start()
 {
-    m_server = std::make_unique<HttpServer>([this](const HttpRequest &request, const HttpRespond &respond) { handle(request, respond); }, HttpLimits());
+    m_server = std::make_unique<HttpServer>(
+        [this](const HttpRequest &request, const HttpRespond &respond) {
+            handle(request, respond);
+        },
+        HttpLimits());
     return m_server->listenOn(QHostAddress(toQt(m_settings.callers.host)), m_settings.callers.port);
 }
 
@@ -337,7 +341,9 @@
             });
             return;
         }
-        const auto condition = [this, id = spec.id]() { return m_shared.fold.jobs().job(id).has_value(); };
+        const auto condition = [this, id = spec.id]() {
+            return m_shared.fold.jobs().job(id).has_value();
+        };
         m_core.whenFolded(condition, RecordWithin, [this, spec, respond](bool folded) {
             postTo(this, [this, spec, respond, folded]() {
                 const auto entry = m_shared.fold.jobs().job(spec.id);
@@ -473,7 +479,9 @@
             });
             return;
         }
-        const auto condition = [this, id = patch.id]() { return m_shared.fold.configuration().verdict(id).has_value(); };
+        const auto condition = [this, id = patch.id]() {
+            return m_shared.fold.configuration().verdict(id).has_value();
+        };
         m_core.whenFolded(condition, RecordWithin, [this, id = patch.id, respond](bool) {
             postTo(this, [this, id, respond]() {
                 const auto verdict = m_shared.fold.configuration().verdict(id);
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -133,7 +133,9 @@
     } else {
         const ZoneLeaderOptions options {m_settings.name, m_settings.zone, {m_settings.lease, m_settings.renewEvery}};
         m_leader = std::make_unique<ZoneLeader>(options, m_leadership.epoch(), m_workers, m_shared.fold, m_appender, now);
-        m_leader->setFencedHandler([this](TimePoint) { m_fenced = true; });
+        m_leader->setFencedHandler([this](TimePoint) {
+            m_fenced = true;
+        });
         if (m_vms) {
             m_leader->setFleet(*m_vms, now);
         }
--- a/src/node/NodeCoreMessages.cpp
+++ b/src/node/NodeCoreMessages.cpp
@@ -46,7 +46,11 @@
 void NodeCore::handleMessage(const std::string &from, const PeerMessage &message)
 {
     const auto now = monotonicNow();
-    std::visit([&](const auto &it) { handle(from, it, now); }, message);
+    std::visit(
+        [&](const auto &it) {
+            handle(from, it, now);
+        },
+        message);
 }
 
 void NodeCore::handle(const std::string & /*from*/, const HelloMessage & /*message*/, TimePoint /*now*/) { }
@@ -81,7 +85,9 @@
 
 void NodeCore::handle(const std::string &from, const ShortAskMessage &message, TimePoint now)
 {
-    const auto reply = [this, from, call = message.call](const ShortDecision &decision) { m_hub.send(from, toMessage(call, decision)); };
+    const auto reply = [this, from, call = message.call](const ShortDecision &decision) {
+        m_hub.send(from, toMessage(call, decision));
+    };
     const auto object = parseJsonObject(QByteArray::fromStdString(message.spec));
     Findings findings;
     auto spec = JobSpec::fromJson(object.value_or(QJsonObject()), findings);
--- a/src/node/ShortCarrier.cpp
+++ b/src/node/ShortCarrier.cpp
@@ -143,7 +143,9 @@
         return;
     }
     const auto wait = std::max(Millis(0), errand->deadline - monotonicNow());
-    const auto condition = [this, key = errand->spec.id]() { return isSettled(m_shared.fold.claims().claim(key)); };
+    const auto condition = [this, key = errand->spec.id]() {
+        return isSettled(m_shared.fold.claims().claim(key));
+    };
     postTo(&m_core, [this, errand, condition, wait]() {
         m_core.whenFolded(condition, wait, [this, errand](bool settled) {
             postTo(this, [this, errand, settled]() {
@@ -171,7 +173,9 @@
     ++errand->tries;
     postTo(&m_core, [this, errand, budget = std::min(left, AskWithin)]() {
         m_core.askShort(errand->spec, budget, errand->traceparent, [this, errand](const ShortDecision &decision) {
-            postTo(this, [this, errand, decision]() { handleDecision(errand, decision); });
+            postTo(this, [this, errand, decision]() {
+                handleDecision(errand, decision);
+            });
         });
     });
 }
@@ -182,7 +186,9 @@
     if (errand->finished) {
         // Nobody waits any more: the reservation goes back without a start.
         if (givesAttempt) {
-            postTo(&m_core, [this, errand, attempt = decision.start.attempt]() { m_core.shortClosed(errand->spec.zone, errand->spec.id, attempt); });
+            postTo(&m_core, [this, errand, attempt = decision.start.attempt]() {
+                m_core.shortClosed(errand->spec.zone, errand->spec.id, attempt);
+            });
         }
         return;
     }
@@ -214,7 +220,9 @@
         return;
     }
     m_shared.metrics.count("short_retries_total");
-    QTimer::singleShot(static_cast<int>(wait.count()), this, [this, errand]() { ask(errand); });
+    QTimer::singleShot(static_cast<int>(wait.count()), this, [this, errand]() {
+        ask(errand);
+    });
 }
 
 void ShortCarrier::send(const ErrandPtr &errand, const ShortDecision &decision)
@@ -262,7 +270,9 @@
     }
     if (state == AttemptState::Closed) {
         errand->isOpen = false;
-        postTo(&m_core, [this, errand, attempt = errand->open.start.attempt]() { m_core.shortClosed(errand->spec.zone, errand->spec.id, attempt); });
+        postTo(&m_core, [this, errand, attempt = errand->open.start.attempt]() {
+            m_core.shortClosed(errand->spec.zone, errand->spec.id, attempt);
+        });
         errand->mayRunElsewhere = errand->mayRunElsewhere || errand->open.verdict == ShortVerdict::Attach;
         askAgain(errand, "the worker did not take the start", RetrySoon);
         return;
@@ -277,7 +287,9 @@
         send(errand, errand->open);
         return;
     }
-    QTimer::singleShot(static_cast<int>(ResolveAgain.count()), this, [this, errand]() { resolve(errand); });
+    QTimer::singleShot(static_cast<int>(ResolveAgain.count()), this, [this, errand]() {
+        resolve(errand);
+    });
 }
 
 void ShortCarrier::finishEnded(const ErrandPtr &errand, TaskOutcome outcome, const std::string &result)
--- a/src/platform/HttpWorkerService.cpp
+++ b/src/platform/HttpWorkerService.cpp
@@ -13,8 +13,9 @@
 template<typename T>
 auto reading(std::function<void(std::optional<T>, TimePoint)> done, T (*read)(const QJsonObject &))
 {
-    return
-        [done = std::move(done), read](const std::optional<QJsonObject> &body, TimePoint at) { done(body ? std::optional<T>(read(*body)) : std::nullopt, at); };
+    return [done = std::move(done), read](const std::optional<QJsonObject> &body, TimePoint at) {
+        done(body ? std::optional<T>(read(*body)) : std::nullopt, at);
+    };
 }
 } // namespace
 
--- a/src/standin/StandInPlatform.cpp
+++ b/src/standin/StandInPlatform.cpp
@@ -80,7 +80,11 @@
     }
     HttpLimits limits;
     limits.requestBytes = 16 << 20;
-    m_server = std::make_unique<HttpServer>([this](const HttpRequest &request, const HttpRespond &respond) { handle(request, respond); }, limits);
+    m_server = std::make_unique<HttpServer>(
+        [this](const HttpRequest &request, const HttpRespond &respond) {
+            handle(request, respond);
+        },
+        limits);
     return m_server->listenOn(QHostAddress(QHostAddress::LocalHost), port);
 }
 
@@ -103,7 +107,9 @@
 
 void StandInPlatform::removeVm(const std::string &vm)
 {
-    std::erase_if(m_vms, [&](const Vm &it) { return it.name == vm; });
+    std::erase_if(m_vms, [&](const Vm &it) {
+        return it.name == vm;
+    });
     if (auto *it = worker(vm)) {
         it->setSilent(true);
         it->model().reset(it->clock());
@@ -134,7 +140,9 @@
 void StandInPlatform::answer(const HttpRespond &respond, HttpResponse response)
 {
     if (m_fault == LogFault::Slow) {
-        QTimer::singleShot(SlowMs, this, [respond, response = std::move(response)]() { respond(response); });
+        QTimer::singleShot(SlowMs, this, [respond, response = std::move(response)]() {
+            respond(response);
+        });
         return;
     }
     respond(std::move(response));
--- a/src/standin/StandInWorker.cpp
+++ b/src/standin/StandInWorker.cpp
@@ -30,7 +30,11 @@
 {
     HttpLimits limits;
     limits.requestBytes = 4 << 20;
-    m_server = std::make_unique<HttpServer>([this](const HttpRequest &request, const HttpRespond &respond) { handle(request, respond); }, limits);
+    m_server = std::make_unique<HttpServer>(
+        [this](const HttpRequest &request, const HttpRespond &respond) {
+            handle(request, respond);
+        },
+        limits);
     return m_server->listenOn(QHostAddress(QHostAddress::LocalHost), port);
 }
 
--- a/src/standin/WorkerModel.cpp
+++ b/src/standin/WorkerModel.cpp
@@ -58,8 +58,9 @@
 
 bool WorkerModel::hasNews(std::int64_t session) const
 {
-    return session != m_session
-        || std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto &it) { return it.second.report.state == AttemptState::Ended && !it.second.told; });
+    return session != m_session || std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto &it) {
+               return it.second.report.state == AttemptState::Ended && !it.second.told;
+           });
 }
 
 Renewed WorkerModel::takeNews(std::int64_t session, std::int64_t clock)
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -1,6 +1,9 @@
 #include "marjoramhaven/telemetry/Metrics.h"
 
+#include <boost/histogram.hpp>
 #include <functional>
+#include <map>
+#include <mutex>
 #include <sstream>
 
 namespace marjoramhaven {
@@ -10,6 +13,16 @@
 constexpr double SmallestMs = 0.01;
 constexpr double LargestMs = 1'000'000;
 
+using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using Histogram = decltype(boost::histogram::make_histogram(Axis(1, 1.0, 2.0)));
+
+// Durations of one name.
+struct Timing {
+    Histogram histogram;
+    double sum = 0;
+    double n = 0;
+};
+
 // The name without its labels.
 std::string baseOf(const std::string &name)
 {
@@ -29,16 +42,31 @@
 }
 } // namespace
 
-Metrics::Metrics() = default;
+// Part of the names, with its own lock.
+struct Metrics::Shard {
+    mutable std::mutex lock;
+    std::map<std::string, double> counters;
+    std::map<std::string, double> gauges;
+    std::map<std::string, Timing> timings;
+};
+
+Metrics::Metrics()
+{
+    for (auto &it : m_shards) {
+        it = std::make_unique<Shard>();
+    }
+}
+
+Metrics::~Metrics() = default;
 
 Metrics::Shard &Metrics::shardOf(const std::string &name)
 {
-    return m_shards[std::hash<std::string>()(baseOf(name)) % ShardCount];
+    return *m_shards[std::hash<std::string>()(baseOf(name)) % ShardCount];
 }
 
 const Metrics::Shard &Metrics::shardOf(const std::string &name) const
 {
-    return m_shards[std::hash<std::string>()(baseOf(name)) % ShardCount];
+    return *m_shards[std::hash<std::string>()(baseOf(name)) % ShardCount];
 }
 
 void Metrics::count(const std::string &name, double n)
@@ -83,7 +111,8 @@
 std::string Metrics::render() const
 {
     std::ostringstream out;
-    for (const auto &shard : m_shards) {
+    for (const auto &it : m_shards) {
+        const auto &shard = *it;
         const std::lock_guard guard(shard.lock);
         std::string base;
         renderPlain(out, shard.counters, "counter", base);
--- a/src/wire/FrameCodec.cpp
+++ b/src/wire/FrameCodec.cpp
@@ -2,6 +2,7 @@
 
 #include <QtEndian>
 #include <array>
+#include <msgpack.hpp>
 
 #include "marjoramhaven/base/LastReason.h"
 
@@ -11,10 +12,32 @@
 
 constexpr int LengthBytes = 4;
 
+// Reads as many fields as the array has; an older neighbour sends fewer, a newer one more.
 template<typename T>
 PeerMessage convert(const msgpack::object &object)
 {
-    return object.as<T>();
+    if (object.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error();
+    }
+    T out;
+    std::apply(
+        [&](auto &...field) {
+            std::uint32_t i = 0;
+            ((i < object.via.array.size ? (object.via.array.ptr[i].convert(field), ++i) : i), ...);
+        },
+        T::fieldsOf(out));
+    return out;
+}
+
+template<typename T>
+void packFields(msgpack::packer<msgpack::sbuffer> &packer, const T &message)
+{
+    std::apply(
+        [&](const auto &...field) {
+            packer.pack_array(sizeof...(field));
+            (packer.pack(field), ...);
+        },
+        T::fieldsOf(message));
 }
 
 using Converter = PeerMessage (*)(const msgpack::object &);
@@ -50,7 +73,11 @@
     msgpack::packer<msgpack::sbuffer> packer(buf);
     packer.pack_array(2);
     packer.pack(static_cast<std::uint32_t>(message.index()));
-    std::visit([&](const auto &it) { packer.pack(it); }, message);
+    std::visit(
+        [&](const auto &it) {
+            packFields(packer, it);
+        },
+        message);
     QByteArray out(LengthBytes, Qt::Uninitialized);
     qToBigEndian(static_cast<quint32>(buf.size()), out.data());
     out.append(buf.data(), static_cast<qsizetype>(buf.size()));
--- a/src/wire/PeerHub.cpp
+++ b/src/wire/PeerHub.cpp
@@ -87,8 +87,12 @@
     auto link = std::make_unique<Link>();
     link->socket = socket;
     m_links[socket] = std::move(link);
-    connect(socket, &QTcpSocket::readyRead, this, [this, socket]() { handleBytes(socket); });
-    connect(socket, &QTcpSocket::disconnected, this, [this, socket]() { drop(socket); });
+    connect(socket, &QTcpSocket::readyRead, this, [this, socket]() {
+        handleBytes(socket);
+    });
+    connect(socket, &QTcpSocket::disconnected, this, [this, socket]() {
+        drop(socket);
+    });
     const auto hello = encodeFrame(HelloMessage {WireVersion, m_self.name, m_self.zone});
     m_bytes += hello.size();
     socket->write(hello);
@@ -101,7 +105,9 @@
     ++dial.failures;
     auto *socket = new QTcpSocket(this);
     dial.socket = socket;
-    connect(socket, &QTcpSocket::connected, this, [this, socket]() { attach(socket); });
+    connect(socket, &QTcpSocket::connected, this, [this, socket]() {
+        attach(socket);
+    });
     connect(socket, &QTcpSocket::errorOccurred, this, [this, socket]() {
         if (!m_links.contains(socket)) {
             socket->deleteLater();
--- a/src/zone/Placement.cpp
+++ b/src/zone/Placement.cpp
@@ -69,7 +69,9 @@
 
 std::optional<std::size_t> SpreadPlacement::choose(const std::vector<Candidate> &candidates, const Resources &task) const
 {
-    return bestBy(candidates, task, [&](const Candidate &it) { return std::make_tuple(it.sameJobInRack, it.sameJobHere, -remainderOf(it, task).smallest); });
+    return bestBy(candidates, task, [&](const Candidate &it) {
+        return std::make_tuple(it.sameJobInRack, it.sameJobHere, -remainderOf(it, task).smallest);
+    });
 }
 
 } // namespace marjoramhaven
--- a/src/zone/ShortDesk.cpp
+++ b/src/zone/ShortDesk.cpp
@@ -36,7 +36,9 @@
 
 int ShortDesk::heldInClass(const std::string &urgency) const
 {
-    return static_cast<int>(std::count_if(m_held.begin(), m_held.end(), [&](const Held &it) { return it.spec.urgency == urgency; }));
+    return static_cast<int>(std::count_if(m_held.begin(), m_held.end(), [&](const Held &it) {
+        return it.spec.urgency == urgency;
+    }));
 }
 
 void ShortDesk::keepResult(const std::string &key, const TaskEnd &end, TimePoint now)
--- a/src/zone/TaskLabel.cpp
+++ b/src/zone/TaskLabel.cpp
@@ -21,7 +21,9 @@
     if (!object) {
         return std::nullopt;
     }
-    const auto textAt = [&](const char *key) { return object->value(QLatin1String(key)).toString().toStdString(); };
+    const auto textAt = [&](const char *key) {
+        return object->value(QLatin1String(key)).toString().toStdString();
+    };
     const auto kind = valueOf<JobKind>(textAt("k"));
     if (!kind) {
         return std::nullopt;
--- a/src/zone/WorkerHealth.cpp
+++ b/src/zone/WorkerHealth.cpp
@@ -50,7 +50,9 @@
 
 std::size_t WorkerHealth::quarantined(TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [now](const auto &it) { return now < it.second.until; }));
+    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [now](const auto &it) {
+        return now < it.second.until;
+    }));
 }
 
 } // namespace marjoramhaven
--- a/src/zone/ZoneLeader.cpp
+++ b/src/zone/ZoneLeader.cpp
@@ -102,7 +102,9 @@
     if (m_recovered || !m_fleetKnown) {
         return;
     }
-    const bool allKnown = std::all_of(m_links.begin(), m_links.end(), [&](const auto &it) { return it.second->wasOpened() || hasLapsed(*it.second, now); });
+    const bool allKnown = std::all_of(m_links.begin(), m_links.end(), [&](const auto &it) {
+        return it.second->wasOpened() || hasLapsed(*it.second, now);
+    });
     if (allKnown) {
         finishRecovery(now);
     }
@@ -206,9 +208,11 @@
 {
     const auto &name = link.vm().name;
     std::vector<AttemptId> unknown;
-    for (const auto &it : m_scheduler.books().at(name).entries()) {
-        const auto &attempt = it.first;
-        const bool known = std::any_of(inventory.attempts.begin(), inventory.attempts.end(), [&](const AttemptReport &it) { return it.attempt == attempt; });
+    for (const auto &[id, entry] : m_scheduler.books().at(name).entries()) {
+        const auto &attempt = id;
+        const bool known = std::any_of(inventory.attempts.begin(), inventory.attempts.end(), [&](const AttemptReport &it) {
+            return it.attempt == attempt;
+        });
         if (!known) {
             unknown.push_back(attempt);
         }
--- a/src/zone/ZoneLeaderJobs.cpp
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -65,7 +65,9 @@
     adoptRunning(job);
     applyEarlyEnds(job, now);
     if (m_recovered) {
-        std::erase_if(waiting, [&](int index) { return job.tasks[index].phase != TaskPhase::Unseen; });
+        std::erase_if(waiting, [&](int index) {
+            return job.tasks[index].phase != TaskPhase::Unseen;
+        });
         enqueueTasks(job, std::move(waiting), now);
     }
     if (entry->cancelled) {
--- a/src/zone/ZoneScheduler.cpp
+++ b/src/zone/ZoneScheduler.cpp
@@ -148,7 +148,9 @@
                     out.insert(out.end(), it.indices.begin(), it.indices.end());
                 }
             }
-            std::erase_if(queue, [&](const WaitingJob &it) { return it.jobId == jobId; });
+            std::erase_if(queue, [&](const WaitingJob &it) {
+                return it.jobId == jobId;
+            });
         }
     }
     return out;
@@ -316,7 +318,9 @@
         }
         ranked.push_back(std::move(it));
     }
-    std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) { return a.overdue != b.overdue ? a.overdue : a.weight > b.weight; });
+    std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
+        return a.overdue != b.overdue ? a.overdue : a.weight > b.weight;
+    });
     std::vector<std::string> out;
     out.reserve(ranked.size());
     for (auto &it : ranked) {
@@ -340,7 +344,9 @@
         }
         ranked.push_back({name, isOverdue(queue.front(), now, policy), usageOfTeam(name).dominantShareOf(m_total) / team->share});
     }
-    std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) { return a.overdue != b.overdue ? a.overdue : a.used < b.used; });
+    std::stable_sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
+        return a.overdue != b.overdue ? a.overdue : a.used < b.used;
+    });
     std::vector<std::string> out;
     out.reserve(ranked.size());
     for (auto &it : ranked) {
@@ -358,7 +364,9 @@
     for (const auto &team : teamOrder(teams, now, *policy)) {
         auto &queue = teams[team];
         for (auto it = queue.begin(); it != queue.end(); ++it) {
-            const bool known = std::any_of(tooLarge.begin(), tooLarge.end(), [&](const Resources &r) { return r.fitsIn(it->resources); });
+            const bool known = std::any_of(tooLarge.begin(), tooLarge.end(), [&](const Resources &r) {
+                return r.fitsIn(it->resources);
+            });
             if (known || (it->allAtOnce && it->indices.size() > limit && !out.empty())) {
                 continue;
             }
@@ -416,7 +424,9 @@
 
 bool ZoneScheduler::couldEverFit(const Resources &resources) const
 {
-    return std::any_of(m_books.begin(), m_books.end(), [&](const auto &it) { return resources.fitsIn(it.second.capacity()); });
+    return std::any_of(m_books.begin(), m_books.end(), [&](const auto &it) {
+        return resources.fitsIn(it.second.capacity());
+    });
 }
 
 int ZoneScheduler::waiting(const std::string &urgency) const
--- a/tests/ledger/LedgerTest.cpp
+++ b/tests/ledger/LedgerTest.cpp
@@ -81,7 +81,9 @@
 {
     LogFold fold;
     int heard = 0;
-    fold.setListener([&](const LogRecord &) { ++heard; });
+    fold.setListener([&](const LogRecord &) {
+        ++heard;
+    });
     const LogBatch batch {0, 0, {toJson(JobCancelled {"j"}), {}, toJson(JobCancelled {"k"})}};
     fold.apply(batch);
     fold.apply(batch);
--- a/tests/node/ThinPathTest.cpp
+++ b/tests/node/ThinPathTest.cpp
@@ -30,7 +30,9 @@
     BOOST_TEST(word(bench.call(1, "POST", "/v1/jobs", job)) == "accepted");
     job.insert(QLatin1String("tasks"), 21);
     BOOST_TEST(word(bench.call(1, "POST", "/v1/jobs", job)) == "refused");
-    BOOST_TEST(bench.waitFor([&]() { return word(bench.call(1, "GET", "/v1/jobs/sweep-1"), "state") == "finished"; }));
+    BOOST_TEST(bench.waitFor([&]() {
+        return word(bench.call(1, "GET", "/v1/jobs/sweep-1"), "state") == "finished";
+    }));
     const auto seen = bench.call(1, "GET", "/v1/jobs/sweep-1");
     BOOST_TEST(seen->body.value(QLatin1String("ended")).toObject().value(QLatin1String("done")).toInt() == 20);
 }
--- a/tests/support/NodeBench.h
+++ b/tests/support/NodeBench.h
@@ -98,7 +98,9 @@
 
     bool waitForLeader(const std::string &zone)
     {
-        return waitFor([&]() { return leaderOf(zone) >= 0; });
+        return waitFor([&]() {
+            return leaderOf(zone) >= 0;
+        });
     }
 
     std::optional<ApiAnswer> call(std::size_t node, const QByteArray &method, const std::string &path, const QJsonObject &body = {})
