Demo: both users' workloads on an embedded platform, checked from outside

Cause: a newcomer had no single command that shows the main job. Change: the demo command runs three zones of three entry nodes on a stand-in, patches the policy and takes it back, kills a leader, and checks the history that callers, workers and operators saw.

--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -53,6 +53,7 @@
         {"config", "Show the configuration, its history, or a difference", "config diff 3 4", runConfig},
         {"status", "Show an entry process's state", "status --at 127.0.0.1:8081", runStatus},
         {"drain", "Take an entry process out of the balancer", "drain --at 127.0.0.1:8081", runDrain},
+        {"demo", "Run both users' workloads on an embedded stand-in", "demo --seconds 10 --seed 7", runDemo},
         {"stand-in", "Run a stand-in for the platform", "stand-in --port 8900 --workers 4", runStandIn},
     };
     return all;
--- a/src/cli/ServeCommands.cpp
+++ b/src/cli/ServeCommands.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "CommandLine.h"
+#include "DemoRun.h"
 #include "marjoramhaven/base/Json.h"
 #include "marjoramhaven/base/LastReason.h"
 #include "marjoramhaven/node/EntryNode.h"
@@ -123,4 +124,21 @@
     return ExitCode::Ok;
 }
 
+ExitCode runDemo(std::vector<std::string> arguments)
+{
+    constexpr int MostSeconds = 3600;
+    TCLAP::CmdLine line("Runs both users' workloads on an embedded stand-in platform and checks what must hold.", ' ', MARJORAMHAVEN_VERSION);
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<int> seconds("", "seconds", "How long the load runs", false, 10, "n", line);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the load", false, 1, "n", line);
+    line.parse(arguments);
+    if (seconds.getValue() < 2 || seconds.getValue() > MostSeconds) {
+        printError("--seconds must be from 2 to 3600");
+        return ExitCode::Invalid;
+    }
+    setUpLogging("off");
+    DemoRun run({seconds.getValue(), seed.getValue()});
+    return run.run() ? ExitCode::Ok : ExitCode::Failed;
+}
+
 } // namespace marjoramhaven
--- a/src/cli/ServeCommands.h
+++ b/src/cli/ServeCommands.h
@@ -7,9 +7,10 @@
 
 namespace marjoramhaven {
 
-// Subcommands that run until they are told to stop: serve and stand-in.
+// Subcommands that run until they are told to stop: serve and stand-in; and the demo.
 
 ExitCode runServe(std::vector<std::string> arguments);
 ExitCode runStandIn(std::vector<std::string> arguments);
+ExitCode runDemo(std::vector<std::string> arguments);
 
 } // namespace marjoramhaven
