Write live state to the log again before its retention drops it

Cause: a process that starts after the log's retention passed a patch or an open job folded neither. Also: ports of demo and tests are taken outside the range of outgoing connections; one demo run of five had failed on an address in use.

--- a/include/marjoramhaven/config/Settings.h
+++ b/include/marjoramhaven/config/Settings.h
@@ -40,6 +40,8 @@
     Millis lease {6000};
     Millis renewEvery {1000};
     Millis stopWithin {20000};
+    /// Live state is written to the log again this often; less than half of the log's retention.
+    Millis refreshEvery {600000};
 
     /// Reads settings; gives nothing when the findings are not empty.
     static std::optional<Settings> read(const YamlDocument &document, Findings &findings);
--- a/include/marjoramhaven/ledger/LogFold.h
+++ b/include/marjoramhaven/ledger/LogFold.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "marjoramhaven/config/ConfigurationHistory.h"
@@ -26,8 +28,8 @@
 
     /// The offset to read next.
     std::int64_t nextOffset() const { return m_nextOffset; }
-    /// True after at least one batch, even an empty one, was folded.
-    bool hasRead() const { return m_hasRead; }
+    /// True once the log was read to its end. Before that, the state may lack records that follow.
+    bool isCaughtUp() const { return m_isCaughtUp; }
     /// Number of records that this reader lost because the log's retention passed it.
     std::int64_t lostRecords() const { return m_lostRecords; }
 
@@ -39,6 +41,8 @@
     const ClaimLedger &claims() const { return m_claims; }
 
 private:
+    void applyPatch(const ConfigurationPatch &patch, std::int64_t offset);
+    void applySnapshot(const ConfigurationSnapshot &snapshot);
     void applyRecord(const LogRecord &record, std::int64_t offset);
 
     ConfigurationHistory m_configuration;
@@ -47,7 +51,11 @@
     Listener m_listener;
     std::int64_t m_nextOffset = 0;
     std::int64_t m_lostRecords = 0;
-    bool m_hasRead = false;
+    bool m_isCaughtUp = false;
+    /// Set while the patches that led to the version in force may be lost: the first offset read after the gap.
+    std::optional<std::int64_t> m_gapEnd;
+    /// Patches read since the gap. They are judged once a snapshot tells what they were written against.
+    std::vector<std::pair<ConfigurationPatch, std::int64_t>> m_unjudged;
 };
 
 } // namespace marjoramhaven
--- a/include/marjoramhaven/ledger/LogRecord.h
+++ b/include/marjoramhaven/ledger/LogRecord.h
@@ -74,8 +74,15 @@
     std::string result;
 };
 
+/// The version in force, written again before the log's retention drops the patches that led to it.
+struct ConfigurationSnapshot {
+    ConfigurationVersion version;
+    /// The writer had folded every record before this offset.
+    std::int64_t upTo = 0;
+};
+
 /// One record of the log. A record that can't be read is skipped by every reader alike.
-using LogRecord = std::variant<ConfigurationPatch, JobAccepted, JobCancelled, TaskEnded, ClaimMade, ClaimReleased, ClaimSettled>;
+using LogRecord = std::variant<ConfigurationPatch, JobAccepted, JobCancelled, TaskEnded, ClaimMade, ClaimReleased, ClaimSettled, ConfigurationSnapshot>;
 
 /// The record as it stands in the log.
 QJsonObject toJson(const LogRecord &record);
--- a/include/marjoramhaven/node/NodeCore.h
+++ b/include/marjoramhaven/node/NodeCore.h
@@ -10,6 +10,7 @@
 
 #include "marjoramhaven/config/Settings.h"
 #include "marjoramhaven/http/HttpClient.h"
+#include "marjoramhaven/ledger/LogRefresher.h"
 #include "marjoramhaven/node/NodeShared.h"
 #include "marjoramhaven/platform/HttpLogService.h"
 #include "marjoramhaven/platform/HttpWorkerService.h"
@@ -110,6 +111,7 @@
     HttpVmList m_vmList;
     HttpWorkerDirectory m_workers;
     LogAppender m_appender;
+    LogRefresher m_refresher;
     PeerHub m_hub;
     Leadership m_leadership;
     std::unique_ptr<ZoneLeader> m_leader;
--- a/include/marjoramhaven/platform/LogService.h
+++ b/include/marjoramhaven/platform/LogService.h
@@ -16,6 +16,8 @@
     /// Offset of the first record in this batch.
     std::int64_t first = 0;
     std::vector<QJsonObject> records;
+    /// Offset that the next record will get.
+    std::int64_t next = 0;
 };
 
 /// The platform's append-only log with offsets.
--- a/include/marjoramhaven/zone/ZoneLeader.h
+++ b/include/marjoramhaven/zone/ZoneLeader.h
@@ -57,6 +57,8 @@
     void tick(TimePoint now);
     /// Hears of a record after it was folded.
     void onRecord(const LogRecord &record, TimePoint now);
+    /// Takes up the zone's open jobs after the log was read to its end.
+    void onCaughtUp(TimePoint now);
     /// Puts the configuration now in force to use.
     void onConfiguration();
 
@@ -150,6 +152,7 @@
     std::map<std::string, EarlyEnd> m_settling;
     FollowerProofs m_followers;
     bool m_fleetKnown = false;
+    bool m_jobsKnown = false;
     bool m_recovered = false;
     bool m_isFenced = false;
     std::int64_t m_claims = 0;
--- a/src/cli/DemoRun.cpp
+++ b/src/cli/DemoRun.cpp
@@ -2,7 +2,6 @@
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
-#include <QTcpServer>
 #include <algorithm>
 #include <iomanip>
 #include <iostream>
@@ -11,6 +10,7 @@
 #include "marjoramhaven/base/Json.h"
 #include "marjoramhaven/base/LastReason.h"
 #include "marjoramhaven/config/MergePatch.h"
+#include "marjoramhaven/standin/FreePort.h"
 
 namespace marjoramhaven {
 
@@ -29,13 +29,6 @@
     return all;
 }
 
-int freePort()
-{
-    QTcpServer server;
-    server.listen(QHostAddress(QHostAddress::LocalHost), 0);
-    return server.serverPort();
-}
-
 std::int64_t nowMs()
 {
     return millisOf(monotonicNow());
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t MaxLeaseMs = 120'000;
 constexpr std::int64_t MinRenewMs = 50;
 constexpr std::int64_t MaxStopMs = 600'000;
+constexpr std::int64_t MinRefreshMs = 1000;
+constexpr std::int64_t MaxRefreshMs = 24 * 3'600'000;
 
 Address readAddress(JsonReader &reader, std::string_view key)
 {
@@ -117,6 +119,7 @@
     out.lease = Millis(reader.integer("lease_ms", out.lease.count(), MinLeaseMs, MaxLeaseMs));
     out.renewEvery = Millis(reader.integer("renew_ms", out.renewEvery.count(), MinRenewMs, MaxLeaseMs));
     out.stopWithin = Millis(reader.integer("stop_within_ms", out.stopWithin.count(), 0, MaxStopMs));
+    out.refreshEvery = Millis(reader.integer("refresh_ms", out.refreshEvery.count(), MinRefreshMs, MaxRefreshMs));
     if (out.renewEvery * 3 > out.lease) {
         reader.report("renew_ms", "must be at most a third of lease_ms");
     }
--- a/src/ledger/LogFold.cpp
+++ b/src/ledger/LogFold.cpp
@@ -18,8 +18,9 @@
     if (batch.first > m_nextOffset) {
         m_lostRecords += batch.first - m_nextOffset;
         m_nextOffset = batch.first;
+        m_gapEnd = batch.first;
+        m_unjudged.clear();
     }
-    m_hasRead = true;
     const auto skip = std::min<std::int64_t>(m_nextOffset - batch.first, static_cast<std::int64_t>(batch.records.size()));
     for (auto i = static_cast<std::size_t>(skip); i < batch.records.size(); ++i) {
         const auto offset = m_nextOffset++;
@@ -27,13 +28,42 @@
             applyRecord(*record, offset);
         }
     }
+    m_isCaughtUp = m_isCaughtUp || m_nextOffset >= batch.next;
+    m_jobs.forgetFinishedBefore(batch.oldest);
+}
+
+void LogFold::applyPatch(const ConfigurationPatch &patch, std::int64_t offset)
+{
+    if (m_gapEnd) {
+        m_unjudged.emplace_back(patch, offset);
+    } else {
+        m_configuration.applyFromLog(patch, offset);
+    }
+}
+
+void LogFold::applySnapshot(const ConfigurationSnapshot &snapshot)
+{
+    m_configuration.restore(snapshot.version);
+    // Patches between what the writer had read and the gap's end may be lost.
+    if (!m_gapEnd || snapshot.upTo < *m_gapEnd) {
+        return;
+    }
+    m_gapEnd.reset();
+    for (const auto &[patch, offset] : std::exchange(m_unjudged, {})) {
+        if (offset >= snapshot.upTo) {
+            m_configuration.applyFromLog(patch, offset);
+        }
+    }
 }
 
 void LogFold::applyRecord(const LogRecord &record, std::int64_t offset)
 {
     std::visit(Overloaded {
                    [&](const ConfigurationPatch &it) {
-                       m_configuration.applyFromLog(it, offset);
+                       applyPatch(it, offset);
+                   },
+                   [&](const ConfigurationSnapshot &it) {
+                       applySnapshot(it);
                    },
                    [&](const JobAccepted &it) {
                        m_jobs.apply(it, offset);
--- a/src/ledger/LogRecord.cpp
+++ b/src/ledger/LogRecord.cpp
@@ -39,6 +39,12 @@
 // Writes each type of record.
 struct Writer {
     QJsonObject operator()(const ConfigurationPatch &it) const { return patchToJson(it); }
+    QJsonObject operator()(const ConfigurationSnapshot &it) const
+    {
+        return {{QLatin1String("type"), QLatin1String("configuration")},
+                {QLatin1String("version"), toJson(it.version)},
+                {QLatin1String("up_to"), static_cast<qint64>(it.upTo)}};
+    }
     QJsonObject operator()(const JobAccepted &it) const
     {
         return {{QLatin1String("type"), QLatin1String("job")}, {QLatin1String("home"), toQt(it.homeZone)}, {QLatin1String("spec"), it.spec.toJson()}};
@@ -106,6 +112,10 @@
     if (type == "patch") {
         return patchFromJson(object);
     }
+    if (type == "configuration") {
+        return ConfigurationSnapshot {configurationVersionFromJson(object.value(QLatin1String("version")).toObject()),
+                                      object.value(QLatin1String("up_to")).toInteger()};
+    }
     if (type == "job") {
         return jobFromJson(object);
     }
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -41,6 +41,7 @@
     , m_vmList(m_http, toQt(m_settings.platformUrl))
     , m_workers(m_http)
     , m_appender(m_logService)
+    , m_refresher(m_settings.refreshEvery, monotonicNow())
     , m_hub({m_settings.name, m_settings.zone}, seedOf(m_settings.name))
     , m_leadership(m_settings.name, seedOf(m_settings.name), monotonicNow())
 {
@@ -93,6 +94,9 @@
         m_leader->tick(now);
         updateRole(now);
     }
+    if (m_leader && m_refresher.isDue(now)) {
+        m_refresher.refresh(m_shared.fold, m_settings.zone, m_appender, now);
+    }
     m_appender.tick(now);
     if (now >= m_nextBeat) {
         m_nextBeat = now + Leadership::BeatEvery;
@@ -236,7 +240,11 @@
     }
     m_readFailures = 0;
     const auto before = m_shared.fold.configuration().number();
+    const bool wasCaughtUp = m_shared.fold.isCaughtUp();
     m_shared.fold.apply(*batch);
+    if (m_leader && !wasCaughtUp && m_shared.fold.isCaughtUp()) {
+        m_leader->onCaughtUp(now);
+    }
     if (m_shared.fold.configuration().number() != before) {
         m_log.info("configuration " + std::to_string(m_shared.fold.configuration().number()) + " is in force");
         m_nextBeat = now;
--- a/src/platform/HttpLogService.cpp
+++ b/src/platform/HttpLogService.cpp
@@ -47,6 +47,7 @@
         LogBatch batch;
         batch.oldest = body->value(QLatin1String("oldest")).toInteger();
         batch.first = body->value(QLatin1String("first")).toInteger();
+        batch.next = body->value(QLatin1String("next")).toInteger();
         const auto records = body->value(QLatin1String("records")).toArray();
         for (const auto &it : records) {
             batch.records.push_back(it.toObject());
--- a/src/standin/LogModel.cpp
+++ b/src/standin/LogModel.cpp
@@ -18,6 +18,7 @@
     out.first = std::clamp(from, m_oldest, next());
     const auto begin = static_cast<std::size_t>(out.first - m_oldest);
     const auto end = std::min(m_records.size(), begin + limit);
+    out.next = next();
     out.records.assign(m_records.begin() + static_cast<std::ptrdiff_t>(begin), m_records.begin() + static_cast<std::ptrdiff_t>(end));
     return out;
 }
--- a/src/standin/StandInPlatform.cpp
+++ b/src/standin/StandInPlatform.cpp
@@ -30,6 +30,7 @@
     return HttpResponse::json(StatusOk,
                               {{QLatin1String("oldest"), static_cast<qint64>(batch.oldest)},
                                {QLatin1String("first"), static_cast<qint64>(batch.first)},
+                               {QLatin1String("next"), static_cast<qint64>(batch.next)},
                                {QLatin1String("records"), records}});
 }
 } // namespace
--- a/src/zone/ZoneLeader.cpp
+++ b/src/zone/ZoneLeader.cpp
@@ -18,6 +18,14 @@
     , m_begunAt(now)
     , m_scheduler(fold.configuration().configuration())
 {
+    if (m_fold.isCaughtUp()) {
+        onCaughtUp(now);
+    }
+}
+
+void ZoneLeader::onCaughtUp(TimePoint now)
+{
+    m_jobsKnown = true;
     for (const auto &id : m_fold.jobs().openJobs(m_options.zone)) {
         loadJob(id, now);
     }
--- a/src/zone/ZoneLeaderJobs.cpp
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -50,7 +50,7 @@
 void ZoneLeader::loadJob(const std::string &id, TimePoint now)
 {
     const auto entry = m_fold.jobs().job(id);
-    if (!entry || entry->homeZone != m_options.zone || entry->isFinished() || m_jobs.contains(id)) {
+    if (!m_jobsKnown || !entry || entry->homeZone != m_options.zone || entry->isFinished() || m_jobs.contains(id)) {
         return;
     }
     auto &job = m_jobs[id];
@@ -401,7 +401,7 @@
         handleEndFolded(*ended);
     } else if (const auto *settled = std::get_if<ClaimSettled>(&record)) {
         handleSettledFolded(*settled);
-    } else if (std::holds_alternative<ConfigurationPatch>(record)) {
+    } else if (std::holds_alternative<ConfigurationPatch>(record) || std::holds_alternative<ConfigurationSnapshot>(record)) {
         onConfiguration();
     }
 }
--- a/tests/ledger/LedgerTest.cpp
+++ b/tests/ledger/LedgerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "marjoramhaven/ledger/LogAppender.h"
 #include "marjoramhaven/ledger/LogFold.h"
+#include "marjoramhaven/ledger/LogRefresher.h"
 #include "marjoramhaven/standin/LogModel.h"
 
 using namespace marjoramhaven;
@@ -134,6 +135,50 @@
     BOOST_TEST(fold.jobs().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(aReaderThatStartsAfterTheRetentionFindsLiveState)
+{
+    FakeLog log;
+    LogAppender appender(log);
+    LogFold old;
+    appender.add(ConfigurationPatch {"p1", 0, "op", {{QLatin1String("packing"), QLatin1String("spread")}}});
+    appender.add(ConfigurationPatch {"p2", 1, "op", {{QLatin1String("packing"), QLatin1String("tight")}}});
+    appender.add(JobAccepted {jobSpec("open", 2), "north"});
+    appender.add(TaskEnded {"open", 1, TaskOutcome::Done, "x"});
+    appender.add(JobAccepted {jobSpec("finished", 1), "north"});
+    appender.add(TaskEnded {"finished", 0, TaskOutcome::Done, "y"});
+    appender.tick(atMillis(100));
+    old.apply(log.model.read(0, 100));
+    LogRefresher refresher(Millis(1000), atMillis(0));
+    BOOST_TEST(!refresher.isDue(atMillis(999)));
+    refresher.refresh(old, "north", appender, atMillis(1000));
+    // A patch raced with the snapshot, and the retention dropped all that was before it.
+    log.model.append({toJson(ConfigurationPatch {"p3", 2, "op", {{QLatin1String("packing"), QLatin1String("spread")}}})});
+    log.model.truncate(1);
+    appender.tick(atMillis(1000));
+    LogFold fresh;
+    fresh.apply(log.model.read(0, 100));
+    old.apply(log.model.read(old.nextOffset(), 100));
+    BOOST_TEST(old.configuration().number() == 3);
+    // The snapshot was written by a process that had not read the raced patch, yet the reader ends where all end.
+    BOOST_TEST(fresh.configuration().number() == 3);
+    BOOST_TEST(fresh.configuration().current().hash == old.configuration().current().hash);
+    // One that starts between the two can't tell, and must not judge later patches by the older version.
+    LogFold later;
+    log.model.append({toJson(ConfigurationPatch {"p4", 3, "op", {}})});
+    auto rest = log.model.read(7, 100);
+    later.apply(rest);
+    BOOST_TEST(!later.configuration().verdict("p4").has_value());
+    old.apply(log.model.read(old.nextOffset(), 100));
+    refresher.refresh(old, "north", appender, atMillis(2000));
+    appender.tick(atMillis(2000));
+    fresh.apply(log.model.read(fresh.nextOffset(), 100));
+    BOOST_TEST(fresh.configuration().current().hash == old.configuration().current().hash);
+    BOOST_TEST(fresh.jobs().job("open")->ended.at(1).result == "x");
+    BOOST_TEST(!fresh.jobs().job("finished").has_value());
+    old.apply(log.model.read(old.nextOffset(), 100));
+    BOOST_TEST(!old.jobs().job("finished").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(recordsAreGroupedIntoFewAppends)
 {
     FakeLog log;
--- a/tests/support/NodeBench.h
+++ b/tests/support/NodeBench.h
@@ -2,7 +2,6 @@
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
-#include <QTcpServer>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,18 +11,11 @@
 #include "marjoramhaven/base/Json.h"
 #include "marjoramhaven/cli/ApiClient.h"
 #include "marjoramhaven/node/EntryNode.h"
+#include "marjoramhaven/standin/FreePort.h"
 #include "marjoramhaven/standin/StandInPlatform.h"
 
 namespace marjoramhaven::test {
 
-/// A port of loopback that was free a moment ago.
-inline int freePort()
-{
-    QTcpServer server;
-    server.listen(QHostAddress(QHostAddress::LocalHost), 0);
-    return server.serverPort();
-}
-
 /// Nodes and a stand-in platform in this process, talking over loopback.
 class NodeBench
 {
