--- a/include/marjoramhaven/zone/TaskLabel.h
+++ b/include/marjoramhaven/zone/TaskLabel.h
@@ -15,6 +15,8 @@
     JobKind kind = JobKind::Batch;
     ReservationOwner owner;
     bool repeatable = true;
+    /// Time that the caller of a short request waits for its answer.
+    Millis deadline {0};
 
     /// The label as text for the worker to keep.
     std::string toText() const;
--- a/include/marjoramhaven/zone/ZoneLeader.h
+++ b/include/marjoramhaven/zone/ZoneLeader.h
@@ -90,6 +90,12 @@
         AttemptReport report;
     };
 
+    struct HeldAck {
+        TimePoint due {};
+        std::string worker;
+        AttemptId attempt;
+    };
+
     void loadJob(const std::string &id, TimePoint now);
     void adoptRunning(JobProgress &job);
     void syncBook(WorkerLink &link, const SessionOpened &inventory, TimePoint now);
@@ -120,13 +126,14 @@
     void stopTask(const std::string &jobId, int index, TimePoint now);
     void handleClaimFolded(const ClaimMade &record, TimePoint now);
     void handleEndFolded(const TaskEnded &record);
-    void handleSettledFolded(const ClaimSettled &record);
+    void handleSettledFolded(const ClaimSettled &record, TimePoint now);
     void applyEarlyEnds(JobProgress &job, TimePoint now);
 
     void decideHeld(TimePoint now);
     std::optional<ShortDecision> knownShort(const std::string &key) const;
     std::optional<ShortDecision> placeShort(const JobSpec &spec, TimePoint now, NoPlace &cause);
     void lookUpShorts(TimePoint now);
+    void releaseAcks(TimePoint now);
     ShortDecision startDecision(const JobSpec &spec, const Placed &placed, TimePoint now) const;
     JobProgress *findJob(const std::string &id);
     WorkerLink *findLink(const std::string &worker);
@@ -146,6 +153,8 @@
     /// Attempts whose start was not answered, with the worker that may have them.
     std::map<AttemptId, std::string> m_uncertain;
     TimePoint m_closeUncertainAt {};
+    /// Ends of short requests that their workers shall remember for a while.
+    std::vector<HeldAck> m_heldAcks;
     /// Ends told by workers before the record of their job was read, by task.
     std::map<std::string, EarlyEnd> m_earlyEnds;
     /// Attempts of unrepeatable requests whose outcome is on its way to the log, by request.
--- a/src/standin/FreePort.cpp
+++ b/src/standin/FreePort.cpp
@@ -9,7 +9,7 @@
 namespace {
 constexpr int FirstPort = 15'000;
 constexpr int PortCount = 15'000;
-}
+} // namespace
 
 int freePort()
 {
--- a/src/zone/TaskLabel.cpp
+++ b/src/zone/TaskLabel.cpp
@@ -11,7 +11,8 @@
                            {QLatin1String("k"), toQt(nameOf(kind))},
                            {QLatin1String("t"), toQt(owner.team)},
                            {QLatin1String("u"), toQt(owner.urgency)},
-                           {QLatin1String("r"), repeatable}};
+                           {QLatin1String("r"), repeatable},
+                           {QLatin1String("d"), static_cast<qint64>(deadline.count())}};
     return jsonBytes(out).toStdString();
 }
 
@@ -34,6 +35,7 @@
     out.kind = *kind;
     out.owner = {textAt("t"), textAt("u"), out.jobId};
     out.repeatable = object->value(QLatin1String("r")).toBool(true);
+    out.deadline = Millis(object->value(QLatin1String("d")).toInteger());
     return out;
 }
 
--- a/src/zone/ZoneLeader.cpp
+++ b/src/zone/ZoneLeader.cpp
@@ -184,6 +184,7 @@
     releaseDelayed(now);
     closeUncertain(now);
     lookUpShorts(now);
+    releaseAcks(now);
     m_shorts.expire(now);
     if (!m_recovered) {
         decideHeld(now);
--- a/src/zone/ZoneLeaderJobs.cpp
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -400,7 +400,7 @@
     } else if (const auto *ended = std::get_if<TaskEnded>(&record)) {
         handleEndFolded(*ended);
     } else if (const auto *settled = std::get_if<ClaimSettled>(&record)) {
-        handleSettledFolded(*settled);
+        handleSettledFolded(*settled, now);
     } else if (std::holds_alternative<ConfigurationPatch>(record) || std::holds_alternative<ConfigurationSnapshot>(record)) {
         onConfiguration();
     }
@@ -424,12 +424,13 @@
     }
 }
 
-void ZoneLeader::handleSettledFolded(const ClaimSettled &record)
+void ZoneLeader::handleSettledFolded(const ClaimSettled &record, TimePoint now)
 {
     const auto node = m_settling.extract(record.key);
     auto *link = node.empty() ? nullptr : findLink(node.mapped().worker);
-    if (link != nullptr) {
-        link->acknowledge(node.mapped().report.attempt);
+    const auto label = link == nullptr ? std::nullopt : TaskLabel::fromText(node.mapped().report.label);
+    if (label) {
+        m_heldAcks.push_back({now + label->deadline, node.mapped().worker, node.mapped().report.attempt});
     }
 }
 
--- a/src/zone/ZoneLeaderShorts.cpp
+++ b/src/zone/ZoneLeaderShorts.cpp
@@ -13,6 +13,7 @@
 constexpr Millis RetryWhenFull {2000};
 constexpr Millis RetryNever {60'000};
 constexpr Millis HoldForRecovery {1000};
+constexpr Millis HoldAckMargin {5000};
 
 ShortDecision refused(std::string reason, Millis retryAfter)
 {
@@ -62,7 +63,7 @@
     out.start.reservation = placed.reservation;
     out.start.notAfter = link.workerClock(now) + StartWithin.count();
     out.start.leaseUntil = link.grantLease(now);
-    out.start.label = TaskLabel {spec.id, ShortRequestIndex, JobKind::ShortRequest, placed.owner, spec.repeatable}.toText();
+    out.start.label = TaskLabel {spec.id, ShortRequestIndex, JobKind::ShortRequest, placed.owner, spec.repeatable, spec.deadline}.toText();
     out.start.work = spec.work;
     out.start.awaitEnd = true;
     return out;
@@ -176,7 +177,8 @@
     }
     m_shorts.keepResult(key, {report.outcome, report.result}, now);
     if (label.repeatable) {
-        link.acknowledge(report.attempt);
+        // While its entry process may still ask the worker, the worker must know that the attempt ran.
+        m_heldAcks.push_back({now + label.deadline + HoldAckMargin, link.vm().name, report.attempt});
         return;
     }
     // The worker keeps the result until the log has it.
@@ -189,6 +191,19 @@
     m_appender.add(ClaimSettled {key, report.outcome, report.result});
 }
 
+void ZoneLeader::releaseAcks(TimePoint now)
+{
+    std::erase_if(m_heldAcks, [&](const HeldAck &it) {
+        if (now < it.due) {
+            return false;
+        }
+        if (auto *link = findLink(it.worker)) {
+            link->acknowledge(it.attempt);
+        }
+        return true;
+    });
+}
+
 void ZoneLeader::lookUpShorts(TimePoint now)
 {
     std::vector<std::string> due;
