Matrix: hold the word of a worker to its memory, stop cancelled work again, yield when cut off

Change: an entry process trusts the word only 2.5 s past the deadline while workers remember for 5 s; stops repeat each second; a leader without any worker for 2 s yields; back-off is at most 2 s. Also mended in the harness: links that broke without telling, and a cancel sent before its job was accepted.

--- a/include/marjoramhaven/zone/Leadership.h
+++ b/include/marjoramhaven/zone/Leadership.h
@@ -38,8 +38,8 @@
     void memberDown(const std::string &member, TimePoint now);
     /// A beat arrived from a member.
     void onBeat(const ZoneBeat &beat, TimePoint now);
-    /// A worker refused this process because another opened a newer session.
-    void onFenced(TimePoint now);
+    /// Gives leadership up because a worker refused it, or because this process reaches no worker, and backs off.
+    void stepDown(TimePoint now);
     /// Gives up leadership, for a planned stop, and never takes it again.
     void retire();
     /// Moves on; call at least every 50 ms.
--- a/include/marjoramhaven/zone/ShortDecision.h
+++ b/include/marjoramhaven/zone/ShortDecision.h
@@ -45,6 +45,13 @@
     std::string result;
 };
 
+/// An ended attempt is remembered by its worker for this long after its caller's deadline.
+inline constexpr Millis RememberAfterDeadline {5000};
+
+/// An entry process takes a worker's word that an attempt never ran only this long after the caller's deadline.
+/// Later, as after a pause of the process, the worker may have forgotten the attempt.
+inline constexpr Millis TrustClosedAfterDeadline = RememberAfterDeadline / 2;
+
 using ShortDecided = std::function<void(const ShortDecision &)>;
 
 } // namespace marjoramhaven
--- a/include/marjoramhaven/zone/ZoneLeader.h
+++ b/include/marjoramhaven/zone/ZoneLeader.h
@@ -71,6 +71,8 @@
     /// True when the resources fit on some known worker, or no worker is known yet.
     bool couldEverFit(const Resources &resources) const;
 
+    /// True when this process has reached no worker for a while, so that another may do better.
+    bool isCutOff(TimePoint now) const;
     /// True when nothing can run in the zone that this leader does not know of.
     bool isRecovered() const { return m_recovered; }
     ZoneCounts counts(TimePoint now) const;
@@ -123,6 +125,7 @@
     void releaseDelayed(TimePoint now);
 
     void cancelJob(const std::string &id, TimePoint now);
+    void stopCancelled(TimePoint now);
     void stopTask(const std::string &jobId, int index, TimePoint now);
     void handleClaimFolded(const ClaimMade &record, TimePoint now);
     void handleEndFolded(const TaskEnded &record);
@@ -145,6 +148,7 @@
     LogFold &m_fold;
     LogAppender &m_appender;
     TimePoint m_begunAt;
+    TimePoint m_lastOpenAt;
     ZoneScheduler m_scheduler;
     WorkerHealth m_health;
     ShortDesk m_shorts;
@@ -153,6 +157,7 @@
     /// Attempts whose start was not answered, with the worker that may have them.
     std::map<AttemptId, std::string> m_uncertain;
     TimePoint m_closeUncertainAt {};
+    TimePoint m_stopCancelledAt {};
     /// Ends of short requests that their workers shall remember for a while.
     std::vector<HeldAck> m_heldAcks;
     /// Ends told by workers before the record of their job was read, by task.
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -122,10 +122,10 @@
 
 void NodeCore::updateRole(TimePoint now)
 {
-    if (m_fenced) {
+    if (m_fenced || (m_leader && m_leader->isCutOff(now))) {
+        m_log.warn(m_fenced ? "steps down: a worker refused this leadership" : "steps down: no worker can be reached");
         m_fenced = false;
-        m_leadership.onFenced(now);
-        m_log.warn("a worker refused this leadership; it steps down");
+        m_leadership.stepDown(now);
     }
     if (m_leadership.isLeading() == (m_leader != nullptr)) {
         return;
--- a/src/node/NodeCoreMessages.cpp
+++ b/src/node/NodeCoreMessages.cpp
@@ -98,7 +98,6 @@
         reply(out);
         return;
     }
-    spec.deadline = std::min(spec.deadline, Millis(message.budgetMs));
     auto span = m_shared.tracer.begin("decide", message.traceparent);
     m_leader->decideShort(spec, now, [this, reply, span](const ShortDecision &decision) {
         m_shared.tracer.end(span, decision.verdict == ShortVerdict::Refused);
--- a/src/node/ShortCarrier.cpp
+++ b/src/node/ShortCarrier.cpp
@@ -171,8 +171,11 @@
         return;
     }
     ++errand->tries;
-    postTo(&m_core, [this, errand, budget = std::min(left, AskWithin)]() {
-        m_core.askShort(errand->spec, budget, errand->traceparent, [this, errand](const ShortDecision &decision) {
+    // The leader counts from now on how long the caller still waits.
+    auto spec = errand->spec;
+    spec.deadline = left;
+    postTo(&m_core, [this, errand, spec, budget = std::min(left, AskWithin)]() {
+        m_core.askShort(spec, budget, errand->traceparent, [this, errand](const ShortDecision &decision) {
             postTo(this, [this, errand, decision]() {
                 handleDecision(errand, decision);
             });
@@ -268,6 +271,10 @@
         finishEnded(errand, answer->outcome, answer->result);
         return;
     }
+    if (state == AttemptState::Closed && now > errand->deadline + TrustClosedAfterDeadline) {
+        finish(errand, {ShortAnswerKind::Unknown, "this process was held up past the deadline", "", {}, errand->open.start.attempt, errand->open.workerUrl});
+        return;
+    }
     if (state == AttemptState::Closed) {
         errand->isOpen = false;
         postTo(&m_core, [this, errand, attempt = errand->open.start.attempt]() {
--- a/src/zone/Leadership.cpp
+++ b/src/zone/Leadership.cpp
@@ -9,9 +9,9 @@
 constexpr Millis TakeoverDelay {100};
 constexpr Millis DelayPerRank {250};
 constexpr Millis HeardRecently {500};
-constexpr Millis FirstBackOff {1000};
+constexpr Millis FirstBackOff {500};
 constexpr Millis StableAfter {60'000};
-constexpr int MaxBackOffDoublings = 5;
+constexpr int MaxBackOffDoublings = 1;
 } // namespace
 
 Leadership::Leadership(std::string self, std::uint64_t seed, TimePoint now)
@@ -69,7 +69,7 @@
     m_ledSince = now;
 }
 
-void Leadership::onFenced(TimePoint now)
+void Leadership::stepDown(TimePoint now)
 {
     if (!isLeading()) {
         return;
--- a/src/zone/WorkerLink.cpp
+++ b/src/zone/WorkerLink.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr Millis RetryFirst {100};
-constexpr int MaxRetryDoublings = 4;
+constexpr int MaxRetryDoublings = 3;
 constexpr Millis BetweenRenewals {20};
 // Clocks of two machines may run this much apart during one lease.
 constexpr Millis ClockMargin {100};
--- a/src/zone/ZoneLeader.cpp
+++ b/src/zone/ZoneLeader.cpp
@@ -7,6 +7,7 @@
 namespace {
 constexpr std::size_t DecisionsPerTick = 200;
 constexpr Millis ClockMargin {100};
+constexpr Millis CutOffAfter {2000};
 } // namespace
 
 ZoneLeader::ZoneLeader(ZoneLeaderOptions options, std::int64_t epoch, WorkerDirectory &workers, LogFold &fold, LogAppender &appender, TimePoint now)
@@ -16,6 +17,7 @@
     , m_fold(fold)
     , m_appender(appender)
     , m_begunAt(now)
+    , m_lastOpenAt(now)
     , m_scheduler(fold.configuration().configuration())
 {
     if (m_fold.isCaughtUp()) {
@@ -177,6 +179,7 @@
         if (m_isFenced) {
             return;
         }
+        m_lastOpenAt = link->isOpen() ? now : m_lastOpenAt;
     }
     dropLapsedWorkers(now);
     updateRecovery(now);
@@ -185,6 +188,7 @@
     closeUncertain(now);
     lookUpShorts(now);
     releaseAcks(now);
+    stopCancelled(now);
     m_shorts.expire(now);
     if (!m_recovered) {
         decideHeld(now);
@@ -342,6 +346,11 @@
     return it == m_links.end() ? nullptr : it->second.get();
 }
 
+bool ZoneLeader::isCutOff(TimePoint now) const
+{
+    return !m_links.empty() && now - m_lastOpenAt > CutOffAfter;
+}
+
 bool ZoneLeader::couldEverFit(const Resources &resources) const
 {
     return m_scheduler.books().empty() || m_scheduler.couldEverFit(resources);
--- a/src/zone/ZoneLeaderJobs.cpp
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -370,6 +370,26 @@
     }
 }
 
+// A stop may be lost, or its worker out of reach for a while.
+void ZoneLeader::stopCancelled(TimePoint now)
+{
+    constexpr Millis StopEvery {1000};
+    if (now < m_stopCancelledAt) {
+        return;
+    }
+    m_stopCancelledAt = now + StopEvery;
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.cancelled) {
+            continue;
+        }
+        for (const auto &[index, task] : job.tasks) {
+            if (task.phase == TaskPhase::Running) {
+                stopTask(id, index, now);
+            }
+        }
+    }
+}
+
 void ZoneLeader::stopTask(const std::string &jobId, int index, TimePoint /*now*/)
 {
     const auto *job = findJob(jobId);
@@ -430,7 +450,7 @@
     auto *link = node.empty() ? nullptr : findLink(node.mapped().worker);
     const auto label = link == nullptr ? std::nullopt : TaskLabel::fromText(node.mapped().report.label);
     if (label) {
-        m_heldAcks.push_back({now + label->deadline, node.mapped().worker, node.mapped().report.attempt});
+        m_heldAcks.push_back({now + label->deadline + RememberAfterDeadline, node.mapped().worker, node.mapped().report.attempt});
     }
 }
 
--- a/src/zone/ZoneLeaderShorts.cpp
+++ b/src/zone/ZoneLeaderShorts.cpp
@@ -13,7 +13,6 @@
 constexpr Millis RetryWhenFull {2000};
 constexpr Millis RetryNever {60'000};
 constexpr Millis HoldForRecovery {1000};
-constexpr Millis HoldAckMargin {5000};
 
 ShortDecision refused(std::string reason, Millis retryAfter)
 {
@@ -176,17 +175,13 @@
         m_shorts.remove(key);
     }
     m_shorts.keepResult(key, {report.outcome, report.result}, now);
-    if (label.repeatable) {
+    const auto claim = label.repeatable ? std::nullopt : m_fold.claims().claim(key);
+    if (label.repeatable || (claim && claim->end)) {
         // While its entry process may still ask the worker, the worker must know that the attempt ran.
-        m_heldAcks.push_back({now + label.deadline + HoldAckMargin, link.vm().name, report.attempt});
+        m_heldAcks.push_back({now + label.deadline + RememberAfterDeadline, link.vm().name, report.attempt});
         return;
     }
     // The worker keeps the result until the log has it.
-    const auto claim = m_fold.claims().claim(key);
-    if (claim && claim->end) {
-        link.acknowledge(report.attempt);
-        return;
-    }
     m_settling[key] = {link.vm().name, report};
     m_appender.add(ClaimSettled {key, report.outcome, report.result});
 }
--- a/tests/zone/FakeZone.cpp
+++ b/tests/zone/FakeZone.cpp
@@ -213,9 +213,9 @@
             tickMember(member);
         });
     });
-    if (it.fenced) {
+    if (it.fenced || (it.leader && it.leader->isCutOff(m_now))) {
         it.fenced = false;
-        it.leadership->onFenced(m_now);
+        it.leadership->stepDown(m_now);
     }
     it.leadership->tick(m_now);
     if (it.leader && !it.leadership->isLeading()) {
@@ -660,10 +660,7 @@
     after(Latency, [this, call, target, isDone, incarnation = m_members[target]->incarnation]() {
         onMember(target, incarnation, [this, call, target, isDone]() {
             auto &it = *m_members[target];
-            if (!it.leader) {
-                return;
-            }
-            it.leader->decideShort(call->spec, m_now, [this, call, isDone](const ShortDecision &decision) {
+            const ShortDecided reply = [this, call, isDone](const ShortDecision &decision) {
                 after(Latency, [this, call, decision, isDone]() {
                     onMember(call->member, call->incarnation, [this, call, decision, isDone]() {
                         if (!*isDone) {
@@ -672,7 +669,16 @@
                         }
                     });
                 });
-            });
+            };
+            if (it.leader) {
+                auto spec = call->spec;
+                spec.deadline = call->deadline - m_now;
+                it.leader->decideShort(spec, m_now, reply);
+            } else {
+                ShortDecision none;
+                none.verdict = ShortVerdict::NotLeader;
+                reply(none);
+            }
         });
     });
     after(CallTimeout, [this, call, isDone]() {
@@ -721,6 +727,10 @@
         answer(call, report->outcome == TaskOutcome::Done ? ToldAnswer::Done : ToldAnswer::Unknown, report->result);
         return;
     }
+    if (report && report->state == AttemptState::Closed && m_now > call->deadline + TrustClosedAfterDeadline) {
+        answer(call, ToldAnswer::Unknown, "");
+        return;
+    }
     if (report && report->state == AttemptState::Closed) {
         const auto key = call->spec.id;
         const int target = leader();
@@ -936,6 +946,15 @@
         });
     } else {
         deliver<Started>(Started {report, ""}, incarnation, isDone, done);
+        // The connection breaks when the link does.
+        m_zone.after(CallTimeout, [this, incarnation, isDone, done]() {
+            m_zone.onMember(m_member, incarnation, [this, isDone, done]() {
+                if (!*isDone) {
+                    *isDone = true;
+                    done(std::nullopt, m_zone.m_now);
+                }
+            });
+        });
     }
 }
 
--- a/tests/zone/FaultMatrix.cpp
+++ b/tests/zone/FaultMatrix.cpp
@@ -10,6 +10,7 @@
 
 constexpr Millis FaultLasts {3000};
 constexpr Millis PauseLasts {6000};
+constexpr Millis HealedWithin {3000};
 constexpr int Shorts = 60;
 
 JobSpec spec(const std::string &id, JobKind kind, const char *urgency, int tasks, int runMs)
@@ -213,18 +214,31 @@
     zone.run(std::min(lasting, longest));
     zone.onStep = {};
     zone.heal();
+    const auto healedAt = zone.now();
     out.struck = struckCount == faults.size();
     zone.runUntil(
         [&]() {
             return zone.leader() >= 0;
         },
         Millis(20'000));
+    // Only a job that was accepted can be cancelled.
+    zone.runUntil(
+        [&]() {
+            return zone.fold(someMember(zone)).jobs().job("service").has_value();
+        },
+        Millis(20'000));
     zone.cancelJob(someMember(zone), "service");
     out.settled = zone.runUntil(
         [&]() {
             return zone.answered() == zone.sent() && zone.jobsFinished();
         },
         Millis(60'000));
+    // A healed link is found at the next try; the bound for the probe begins after that.
+    zone.runUntil(
+        [&]() {
+            return zone.now() >= healedAt + HealedWithin;
+        },
+        HealedWithin);
     const int before = zone.answeredAs(ToldAnswer::Done);
     zone.sendShort(someMember(zone), spec("probe", JobKind::ShortRequest, "urgent", 1, 10));
     zone.run(Millis(1100));
