--- /dev/null
+++ b/tests/cli/CommandsTest.cpp
@@ -0,0 +1,92 @@
+#include <boost/test/unit_test.hpp>
+
+#include <QFile>
+#include <QProcess>
+#include <QTemporaryDir>
+
+#include "marjoramhaven/base/Json.h"
+
+using namespace marjoramhaven;
+
+namespace {
+
+struct Ran {
+    int code = -1;
+    std::string out;
+    std::string err;
+};
+
+Ran run(const QStringList &arguments)
+{
+    QProcess process;
+    process.start(QLatin1String(MARJORAMHAVEN_BINARY), arguments);
+    process.waitForFinished(20'000);
+    return {process.exitCode(), process.readAllStandardOutput().toStdString(), process.readAllStandardError().toStdString()};
+}
+
+class File
+{
+public:
+    explicit File(const QByteArray &content)
+    {
+        QFile file(path());
+        file.open(QIODevice::WriteOnly);
+        file.write(content);
+    }
+    QString path() const { return m_dir.filePath(QLatin1String("f.yaml")); }
+
+private:
+    QTemporaryDir m_dir;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Commands)
+
+BOOST_AUTO_TEST_CASE(helpAndVersionAreTold)
+{
+    BOOST_TEST(run({QLatin1String("--version")}).out.find("marjoramhaven ") == 0U);
+    const auto help = run({QLatin1String("--help")});
+    BOOST_TEST(help.code == 0);
+    BOOST_TEST(help.out.find("submit sweep.yaml") != std::string::npos);
+    BOOST_TEST(run({QLatin1String("submit"), QLatin1String("--help")}).code == 0);
+    BOOST_TEST(run({}).code == 2);
+    BOOST_TEST(run({QLatin1String("dance")}).code == 2);
+    BOOST_TEST(run({QLatin1String("get")}).code == 2);
+}
+
+BOOST_AUTO_TEST_CASE(checkReportsEveryFindingWithItsPlace)
+{
+    const File bad("teams:\n  a: {share: -1}\nclasses:\n  urgent: {floor: 2, speed: 1}\n");
+    const auto ran = run({QLatin1String("check"), QLatin1String("--kind"), QLatin1String("patch"), bad.path()});
+    BOOST_TEST(ran.code == 2);
+    BOOST_TEST(ran.err.find("f.yaml:2:7: /teams/a/share") != std::string::npos);
+    BOOST_TEST(ran.err.find("f.yaml:4:12: /classes/urgent/floor") != std::string::npos);
+    BOOST_TEST(ran.err.find("f.yaml:4:22: /classes/urgent/speed: is not a known key") != std::string::npos);
+    const File good("teams:\n  a: {share: 1}\n");
+    BOOST_TEST(run({QLatin1String("check"), QLatin1String("--kind"), QLatin1String("patch"), good.path()}).code == 0);
+}
+
+BOOST_AUTO_TEST_CASE(unreachableProcessesHaveTheirOwnCode)
+{
+    const QString nobody = QLatin1String("127.0.0.1:9");
+    BOOST_TEST(run({QLatin1String("status"), QLatin1String("--at"), nobody}).code == 6);
+    const File job("id: a\nteam: t\nresources: {cpu_milli: 1}\n");
+    BOOST_TEST(run({QLatin1String("submit"), QLatin1String("--at"), nobody, job.path()}).code == 6);
+    const File bad("id: a b\nteam: t\n");
+    BOOST_TEST(run({QLatin1String("submit"), QLatin1String("--at"), nobody, bad.path()}).code == 2);
+}
+
+BOOST_AUTO_TEST_CASE(theExamplesAreValid)
+{
+    const QString folder = QLatin1String(MARJORAMHAVEN_SOURCE_DIR "/examples/");
+    for (const char *name : {"check.yaml", "announcement.yaml", "sweep.yaml", "permit-set.yaml", "monitor.yaml"}) {
+        BOOST_TEST(run({QLatin1String("check"), QLatin1String("--kind"), QLatin1String("job"), folder + QLatin1String(name)}).code == 0, name);
+    }
+    for (const char *name : {"chronowave.yaml", "registry.yaml", "next-quarter.yaml"}) {
+        BOOST_TEST(run({QLatin1String("check"), QLatin1String("--kind"), QLatin1String("patch"), folder + QLatin1String(name)}).code == 0, name);
+    }
+    BOOST_TEST(run({QLatin1String("check"), folder + QLatin1String("entry.yaml")}).code == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/history/HistoryCheckerTest.cpp
@@ -0,0 +1,101 @@
+#include <boost/test/unit_test.hpp>
+
+#include "marjoramhaven/history/HistoryChecker.h"
+
+using namespace marjoramhaven;
+
+namespace {
+
+// A history without any fault: two checks, an announcement, a leaving worker, a patch.
+History cleanHistory()
+{
+    const Resources half(8000, 1024, 0, 1, 0);
+    History out;
+    out.capacities = {{"w1", Resources(16'000, 32'768, 0, 8, 64)}, {"w2", Resources(16'000, 32'768, 0, 8, 64)}};
+    out.runs = {{"a", "w1", half, 100, 200}, {"b", "w1", half, 150, 300}, {"c", "w1", half, 200, 400}, {"job/0", "w2", half, 100, -1}};
+    out.calls = {{"a", true, "A", 90, 210, ToldAnswer::Done, "A", "a"},
+                 {"b", false, "B", 140, 310, ToldAnswer::Done, "B", "b"},
+                 {"c", true, "", 190, 410, ToldAnswer::Unknown, "", "c"},
+                 {"d", true, "D", 90, 110, ToldAnswer::NotRun, "", "d"}};
+    out.leavings = {{"w2", 1000}};
+    out.versions = {{"e1", 1, 0, "x"}, {"e2", 2, 0, "x"}, {"e1", 3, 1, "y"}, {"e2", 4, 1, "y"}};
+    return out;
+}
+
+bool flags(const History &history, Promise promise)
+{
+    const auto breaches = checkHistory(history, CheckerBounds());
+    return breaches.size() == 1 && breaches[0].promise == promise;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Checker)
+
+BOOST_AUTO_TEST_CASE(aCleanHistoryPasses)
+{
+    BOOST_TEST(checkHistory(cleanHistory(), CheckerBounds()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(overcommitmentIsFlagged)
+{
+    auto history = cleanHistory();
+    history.runs.push_back({"x", "w1", Resources(1, 1, 0, 1, 0), 160, 170});
+    BOOST_TEST(flags(history, Promise::NoOvercommitment));
+}
+
+BOOST_AUTO_TEST_CASE(twoPlacesAtOnceAreFlagged)
+{
+    auto history = cleanHistory();
+    history.runs.push_back({"job/0", "w1", Resources(1, 1, 0, 1, 0), 500, 600});
+    BOOST_TEST(flags(history, Promise::OnePlaceAtOnce));
+}
+
+BOOST_AUTO_TEST_CASE(swappedAndCutAnswersAreFlagged)
+{
+    auto history = cleanHistory();
+    history.calls[0].answerId = "b";
+    BOOST_TEST(flags(history, Promise::WholeOwnAnswer));
+    history = cleanHistory();
+    history.calls[0].result = "";
+    BOOST_TEST(flags(history, Promise::WholeOwnAnswer));
+    history = cleanHistory();
+    history.calls.push_back({"ghost", true, "", 1, 2, ToldAnswer::Done, "", "ghost"});
+    BOOST_TEST(flags(history, Promise::WholeOwnAnswer));
+}
+
+BOOST_AUTO_TEST_CASE(aFalseNotRunIsFlagged)
+{
+    auto history = cleanHistory();
+    history.runs.push_back({"d", "w2", Resources(1, 1, 0, 1, 0), 500, 600});
+    BOOST_TEST(flags(history, Promise::NotRunIsTrue));
+    // A later send that was answered otherwise explains the run.
+    history.calls.push_back({"d", true, "D", 450, 700, ToldAnswer::Done, "D", "d"});
+    BOOST_TEST(checkHistory(history, CheckerBounds()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(aSecondRunOfUnrepeatableWorkIsFlagged)
+{
+    auto history = cleanHistory();
+    history.runs.push_back({"b", "w2", Resources(1, 1, 0, 1, 0), 300, 400});
+    BOOST_TEST(flags(history, Promise::AtMostOnce));
+}
+
+BOOST_AUTO_TEST_CASE(workForALeavingWorkerIsFlagged)
+{
+    auto history = cleanHistory();
+    history.runs.push_back({"late", "w2", Resources(1, 1, 0, 1, 0), 4001, 4100});
+    BOOST_TEST(flags(history, Promise::NoWorkForLeaving));
+}
+
+BOOST_AUTO_TEST_CASE(versionsThatFallOrDifferAreFlagged)
+{
+    auto history = cleanHistory();
+    history.versions.push_back({"e1", 5, 0, "x"});
+    BOOST_TEST(flags(history, Promise::VersionsOnlyRise));
+    history = cleanHistory();
+    history.versions.push_back({"e3", 5, 1, "z"});
+    BOOST_TEST(flags(history, Promise::VersionsAgree));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/http/HttpTest.cpp
@@ -0,0 +1,160 @@
+#include <boost/test/unit_test.hpp>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include "marjoramhaven/http/HttpClient.h"
+#include "marjoramhaven/http/HttpServer.h"
+
+using namespace marjoramhaven;
+
+namespace {
+
+bool waitFor(const std::function<bool()> &condition)
+{
+    QElapsedTimer timer;
+    timer.start();
+    while (!condition() && timer.elapsed() < 20'000) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    }
+    return condition();
+}
+
+// Answers /slow after /fast was asked for, as an answer that comes late does.
+class Echo
+{
+public:
+    Echo()
+        : server(
+            [this](const HttpRequest &request, const HttpRespond &respond) {
+                ++seen;
+                HttpResponse response;
+                response.body = QByteArray::fromStdString(request.path);
+                if (request.path == "/slow") {
+                    QTimer::singleShot(100, &server, [respond, response]() {
+                        respond(response);
+                    });
+                } else {
+                    respond(response);
+                }
+            },
+            HttpLimits {1000, 300, 300, 10})
+    {
+        port = server.listenOn(QHostAddress(QHostAddress::LocalHost), 0);
+    }
+
+    int seen = 0;
+    HttpServer server;
+    int port = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Http)
+
+BOOST_AUTO_TEST_CASE(pipelinedRequestsGetTheirOwnAnswersInOrder)
+{
+    Echo echo;
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(echo.port));
+    socket.write("GET /slow HTTP/1.1\r\nHost: x\r\n\r\nGET /fast HTTP/1.1\r\nHost: x\r\n\r\n");
+    QByteArray got;
+    BOOST_TEST(waitFor([&]() {
+        got += socket.readAll();
+        return got.contains("/slow") && got.contains("/fast");
+    }));
+    BOOST_TEST(got.indexOf("/slow") < got.indexOf("/fast"));
+}
+
+BOOST_AUTO_TEST_CASE(aPostIsNeverSentTwice)
+{
+    // Takes requests and closes without an answer.
+    QTcpServer rude;
+    int posts = 0;
+    QObject::connect(&rude, &QTcpServer::newConnection, &rude, [&]() {
+        auto *socket = rude.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, &posts]() {
+            posts += static_cast<int>(socket->readAll().count("POST "));
+            socket->disconnectFromHost();
+        });
+    });
+    rude.listen(QHostAddress(QHostAddress::LocalHost), 0);
+    HttpClient client;
+    int answers = 0;
+    bool answered = true;
+    client.call("POST", QStringLiteral("http://127.0.0.1:%1/x").arg(rude.serverPort()), "{\"a\":1}", Millis(2000), [&](const HttpAnswer &answer) {
+        ++answers;
+        answered = answer.answered;
+    });
+    BOOST_TEST(waitFor([&]() {
+        return answers == 1;
+    }));
+    QElapsedTimer timer;
+    timer.start();
+    while (timer.elapsed() < 300) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    }
+    BOOST_TEST(posts == 1);
+    BOOST_TEST(answers == 1);
+    BOOST_TEST(!answered);
+}
+
+BOOST_AUTO_TEST_CASE(moreCallsThanOneManagerConnectsAreMadeAtOnce)
+{
+    std::vector<HttpRespond> waiting;
+    HttpServer server(
+        [&](const HttpRequest &, const HttpRespond &respond) {
+            waiting.push_back(respond);
+        },
+        HttpLimits());
+    const int port = server.listenOn(QHostAddress(QHostAddress::LocalHost), 0);
+    HttpClient client;
+    int answers = 0;
+    for (int i = 0; i < 20; ++i) {
+        client.call("GET", QStringLiteral("http://127.0.0.1:%1/").arg(port), {}, Millis(10'000), [&](const HttpAnswer &answer) {
+            answers += answer.answered ? 1 : 0;
+        });
+    }
+    BOOST_TEST(waitFor([&]() {
+        return waiting.size() == 20U;
+    }));
+    for (const auto &it : waiting) {
+        it(HttpResponse::json(200, {}));
+    }
+    BOOST_TEST(waitFor([&]() {
+        return answers == 20;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(halfRequestsAndLargeOnesAreCutOff)
+{
+    Echo echo;
+    QTcpSocket half;
+    half.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(echo.port));
+    half.write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\nabc");
+    QTcpSocket large;
+    large.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(echo.port));
+    large.write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 64000000\r\n\r\n" + QByteArray(5000, 'x'));
+    QTcpSocket garbage;
+    garbage.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(echo.port));
+    garbage.write(QByteArray("\x01\x02\x03\r\n\r\n"));
+    BOOST_TEST(waitFor([&]() {
+        return half.state() == QAbstractSocket::UnconnectedState && large.state() == QAbstractSocket::UnconnectedState
+            && garbage.state() == QAbstractSocket::UnconnectedState;
+    }));
+    BOOST_TEST(echo.seen == 0);
+    // The server lives.
+    HttpClient client;
+    int status = 0;
+    client.call("GET", QStringLiteral("http://127.0.0.1:%1/fast").arg(echo.port), {}, Millis(5000), [&](const HttpAnswer &answer) {
+        status = answer.status;
+    });
+    BOOST_TEST(waitFor([&]() {
+        return status == 200;
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/telemetry/TelemetryTest.cpp
@@ -0,0 +1,60 @@
+#include <boost/test/unit_test.hpp>
+
+#include <QJsonArray>
+
+#include "marjoramhaven/telemetry/Metrics.h"
+#include "marjoramhaven/telemetry/Trace.h"
+
+using namespace marjoramhaven;
+
+BOOST_AUTO_TEST_SUITE(Telemetry)
+
+BOOST_AUTO_TEST_CASE(metricsRenderInThePrometheusFormat)
+{
+    Metrics metrics;
+    metrics.count("answers_total{answer=\"done\"}");
+    metrics.count("answers_total{answer=\"done\"}");
+    metrics.gauge("leading", 1);
+    metrics.observeMillis("request_ms", 5);
+    metrics.observeMillis("request_ms", 50);
+    const auto text = metrics.render();
+    BOOST_TEST(text.find("# TYPE marjoramhaven_answers_total counter\nmarjoramhaven_answers_total{answer=\"done\"} 2\n") != std::string::npos);
+    BOOST_TEST(text.find("marjoramhaven_leading 1\n") != std::string::npos);
+    BOOST_TEST(text.find("marjoramhaven_request_ms_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+    BOOST_TEST(text.find("marjoramhaven_request_ms_sum 55\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(spansKeepTheTraceAcrossHops)
+{
+    Tracer tracer("e1");
+    tracer.setEnabled(true);
+    const auto first = tracer.begin("receive", "");
+    const auto second = tracer.begin("decide", first.context.toHeader());
+    BOOST_TEST(second.context.traceLow == first.context.traceLow);
+    BOOST_TEST(second.parent == first.context.span);
+    tracer.end(second, false);
+    tracer.end(first, true);
+    const auto request = tracer.take();
+    const auto spans = request.value(QLatin1String("resourceSpans")).toArray().at(0).toObject().value(QLatin1String("scopeSpans")).toArray();
+    BOOST_TEST(spans.at(0).toObject().value(QLatin1String("spans")).toArray().size() == 2);
+    BOOST_TEST(tracer.take().isEmpty());
+}
+
+BOOST_AUTO_TEST_CASE(malformedHeadersBeginANewTrace)
+{
+    BOOST_TEST(!TraceContext::fromHeader("").has_value());
+    BOOST_TEST(!TraceContext::fromHeader("00-zz").has_value());
+    BOOST_TEST(!TraceContext::fromHeader("00-" + std::string(32, '0') + "-" + std::string(16, '0') + "-01").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(theTracerDropsRatherThanGrows)
+{
+    Tracer tracer("e1");
+    tracer.setEnabled(true);
+    for (int i = 0; i < 3000; ++i) {
+        tracer.end(tracer.begin("x", ""), false);
+    }
+    BOOST_TEST(tracer.dropped() == 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/wire/WireTest.cpp
@@ -0,0 +1,84 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <QtEndian>
+
+#include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/wire/FrameCodec.h"
+
+using namespace marjoramhaven;
+
+namespace {
+
+QByteArray framed(const std::vector<std::uint8_t> &payload)
+{
+    QByteArray out(4, Qt::Uninitialized);
+    qToBigEndian(static_cast<quint32>(payload.size()), out.data());
+    out.append(reinterpret_cast<const char *>(payload.data()), static_cast<qsizetype>(payload.size()));
+    return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Wire)
+
+BOOST_AUTO_TEST_CASE(messagesSurviveAnyCutOfTheStream)
+{
+    BOOST_TEST(rc::check([](std::int64_t epoch, bool leading, const std::string &follows, std::uint64_t hash, std::uint8_t cutAt) {
+        BeatMessage beat;
+        beat.epoch = epoch;
+        beat.leading = leading;
+        beat.follows = follows;
+        beat.configurationHash = hash;
+        const QByteArray stream = encodeFrame(beat) + encodeFrame(HelloMessage {WireVersion, "e1", "north"});
+        const auto cut = static_cast<qsizetype>(cutAt) % stream.size();
+        FrameReader reader;
+        auto first = reader.feed(stream.left(cut));
+        auto second = reader.feed(stream.mid(cut));
+        RC_ASSERT(first.has_value() && second.has_value());
+        first->insert(first->end(), second->begin(), second->end());
+        RC_ASSERT(first->size() == 2U);
+        const auto &back = std::get<BeatMessage>(first->at(0));
+        RC_ASSERT(back.epoch == epoch && back.leading == leading && back.follows == follows && back.configurationHash == hash);
+        RC_ASSERT(std::get<HelloMessage>(first->at(1)).name == "e1");
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(noBytesCrashTheReader)
+{
+    BOOST_TEST(rc::check([](const std::vector<std::uint8_t> &payload, const std::vector<std::uint8_t> &raw) {
+        FrameReader reader;
+        reader.feed(framed(payload));
+        FrameReader other;
+        other.feed(QByteArray(reinterpret_cast<const char *>(raw.data()), static_cast<qsizetype>(raw.size())));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(olderAndNewerNeighboursAreUnderstood)
+{
+    // [1, [7, true]]: a beat of an older version with two fields only.
+    FrameReader reader;
+    const auto older = reader.feed(framed({0x92, 0x01, 0x92, 0x07, 0xc3}));
+    BOOST_REQUIRE(older.has_value());
+    BOOST_TEST(std::get<BeatMessage>(older->at(0)).epoch == 7);
+    BOOST_TEST(std::get<BeatMessage>(older->at(0)).leaderAge == -1);
+    // [0, [1, "a", "z", 99]]: a greeting of a newer version with a fourth field.
+    const auto newer = reader.feed(framed({0x92, 0x00, 0x94, 0x01, 0xa1, 'a', 0xa1, 'z', 0x63}));
+    BOOST_REQUIRE(newer.has_value());
+    BOOST_TEST(std::get<HelloMessage>(newer->at(0)).zone == "z");
+    // A type that this version does not know is skipped.
+    const auto unknown = reader.feed(framed({0x92, 0x63, 0x90}));
+    BOOST_REQUIRE(unknown.has_value());
+    BOOST_TEST(unknown->empty());
+}
+
+BOOST_AUTO_TEST_CASE(oversizedAndBrokenFramesCloseTheLink)
+{
+    FrameReader reader;
+    BOOST_TEST(!reader.feed(QByteArray("\xff\xff\xff\xff", 4)).has_value());
+    BOOST_TEST(lastReason().find("too large") != std::string::npos);
+    FrameReader other;
+    BOOST_TEST(!other.feed(framed({0x92, 0x01, 0xa1, 'x'})).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
