--- a/include/marjoramhaven/config/Settings.h
+++ b/include/marjoramhaven/config/Settings.h
@@ -38,7 +38,7 @@
     std::string logLevel = "info";
     std::vector<PeerSettings> peers;
     Millis lease {6000};
-    Millis renewEvery {1000};
+    Millis renewEvery {2000};
     Millis stopWithin {20000};
     /// Live state is written to the log again this often; less than half of the log's retention.
     Millis refreshEvery {600000};
