--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -83,7 +83,7 @@
     out.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
     const bool whole = reply->error() == QNetworkReply::NoError || (out.status >= 400 && reply->error() > QNetworkReply::ProxyAuthenticationRequiredError);
     out.answered = whole && out.status != 0;
-    out.body = reply->readAll();
+    out.body = reply->isOpen() ? reply->readAll() : QByteArray();
     out.retryAfterSeconds = reply->rawHeader("Retry-After").toInt();
     if (!out.answered) {
         out.error = reply->errorString().toStdString();
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr int TickMs = 20;
-constexpr Millis ListEvery {1000};
+// A leaving worker must get no new work 3 s after the notice.
+constexpr Millis LeaderListsEvery {2000};
+constexpr Millis FollowerListsEvery {10'000};
 constexpr Millis StatusEvery {200};
 constexpr Millis ExportEvery {1000};
 constexpr Millis ReadWait {2000};
@@ -213,7 +215,7 @@
     }
     const auto spans = m_shared.tracer.take();
     if (!spans.isEmpty()) {
-        m_http.call("POST", toQt(m_settings.traceCollectorUrl) + QLatin1String("/v1/traces"), jsonBytes(spans), ListEvery, [](const HttpAnswer &) {});
+        m_http.call("POST", toQt(m_settings.traceCollectorUrl) + QLatin1String("/v1/traces"), jsonBytes(spans), ExportEvery, [](const HttpAnswer &) {});
     }
 }
 
@@ -255,7 +257,7 @@
 void NodeCore::listVms(TimePoint now)
 {
     m_listing = true;
-    m_nextList = now + ListEvery;
+    m_nextList = now + (m_leader ? LeaderListsEvery : FollowerListsEvery);
     m_vmList.list(m_settings.zone, [this](std::optional<std::vector<Vm>> vms, TimePoint at) {
         m_listing = false;
         if (!vms) {
--- a/tests/node/main.cpp
+++ b/tests/node/main.cpp
@@ -4,8 +4,11 @@
 
 #include <QCoreApplication>
 
+#include "marjoramhaven/telemetry/Log.h"
+
 int main(int argc, char **argv)
 {
     const QCoreApplication application(argc, argv);
+    marjoramhaven::setUpLogging("off");
     return boost::unit_test::unit_test_main(init_unit_test, argc, argv);
 }
