--- a/include/marjoramhaven/ledger/JobLedger.h
+++ b/include/marjoramhaven/ledger/JobLedger.h
@@ -46,6 +46,12 @@
 
     /// A copy of a job, or nothing.
     std::optional<JobEntry> job(const std::string &id) const;
+    /// True when the job is known.
+    bool contains(const std::string &id) const;
+    /// True when the job is known and every task of it has ended.
+    bool isFinished(const std::string &id) const;
+    /// True when the end of this task is recorded.
+    bool hasEnded(const std::string &id, int index) const;
     /// Ids of jobs with this home zone that are not finished.
     std::vector<std::string> openJobs(const std::string &homeZone) const;
     /// Calls for each job under its shard's lock.
@@ -61,6 +67,8 @@
         mutable std::mutex lock;
         std::unordered_map<std::string, JobEntry> jobs;
     };
+    /// Asks about a job under its shard's lock, without a copy; false when it is not known.
+    bool ask(const std::string &id, const std::function<bool(const JobEntry &)> &question) const;
     Shard &shardOf(const std::string &id);
     const Shard &shardOf(const std::string &id) const;
 
--- a/include/marjoramhaven/ledger/LogFold.h
+++ b/include/marjoramhaven/ledger/LogFold.h
@@ -50,6 +50,7 @@
     ClaimLedger m_claims;
     Listener m_listener;
     std::int64_t m_nextOffset = 0;
+    std::int64_t m_oldest = 0;
     std::int64_t m_lostRecords = 0;
     bool m_isCaughtUp = false;
     /// Set while the patches that led to the version in force may be lost: the first offset read after the gap.
--- a/include/marjoramhaven/node/NodeApi.h
+++ b/include/marjoramhaven/node/NodeApi.h
@@ -38,6 +38,7 @@
     void listJobs(const HttpRespond &respond);
     void cancelJob(const std::string &id, const HttpRespond &respond);
     void postPatch(const HttpRequest &request, const HttpRespond &respond);
+    void checkRemovedTeams(const Configuration &next, Findings &findings) const;
     void appendPatch(const ConfigurationPatch &patch, const HttpRespond &respond);
     void getPatch(const std::string &id, const HttpRespond &respond);
     void getStatus(const HttpRespond &respond);
--- a/include/marjoramhaven/zone/ZoneLeader.h
+++ b/include/marjoramhaven/zone/ZoneLeader.h
@@ -156,6 +156,8 @@
     std::map<std::string, JobProgress> m_jobs;
     /// Attempts whose start was not answered, with the worker that may have them.
     std::map<AttemptId, std::string> m_uncertain;
+    /// Tasks that are delayed or wait for their claim, by when they are due. Stale rows are passed over.
+    std::multimap<TimePoint, std::string> m_due;
     TimePoint m_closeUncertainAt {};
     TimePoint m_stopCancelledAt {};
     /// Ends of short requests that their workers shall remember for a while.
--- a/src/ledger/JobLedger.cpp
+++ b/src/ledger/JobLedger.cpp
@@ -60,6 +60,35 @@
     return it->second;
 }
 
+bool JobLedger::ask(const std::string &id, const std::function<bool(const JobEntry &)> &question) const
+{
+    const auto &shard = shardOf(id);
+    const std::lock_guard guard(shard.lock);
+    const auto it = shard.jobs.find(id);
+    return it != shard.jobs.end() && question(it->second);
+}
+
+bool JobLedger::contains(const std::string &id) const
+{
+    return ask(id, [](const JobEntry &) {
+        return true;
+    });
+}
+
+bool JobLedger::isFinished(const std::string &id) const
+{
+    return ask(id, [](const JobEntry &it) {
+        return it.isFinished();
+    });
+}
+
+bool JobLedger::hasEnded(const std::string &id, int index) const
+{
+    return ask(id, [index](const JobEntry &it) {
+        return it.ended.contains(index);
+    });
+}
+
 std::vector<std::string> JobLedger::openJobs(const std::string &homeZone) const
 {
     std::vector<std::string> out;
--- a/src/ledger/LogAppender.cpp
+++ b/src/ledger/LogAppender.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t MaxPerAppend = 500;
 constexpr Millis GroupFor {25};
 constexpr Millis RetryFirst {100};
-constexpr int MaxRetryDoublings = 5;
+constexpr int MaxRetryDoublings = 4;
 } // namespace
 
 LogAppender::LogAppender(LogService &log)
--- a/src/ledger/LogFold.cpp
+++ b/src/ledger/LogFold.cpp
@@ -29,7 +29,10 @@
         }
     }
     m_isCaughtUp = m_isCaughtUp || m_nextOffset >= batch.next;
-    m_jobs.forgetFinishedBefore(batch.oldest);
+    if (batch.oldest > m_oldest) {
+        m_oldest = batch.oldest;
+        m_jobs.forgetFinishedBefore(m_oldest);
+    }
 }
 
 void LogFold::applyPatch(const ConfigurationPatch &patch, std::int64_t offset)
--- a/src/node/NodeApi.cpp
+++ b/src/node/NodeApi.cpp
@@ -342,7 +342,7 @@
             return;
         }
         const auto condition = [this, id = spec.id]() {
-            return m_shared.fold.jobs().job(id).has_value();
+            return m_shared.fold.jobs().contains(id);
         };
         m_core.whenFolded(condition, RecordWithin, [this, spec, respond](bool folded) {
             postTo(this, [this, spec, respond, folded]() {
@@ -398,7 +398,7 @@
 
 void NodeApi::cancelJob(const std::string &id, const HttpRespond &respond)
 {
-    if (!m_shared.fold.jobs().job(id)) {
+    if (!m_shared.fold.jobs().contains(id)) {
         respond(HttpResponse::problem(404, "no such job", "no job " + id + " is recorded, as far as this process has read the log"));
         return;
     }
@@ -411,8 +411,7 @@
             return;
         }
         const auto condition = [this, id]() {
-            const auto entry = m_shared.fold.jobs().job(id);
-            return entry && entry->isFinished();
+            return m_shared.fold.jobs().isFinished(id);
         };
         m_core.whenFolded(condition, RecordWithin, [this, id, respond](bool) {
             postTo(this, [this, id, respond]() {
@@ -460,7 +459,10 @@
                            "the patch was written against version " + std::to_string(patch.base) + ", but version " + std::to_string(current.number)
                                + " is in force");
     } else if (patch.base == current.number) {
-        Configuration::read(applyMergePatch(current.document, patch.patch), early.findings);
+        const auto next = Configuration::read(applyMergePatch(current.document, patch.patch), early.findings);
+        if (next) {
+            checkRemovedTeams(*next, early.findings);
+        }
     }
     if (!early.findings.isEmpty()) {
         respond(verdictResponse(early));
@@ -469,6 +471,20 @@
     appendPatch(patch, respond);
 }
 
+// Work that is accepted must not lose its team. Checked where the patch enters: the log's verdict knows no jobs.
+void NodeApi::checkRemovedTeams(const Configuration &next, Findings &findings) const
+{
+    std::map<std::string, int> openJobs;
+    m_shared.fold.jobs().forEach([&](const JobEntry &it) {
+        if (!it.isFinished() && next.team(it.spec.team) == nullptr) {
+            ++openJobs[it.spec.team];
+        }
+    });
+    for (const auto &[team, n] : openJobs) {
+        findings.add("/teams/" + team, "still has " + std::to_string(n) + " open jobs; cancel them first");
+    }
+}
+
 void NodeApi::appendPatch(const ConfigurationPatch &patch, const HttpRespond &respond)
 {
     postTo(&m_core, [this, patch, respond]() {
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -164,7 +164,8 @@
     message.sentAt = millisOf(now);
     message.configurationNumber = current.number;
     message.configurationHash = current.hash;
-    const bool alsoFar = m_beats++ % FarBeatEvery == 0;
+    // One voice a zone: pairs of processes across zones grow with the square of their number.
+    const bool alsoFar = m_beats++ % FarBeatEvery == 0 && m_leadership.isLeading();
     for (const auto &peer : m_hub.linked()) {
         if (peer.zone == m_settings.zone || alsoFar) {
             message.echo = m_echoes[peer.name];
--- a/src/zone/ZoneLeader.cpp
+++ b/src/zone/ZoneLeader.cpp
@@ -251,10 +251,7 @@
     }
     auto *job = findJob(label->jobId);
     if (job == nullptr) {
-        const auto entry = m_fold.jobs().job(label->jobId);
-        if (entry && entry->isFinished()) {
-            stopTask(label->jobId, label->index, now);
-        }
+        // The record of the job may still be on its way here.
         return;
     }
     const auto it = job->tasks.find(label->index);
--- a/src/zone/ZoneLeaderJobs.cpp
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -148,6 +148,7 @@
     }
     task.phase = TaskPhase::Claiming;
     task.due = now + ClaimWithin;
+    m_due.emplace(task.due, placed.attempt.task);
     task.claimNonce = m_options.self + ":" + std::to_string(m_epoch) + ":" + std::to_string(++m_claims) + ":" + std::to_string(millisOf(m_begunAt));
     m_appender.add(ClaimMade {placed.attempt.task, task.claimNonce, m_options.self, job.spec.fingerprint()});
 }
@@ -240,29 +241,33 @@
     task.attempt = {};
     task.due = now + FirstRestart * (1 << std::min(task.failures, MaxRestartDoublings));
     ++task.failures;
+    m_due.emplace(task.due, taskId(job.spec.id, index));
 }
 
 void ZoneLeader::releaseDelayed(TimePoint now)
 {
-    for (auto &[id, job] : m_jobs) {
-        std::deque<int> due;
-        for (auto &[index, task] : job.tasks) {
-            if (task.phase == TaskPhase::Delayed && now >= task.due && m_recovered) {
-                due.push_back(index);
-            } else if (task.phase == TaskPhase::Claiming && now >= task.due) {
-                m_appender.add(ClaimReleased {taskId(id, index), task.claimNonce});
-                m_scheduler.release(task.worker, task.attempt);
-                delayTask(job, index, now);
-            }
+    while (m_recovered && !m_due.empty() && m_due.begin()->first <= now) {
+        const AttemptId key {m_due.begin()->second, 0};
+        m_due.erase(m_due.begin());
+        auto *job = findJob(jobOf(key));
+        const int index = indexOf(key);
+        if (job == nullptr || !job->tasks.contains(index) || job->tasks[index].due > now) {
+            continue;
+        }
+        const auto &task = job->tasks[index];
+        if (task.phase == TaskPhase::Delayed) {
+            enqueueTasks(*job, {index}, now);
+        } else if (task.phase == TaskPhase::Claiming) {
+            m_appender.add(ClaimReleased {key.task, task.claimNonce});
+            m_scheduler.release(task.worker, task.attempt);
+            delayTask(*job, index, now);
         }
-        enqueueTasks(job, std::move(due), now);
     }
 }
 
 void ZoneLeader::handleJobTaskEnded(WorkerLink &link, const AttemptReport &report, const TaskLabel &label, TimePoint now)
 {
-    const auto entry = m_fold.jobs().job(label.jobId);
-    if (entry && entry->ended.contains(label.index)) {
+    if (m_fold.jobs().hasEnded(label.jobId, label.index)) {
         link.acknowledge(report.attempt);
         return;
     }
