--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -38,8 +38,8 @@
     }
     const QUrl target(url);
     const QString host = target.authority();
-    auto &lane = laneFor(host);
-    ++lane.busy[host];
+    auto *lane = &laneFor(host);
+    ++lane->busy[host];
     ++m_inFlight;
     QNetworkRequest request(target);
     request.setTransferTimeout(static_cast<int>(timeout.count()));
@@ -49,18 +49,18 @@
     }
     QNetworkReply *reply = nullptr;
     if (body.isEmpty()) {
-        reply = lane.manager->sendCustomRequest(request, method);
+        reply = lane->manager->sendCustomRequest(request, method);
     } else {
         request.setHeader(QNetworkRequest::ContentTypeHeader, QLatin1String("application/json"));
         request.setHeader(QNetworkRequest::ContentLengthHeader, body.size());
         request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
         auto *device = new OneShotBody(body);
-        reply = lane.manager->sendCustomRequest(request, method, device);
+        reply = lane->manager->sendCustomRequest(request, method, device);
         device->setParent(reply);
         m_bodyBytes += body.size();
     }
-    connect(reply, &QNetworkReply::finished, this, [this, reply, &lane, host, done = std::move(done)]() {
-        --lane.busy[host];
+    connect(reply, &QNetworkReply::finished, this, [this, reply, lane, host, done = std::move(done)]() {
+        --lane->busy[host];
         finish(reply, done);
     });
 }
--- a/tests/zone/FaultMatrix.cpp
+++ b/tests/zone/FaultMatrix.cpp
@@ -143,7 +143,7 @@
 
 const char *nameOf(Fault fault)
 {
-    static constexpr std::array names = {"process-dies",
+    static constexpr std::array Names = {"process-dies",
                                          "process-pauses",
                                          "paused-past-lease",
                                          "cut-from-peers",
@@ -160,13 +160,13 @@
                                          "rival-patches",
                                          "flood-of-least-urgent",
                                          "flood-of-most-urgent"};
-    return names[static_cast<std::size_t>(fault)];
+    return Names[static_cast<std::size_t>(fault)];
 }
 
 const char *nameOf(Step step)
 {
-    static constexpr std::array names = {"submit", "claim", "dispatch", "renew", "finish", "answer", "takeover", "patch", "snapshot", "stop"};
-    return names[static_cast<std::size_t>(step)];
+    static constexpr std::array Names = {"submit", "claim", "dispatch", "renew", "finish", "answer", "takeover", "patch", "snapshot", "stop"};
+    return Names[static_cast<std::size_t>(step)];
 }
 
 std::string CellResult::toString() const
