--- a/bench/LedgerBench.cpp
+++ b/bench/LedgerBench.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int TasksPerJob = 20;
+constexpr int Teams = 61;
 
 // Resident memory of this process in MiB.
 double residentMib()
@@ -35,14 +36,8 @@
     return out;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+void benchJobs(LogFold &fold, int jobs)
 {
-    // One size a run, so that memory given back by a former size does not hide the growth.
-    const int jobs = argc > 1 ? std::atoi(argv[1]) : 13'000;
-    LogFold fold;
-    const double before = residentMib();
     const auto begun = std::chrono::steady_clock::now();
     std::int64_t offset = 0;
     for (int n = 0; n < jobs; ++n) {
@@ -57,10 +52,46 @@
         fold.apply(batch);
     }
     const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begun;
-    std::printf("jobs %6d of %d tasks: %.1f MiB more, %.2f us a record, written and read\n",
-                jobs,
-                TasksPerJob,
-                residentMib() - before,
-                took.count() / static_cast<double>(offset));
+    std::printf("%.2f us a record, written and read; ", took.count() / static_cast<double>(offset));
+}
+
+void benchVersions(LogFold &fold, int versions)
+{
+    for (int n = 0; n < versions; ++n) {
+        QJsonObject teams;
+        for (int i = 0; i < Teams; ++i) {
+            teams.insert(QStringLiteral("team%1").arg(i), QJsonObject {{QLatin1String("share"), 1 + n % 7}, {QLatin1String("cap"), 0.5}});
+        }
+        const ConfigurationPatch patch {"patch-" + std::to_string(n), n, "operator", {{QLatin1String("teams"), teams}}};
+        fold.apply({0, n, {toJson(patch)}, n + 1});
+    }
+}
+
+void benchClaims(LogFold &fold, int claims)
+{
+    for (int n = 0; n < claims; ++n) {
+        const auto key = "announcement-2026-12-31-" + std::to_string(n);
+        fold.apply(
+            {0, 2LL * n, {toJson(ClaimMade {key, "nonce-" + key, "entry-a", 1}), toJson(ClaimSettled {key, TaskOutcome::Done, "announced"})}, 2LL * n + 2});
+    }
+}
+
+} // namespace
+
+// Usage: bench_ledger jobs|versions|claims N. One size a run, so that memory given back does not hide the growth.
+int main(int argc, char **argv)
+{
+    const std::string what = argc > 1 ? argv[1] : "jobs";
+    const int n = argc > 2 ? std::atoi(argv[2]) : 1000;
+    LogFold fold;
+    const double before = residentMib();
+    if (what == "versions") {
+        benchVersions(fold, n);
+    } else if (what == "claims") {
+        benchClaims(fold, n);
+    } else {
+        benchJobs(fold, n);
+    }
+    std::printf("%s %d: %.1f MiB more\n", what.c_str(), n, residentMib() - before);
     return 0;
 }
