--- a/src/zone/ZoneLeader.cpp
+++ b/src/zone/ZoneLeader.cpp
@@ -190,11 +190,10 @@
     releaseAcks(now);
     stopCancelled(now);
     m_shorts.expire(now);
+    decideHeld(now);
     if (!m_recovered) {
-        decideHeld(now);
         return;
     }
-    decideHeld(now);
     for (const auto &placed : m_scheduler.decide(now, DecisionsPerTick)) {
         startPlaced(placed, now);
     }
--- /dev/null
+++ b/tests/zone/FakeZonePlatform.cpp
@@ -0,0 +1,219 @@
+#include "FakeZoneParts.h"
+
+#include <algorithm>
+
+namespace marjoramhaven::test {
+
+// The log.
+
+void FakeZone::Log::append(const std::vector<QJsonObject> &records, AppendDone done)
+{
+    const int incarnation = m_zone.m_members[m_member]->incarnation;
+    auto isDone = std::make_shared<bool>(false);
+    const auto finish = [this, incarnation, isDone, done](bool ok) {
+        m_zone.onMember(m_member, incarnation, [this, isDone, done, ok]() {
+            if (!*isDone) {
+                *isDone = true;
+                done(ok, m_zone.m_now);
+            }
+        });
+    };
+    const auto delay = m_zone.m_logSlow ? Millis(800) : Latency;
+    m_zone.after(delay, [this, records, finish, delay]() {
+        if (m_zone.m_logDown || m_zone.m_members[m_member]->logCut) {
+            return;
+        }
+        m_zone.m_log.append(records);
+        if (!m_zone.m_logLosesAnswers) {
+            m_zone.after(delay, [finish]() {
+                finish(true);
+            });
+        }
+    });
+    m_zone.after(CallTimeout, [finish]() {
+        finish(false);
+    });
+}
+
+void FakeZone::Log::read(std::int64_t from, Millis wait, ReadDone done)
+{
+    const int incarnation = m_zone.m_members[m_member]->incarnation;
+    const auto delay = m_zone.m_logSlow ? Millis(800) : Latency;
+    const bool reachable = !m_zone.m_logDown && !m_zone.m_members[m_member]->logCut;
+    // A wait for news is played by a short pause before an empty answer.
+    const auto pause = from < m_zone.m_log.next() ? Millis(0) : std::min(wait, Millis(20));
+    m_zone.after(delay + pause, [this, incarnation, from, done, reachable]() {
+        const auto batch = reachable ? std::optional<LogBatch>(m_zone.m_log.read(from, 100)) : std::nullopt;
+        m_zone.onMember(m_member, incarnation, [this, batch, done]() {
+            done(batch, m_zone.m_now);
+        });
+    });
+}
+
+// The workers.
+
+template<typename T>
+void FakeZone::Port::deliver(T answer, int incarnation, const std::shared_ptr<bool> &isDone, std::function<void(std::optional<T>, TimePoint)> done)
+{
+    m_zone.after(Latency, [this, answer = std::move(answer), incarnation, isDone, done = std::move(done)]() {
+        if (!m_zone.reaches(m_member, m_worker)) {
+            return;
+        }
+        m_zone.onMember(m_member, incarnation, [this, answer, isDone, done]() {
+            if (!*isDone) {
+                *isDone = true;
+                done(answer, m_zone.m_now);
+            }
+        });
+    });
+}
+
+template<typename T>
+void FakeZone::Port::call(std::function<T(WorkerModel &, std::int64_t)> operation, std::function<void(std::optional<T>, TimePoint)> done, bool loseAnswer)
+{
+    const int incarnation = m_zone.m_members[m_member]->incarnation;
+    auto isDone = std::make_shared<bool>(false);
+    const auto timeOut = [this, incarnation, isDone, done]() {
+        m_zone.onMember(m_member, incarnation, [this, isDone, done]() {
+            if (!*isDone) {
+                *isDone = true;
+                done(std::nullopt, m_zone.m_now);
+            }
+        });
+    };
+    m_zone.after(CallTimeout, timeOut);
+    // A request that meets a cut link is lost, or arrives much later as a late copy.
+    const bool isLate = !m_zone.reaches(m_member, m_worker) && m_zone.m_random() % 2 == 0;
+    const auto delay = isLate ? Millis(3000 + static_cast<std::int64_t>(m_zone.m_random() % 4000)) : Latency;
+    m_zone.after(delay, [this, operation, done, incarnation, isDone, loseAnswer]() {
+        if (!m_zone.reaches(m_member, m_worker)) {
+            return;
+        }
+        const auto answer = operation(*m_zone.m_workers[m_worker], millisOf(m_zone.m_now) + ClockStep * (m_worker + 1));
+        if (!loseAnswer) {
+            deliver<T>(answer, incarnation, isDone, done);
+        }
+    });
+}
+
+void FakeZone::Port::open(const std::string &owner, OpenDone done)
+{
+    call<SessionOpened>(
+        [owner](WorkerModel &worker, std::int64_t clock) {
+            return worker.open(owner, clock);
+        },
+        std::move(done));
+}
+
+void FakeZone::Port::renew(const RenewRequest &request, RenewDone done)
+{
+    m_zone.step(Step::Renew, m_member);
+    const int incarnation = m_zone.m_members[m_member]->incarnation;
+    auto isDone = std::make_shared<bool>(false);
+    m_zone.after(request.wait + CallTimeout, [this, incarnation, isDone, done]() {
+        m_zone.onMember(m_member, incarnation, [this, isDone, done]() {
+            if (!*isDone) {
+                *isDone = true;
+                done(std::nullopt, m_zone.m_now);
+            }
+        });
+    });
+    const auto until = m_zone.m_now + request.wait;
+    const bool isLate = !m_zone.reaches(m_member, m_worker) && m_zone.m_random() % 2 == 0;
+    m_zone.after(isLate ? Millis(4000) : Latency, [this, request, until, incarnation, isDone, done]() {
+        if (!m_zone.reaches(m_member, m_worker)) {
+            return;
+        }
+        m_zone.m_workers[m_worker]->renew(request, millisOf(m_zone.m_now) + ClockStep * (m_worker + 1));
+        pollRenewal(request, until, incarnation, isDone, done);
+    });
+}
+
+void FakeZone::Port::pollRenewal(const RenewRequest &request, TimePoint until, int incarnation, const std::shared_ptr<bool> &isDone, const RenewDone &done)
+{
+    const auto clock = millisOf(m_zone.m_now) + ClockStep * (m_worker + 1);
+    auto &worker = *m_zone.m_workers[m_worker];
+    worker.advance(clock);
+    if (worker.hasNews(request.session) || m_zone.m_now >= until) {
+        deliver<Renewed>(worker.takeNews(request.session, clock), incarnation, isDone, done);
+        return;
+    }
+    m_zone.after(Millis(10), [this, request, until, incarnation, isDone, done]() {
+        pollRenewal(request, until, incarnation, isDone, done);
+    });
+}
+
+void FakeZone::Port::start(const StartRequest &request, StartDone done)
+{
+    m_zone.step(Step::Dispatch, m_member);
+    const int incarnation = m_zone.m_members[m_member]->incarnation;
+    if (!request.awaitEnd) {
+        call<Started>(
+            [request](WorkerModel &worker, std::int64_t clock) {
+                return worker.start(request, clock);
+            },
+            std::move(done),
+            m_zone.m_startsLoseAnswers);
+        return;
+    }
+    auto isDone = std::make_shared<bool>(false);
+    call<Started>(
+        [request](WorkerModel &worker, std::int64_t clock) {
+            return worker.start(request, clock);
+        },
+        [this, request, incarnation, isDone, done](const std::optional<Started> &answer, TimePoint at) {
+            if (answer && answer->report.state == AttemptState::Running) {
+                awaitEnd(request.attempt, incarnation, isDone, done);
+            } else {
+                done(answer, at);
+            }
+        },
+        m_zone.m_startsLoseAnswers);
+}
+
+void FakeZone::Port::awaitEnd(const AttemptId &attempt, int incarnation, const std::shared_ptr<bool> &isDone, const StartDone &done)
+{
+    auto &worker = *m_zone.m_workers[m_worker];
+    worker.advance(millisOf(m_zone.m_now) + ClockStep * (m_worker + 1));
+    const auto report = worker.report(attempt);
+    if (!m_zone.reaches(m_member, m_worker) || report.state == AttemptState::NotKnown) {
+        m_zone.onMember(m_member, incarnation, [this, done]() {
+            done(std::nullopt, m_zone.m_now);
+        });
+    } else if (report.state == AttemptState::Running) {
+        m_zone.after(Millis(10), [this, attempt, incarnation, isDone, done]() {
+            awaitEnd(attempt, incarnation, isDone, done);
+        });
+    } else {
+        deliver<Started>(Started {report, ""}, incarnation, isDone, done);
+        // The connection breaks when the link does.
+        m_zone.after(CallTimeout, [this, incarnation, isDone, done]() {
+            m_zone.onMember(m_member, incarnation, [this, isDone, done]() {
+                if (!*isDone) {
+                    *isDone = true;
+                    done(std::nullopt, m_zone.m_now);
+                }
+            });
+        });
+    }
+}
+
+void FakeZone::Port::close(const AttemptId &attempt, ReportDone done)
+{
+    call<AttemptReport>(
+        [attempt](WorkerModel &worker, std::int64_t clock) {
+            return worker.close(attempt, clock);
+        },
+        std::move(done));
+}
+
+void FakeZone::Port::stop(std::int64_t session, const AttemptId &attempt, ReportDone done)
+{
+    call<AttemptReport>(
+        [session, attempt](WorkerModel &worker, std::int64_t clock) {
+            return worker.stop(session, attempt, clock);
+        },
+        std::move(done));
+}
+
+} // namespace marjoramhaven::test
