A send whose twin holds the claim is never told "not run"

Cause: the deadline of a second send of an unrepeatable request ended it as not run while it waited for the outcome of the first send, which ran; found by reading each path that ends in "not run". Ruled out: the claim itself, which was right. Change: such a send ends as unknown. Before: the new test failed (not-run instead of unknown); after, it passes: one run, both sends unknown at 0.4 s, the outcome found by any process afterwards.

--- a/src/node/ShortCarrier.cpp
+++ b/src/node/ShortCarrier.cpp
@@ -142,6 +142,7 @@
         finishEnded(errand, claim.end->outcome, claim.end->result);
         return;
     }
+    errand->mayRunElsewhere = true;
     const auto wait = std::max(Millis(0), errand->deadline - monotonicNow());
     const auto condition = [this, key = errand->spec.id]() {
         return isSettled(m_shared.fold.claims().claim(key));
--- a/tests/node/ThinPathTest.cpp
+++ b/tests/node/ThinPathTest.cpp
@@ -37,4 +37,36 @@
     BOOST_TEST(seen->body.value(QLatin1String("ended")).toObject().value(QLatin1String("done")).toInt() == 20);
 }
 
+BOOST_AUTO_TEST_CASE(aSecondSendOfAnAnnouncementIsNeverToldThatItDidNotRun)
+{
+    NodeBench bench({"north"}, 2, 2);
+    BOOST_REQUIRE(bench.waitForLeader("north"));
+    BOOST_REQUIRE(bench.addTeam("signal"));
+    const bool repeatable = false;
+    auto request = checkRequest("announcement", 1500, repeatable);
+    request.insert(QLatin1String("deadline_ms"), 400);
+    HttpClient http;
+    std::string first;
+    http.call("POST",
+              QStringLiteral("http://127.0.0.1:%1/v1/requests").arg(bench.settings[0].callers.port),
+              jsonBytes(request),
+              Millis(10'000),
+              [&](const HttpAnswer &answer) {
+                  first = parseJsonObject(answer.body)->value(QLatin1String("answer")).toString().toStdString();
+              });
+    BOOST_REQUIRE(bench.waitFor([&]() {
+        return !bench.platform->history().empty();
+    }));
+    BOOST_TEST(word(bench.call(1, "POST", "/v1/requests", request)) == "unknown");
+    BOOST_TEST(bench.waitFor([&]() {
+        return first == "unknown";
+    }));
+    // The outcome is found later through any process.
+    BOOST_TEST(bench.waitFor([&]() {
+        return word(bench.call(1, "GET", "/v1/requests/announcement")) == "done";
+    }));
+    BOOST_TEST(word(bench.call(0, "POST", "/v1/requests", request), "result") == "result of announcement");
+    BOOST_TEST(bench.platform->history().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
