Give up calls to a leader that was replaced; suspect after 0.5 s

Ruled out: the takeover itself, which was over in time. Change: when the leader changes, calls to the former one end as not decided and are asked again; a silent leader is suspected after 0.5 s instead of 0.6 s.

--- a/include/marjoramhaven/node/NodeCore.h
+++ b/include/marjoramhaven/node/NodeCore.h
@@ -80,6 +80,7 @@
 
     void tick();
     void updateRole(TimePoint now);
+    void giveUpCallsTo(const std::string &peer, TimePoint now);
     void sendBeats(TimePoint now);
     void publishStatus(TimePoint now);
     void expireCalls(TimePoint now);
@@ -115,6 +116,8 @@
     PeerHub m_hub;
     Leadership m_leadership;
     std::unique_ptr<ZoneLeader> m_leader;
+    /// The zone's leader when it was last looked at.
+    std::string m_knownLeader;
     QTimer m_timer;
     std::map<std::string, std::string> m_peerZones;
     std::map<std::string, ZoneView> m_zones;
--- a/include/marjoramhaven/zone/Leadership.h
+++ b/include/marjoramhaven/zone/Leadership.h
@@ -57,7 +57,7 @@
     /// Interval between beats.
     static constexpr Millis BeatEvery {200};
     /// A leader silent this long is suspected.
-    static constexpr Millis SuspectAfter {600};
+    static constexpr Millis SuspectAfter {500};
 
 private:
     struct Member {
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -129,6 +129,10 @@
         m_fenced = false;
         m_leadership.stepDown(now);
     }
+    if (m_leadership.leader() != m_knownLeader) {
+        // A leader that was replaced may be paused, with its link still open: nobody waits for it.
+        giveUpCallsTo(std::exchange(m_knownLeader, m_leadership.leader()), now);
+    }
     if (m_leadership.isLeading() == (m_leader != nullptr)) {
         return;
     }
@@ -411,13 +415,18 @@
         m_leadership.memberDown(name, now);
         m_nextBeat = {};
     }
+    giveUpCallsTo(name, now);
+}
+
+void NodeCore::giveUpCallsTo(const std::string &peer, TimePoint now)
+{
     for (auto &[call, it] : m_shortCalls) {
-        if (it.peer == name) {
+        if (it.peer == peer) {
             it.deadline = now;
         }
     }
     for (auto &[call, it] : m_jobCalls) {
-        if (it.peer == name) {
+        if (it.peer == peer) {
             it.deadline = now;
         }
     }
--- a/src/zone/Leadership.cpp
+++ b/src/zone/Leadership.cpp
@@ -8,7 +8,7 @@
 constexpr Millis FirstListen {500};
 constexpr Millis TakeoverDelay {100};
 constexpr Millis DelayPerRank {250};
-constexpr Millis HeardRecently {500};
+constexpr Millis HeardRecently {450};
 constexpr Millis FirstBackOff {500};
 constexpr Millis StableAfter {60'000};
 constexpr int MaxBackOffDoublings = 1;
