Test that a leaving worker gets no new work three seconds after the notice

Cause: the promise had a check but no run that fed it. Change: a request after another for four seconds past the notice; the history is checked from outside.

--- a/tests/node/ThinPathTest.cpp
+++ b/tests/node/ThinPathTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../support/NodeBench.h"
+#include "marjoramhaven/history/HistoryChecker.h"
 
 using namespace marjoramhaven;
 using namespace marjoramhaven::test;
@@ -69,4 +70,27 @@
     BOOST_TEST(bench.platform->history().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(aLeavingWorkerGetsNoNewWorkAfterThreeSeconds)
+{
+    NodeBench bench({"north"}, 1, 2);
+    BOOST_REQUIRE(bench.waitForLeader("north"));
+    BOOST_REQUIRE(bench.addTeam("signal"));
+    const auto noticeAt = monotonicNow();
+    bench.platform->setLeaving("north-w0");
+    int sent = 0;
+    BOOST_TEST(bench.waitFor([&]() {
+        BOOST_TEST(word(bench.call(0, "POST", "/v1/requests", checkRequest("leap-" + std::to_string(sent++), 5))) == "done");
+        return monotonicNow() > noticeAt + Millis(4000);
+    }));
+    History history;
+    history.leavings = {{"north-w0", millisOf(noticeAt)}};
+    for (const auto &it : bench.platform->history()) {
+        if (it.kind == WorkerEvent::Kind::Started) {
+            history.runs.push_back({it.attempt.task, it.worker, it.reservation, it.at, it.at});
+        }
+    }
+    BOOST_TEST(history.runs.size() == static_cast<std::size_t>(sent));
+    BOOST_TEST(checkHistory(history, CheckerBounds()).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
