A cancelled task that may have run is told as unknown, not as not run

Change: a task remembers that it may have run; its cancellation then ends as unknown. Cancelled jobs are not queued after a takeover. One function ends both. A test that causes the falsehood itself is still owed.

--- a/include/marjoramhaven/zone/JobProgress.h
+++ b/include/marjoramhaven/zone/JobProgress.h
@@ -42,6 +42,8 @@
     std::string worker;
     AttemptId attempt;
     int failures = 0;
+    /// True when an earlier attempt ran, or a former leader may have started one: it is never told as not run.
+    bool mayHaveRun = false;
     /// When a delayed task is queued again, or a pending claim is given up.
     TimePoint due {};
     TimePoint startedAt {};
--- a/include/marjoramhaven/zone/ZoneLeader.h
+++ b/include/marjoramhaven/zone/ZoneLeader.h
@@ -121,6 +121,7 @@
     void handleLost(const std::string &worker, const AttemptId &attempt, TimePoint now);
     void retryOrEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result, TimePoint now);
     void delayTask(JobProgress &job, int index, TimePoint now);
+    void endCancelled(JobProgress &job, int index);
     void recordEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result);
     void releaseDelayed(TimePoint now);
 
--- a/src/zone/ZoneLeader.cpp
+++ b/src/zone/ZoneLeader.cpp
@@ -141,6 +141,12 @@
         for (const int index : claimed) {
             recordEnd(job, index, TaskOutcome::Unknown, "its leader was lost after claiming the start");
         }
+        if (job.cancelled) {
+            for (const int index : waiting) {
+                endCancelled(job, index);
+            }
+            continue;
+        }
         enqueueTasks(job, std::move(waiting), now);
     }
 }
--- a/src/zone/ZoneLeaderJobs.cpp
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -59,6 +59,7 @@
     for (int i = 0; i < job.spec.tasks; ++i) {
         if (!entry->ended.contains(i)) {
             job.tasks[i].phase = TaskPhase::Unseen;
+            job.tasks[i].mayHaveRun = !m_recovered;
             waiting.push_back(i);
         }
     }
@@ -228,7 +229,7 @@
         return;
     }
     if (job->cancelled) {
-        recordEnd(*job, index, TaskOutcome::NotRun, "cancelled");
+        endCancelled(*job, index);
     } else {
         delayTask(*job, index, now);
     }
@@ -303,6 +304,7 @@
 void ZoneLeader::retryOrEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result, TimePoint now)
 {
     auto &task = job.tasks[index];
+    task.mayHaveRun = true;
     if (job.cancelled) {
         recordEnd(job, index, outcome, result);
         return;
@@ -343,10 +345,17 @@
     if (job->cancelled || !job->spec.repeatable) {
         recordEnd(*job, index, TaskOutcome::Unknown, "the worker was lost");
     } else {
+        job->tasks[index].mayHaveRun = true;
         delayTask(*job, index, now);
     }
 }
 
+// Ends a task that runs nowhere, because its job was cancelled.
+void ZoneLeader::endCancelled(JobProgress &job, int index)
+{
+    recordEnd(job, index, job.tasks[index].mayHaveRun ? TaskOutcome::Unknown : TaskOutcome::NotRun, "cancelled");
+}
+
 void ZoneLeader::recordEnd(JobProgress &job, int index, TaskOutcome outcome, const std::string &result)
 {
     constexpr std::size_t MaxResultBytes = 4096;
@@ -364,11 +373,11 @@
     m_scheduler.withdraw(id);
     for (auto &[index, task] : job->tasks) {
         if (task.phase == TaskPhase::Queued || task.phase == TaskPhase::Delayed) {
-            recordEnd(*job, index, TaskOutcome::NotRun, "cancelled");
+            endCancelled(*job, index);
         } else if (task.phase == TaskPhase::Claiming) {
             m_appender.add(ClaimReleased {taskId(id, index), task.claimNonce});
             m_scheduler.release(task.worker, task.attempt);
-            recordEnd(*job, index, TaskOutcome::NotRun, "cancelled");
+            endCancelled(*job, index);
         } else if (task.phase == TaskPhase::Running) {
             stopTask(id, index, now);
         }
