--- /dev/null
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -0,0 +1,256 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "marjoramhaven/base/EnumNames.h"
+#include "marjoramhaven/base/Time.h"
+#include "marjoramhaven/fleet/AdviceBook.h"
+#include "marjoramhaven/fleet/FleetCalls.h"
+#include "marjoramhaven/fleet/FleetJobState.h"
+#include "marjoramhaven/fleet/FleetWorker.h"
+#include "marjoramhaven/telemetry/EventLog.h"
+
+namespace marjoramhaven {
+
+/// Why a run is stopped.
+enum class StopReason {
+    None,
+    Cancelled,
+    /// Another run of the task has done its work, or the job has ended.
+    NotNeeded,
+    /// Its worker is leaving.
+    Leaving,
+    /// Another member of its gang ended.
+    GangBroken,
+    /// Its start was never answered; the stop makes sure that it can't begin later.
+    Unanswered,
+    /// It made no progress.
+    Stuck,
+    /// More urgent work needs its place.
+    Preempted,
+    /// The planner does not know it.
+    Foreign,
+};
+
+template<>
+struct EnumTable<StopReason> {
+    static constexpr EnumName<StopReason> Rows[] = {
+        {StopReason::None, "none"},
+        {StopReason::Cancelled, "cancelled"},
+        {StopReason::NotNeeded, "not-needed"},
+        {StopReason::Leaving, "leaving"},
+        {StopReason::GangBroken, "gang-broken"},
+        {StopReason::Unanswered, "unanswered"},
+        {StopReason::Stuck, "stuck"},
+        {StopReason::Preempted, "preempted"},
+        {StopReason::Foreign, "foreign"},
+    };
+};
+
+/// Where a run stands between the decision to start it and its end.
+enum class RunState {
+    /// Decided; the decision is not stored yet and nothing was sent.
+    Intended,
+    /// The start is on its way.
+    Starting,
+    /// The start was not answered: it may run, or begin later.
+    Doubtful,
+    /// The worker has confirmed it.
+    Running,
+    /// Taken over from another planner, and not yet found on its worker.
+    Inherited,
+};
+
+/// One run of a task on a worker.
+struct FleetRun {
+    RunKey key;
+    std::string worker;
+    std::int64_t workerBornMs = 0;
+    RunState state = RunState::Intended;
+    /// When the state was entered.
+    TimePoint since {};
+    std::string ticket;
+    std::string checkpoint;
+    int percent = 0;
+    TimePoint percentChangedAt {};
+    double usage = 0;
+    /// Share of its speed that was ordered, in percent.
+    int pacedTo = 100;
+    TimePoint pacedAt {};
+    bool isPaceInFlight = false;
+    StopReason stopReason = StopReason::None;
+    bool isStopInFlight = false;
+    bool isStopAnswered = false;
+    TimePoint stopAnsweredAt {};
+    TimePoint nextStopAt {};
+};
+
+/// Sends what the planner decides. Each call is answered later through the planner's functions of the same name.
+class FleetPort
+{
+public:
+    virtual ~FleetPort() = default;
+
+    virtual void sendStart(const StartOrder &order, Millis timeout) = 0;
+    virtual void sendStop(const StopOrder &order, Millis timeout) = 0;
+    virtual void sendPace(const PaceOrder &order, Millis timeout) = 0;
+    virtual void sendHold(const HoldOrder &order, Millis timeout) = 0;
+    virtual void askAdvice(const AdviceOrder &order) = 0;
+    /// A worker follows a planner with a higher fencing token.
+    virtual void fenced(const std::string &worker) = 0;
+};
+
+/// Times and bounds of the planner.
+struct PlannerLimits {
+    /// Length of the leases granted; long enough to outlive a planner's replacement.
+    Millis lease {5000};
+    /// Longest that a worker waits before it answers a hold.
+    Millis holdWait {1000};
+    Millis stopTime {400};
+    Millis statusRetention {120000};
+    Millis early {250};
+    /// A lasting task's response times may stay above their target for this long.
+    Millis impact {4000};
+};
+
+/// Records to store in one append, with what may happen once they are stored.
+struct ProgressBatch {
+    std::int64_t number = 0;
+    std::vector<JobRecord> records;
+    /// Jobs whose records are dropped.
+    std::vector<std::string> dropped;
+
+    bool isEmpty() const { return records.empty() && dropped.empty(); }
+};
+
+/// Decides where and when every task of the fleet runs.
+///
+/// Knows jobs, workers and runs; does no I/O itself. A decision to start is stored before the start is sent, and an end is stored before its worker may
+/// forget it, so that a successor finds everything in the log and on the workers. Belongs to one thread.
+class FleetPlanner
+{
+public:
+    FleetPlanner(FleetPort &port, EventLog &events, PlannerLimits limits, std::int64_t fence, TimePoint now);
+    ~FleetPlanner();
+
+    // What was stored before this planner took over; before open().
+    void restoreJob(FleetJobRequest request, std::int64_t nowUnixMs, TimePoint now);
+    void restoreRecord(const JobRecord &record, TimePoint now);
+    /// Begins to plan.
+    void open(TimePoint now);
+
+    // What the log tells.
+    void jobAccepted(FleetJobRequest request, TimePoint now);
+    void jobCancelled(const std::string &job, TimePoint now);
+    void workerReported(const WorkerReport &report, TimePoint now);
+    void workerUnlisted(const std::string &worker, TimePoint now);
+    void configurationChanged(const FleetConfiguration &configuration);
+
+    // What processes and workers answer.
+    void helperJoined(const std::string &helper);
+    void helperLeft(const std::string &helper);
+    void startAnswered(const StartOrder &order, const OrderAnswer &answer, TimePoint now);
+    void stopAnswered(const StopOrder &order, const OrderAnswer &answer, TimePoint now);
+    void paceAnswered(const PaceOrder &order, const OrderAnswer &answer, TimePoint now);
+    void holdAnswered(const HoldOrder &order, const HoldAnswer &answer, TimePoint sentAt, TimePoint now);
+    void adviceAnswered(const AdviceOrder &order, const AdviceAnswer &answer, TimePoint now);
+
+    /// The records to store next; empty when nothing is new. The batch before it must have been stored.
+    ProgressBatch takeBatch(TimePoint now);
+    void batchStored(std::int64_t number, TimePoint now);
+    /// Jobs whose acceptance may be dropped from the log; to be called once for each.
+    std::vector<std::string> takeExpiredJobs(TimePoint now);
+    /// The acceptance was dropped; the progress may be dropped too.
+    void jobDropped(const std::string &job);
+
+    /// Holds, retries and time limits; call about every 20 ms. The Unix time decides which repetitions are due.
+    void tick(std::int64_t nowUnixMs, TimePoint now);
+    /// Places what waits; call after events.
+    void plan(TimePoint now);
+
+    /// What may be told of a job; nothing when there is no such job.
+    std::optional<FleetJobState> jobState(const std::string &job) const;
+    /// Accepted jobs of a queue none of whose tasks has started.
+    std::int64_t pendingOf(const std::string &host, const std::string &prefix) const;
+    /// True while something waits for takeBatch().
+    bool hasNews() const { return !m_dirtyJobs.empty() || !m_droppedRecords.empty() || m_hasUnstoredEnds; }
+    std::int64_t fence() const { return m_fence; }
+    const std::map<std::string, FleetWorker> &workers() const { return m_workers; }
+    std::size_t runCount() const { return m_runs.size(); }
+
+private:
+    struct OpenStep;
+    struct Batch;
+
+    // FleetPlanner.cpp: jobs
+    FleetJob *findJob(const std::string &job);
+    void markDirty(FleetJob &job);
+    void finishJob(FleetJob &job, FleetJobState state, const char *reason, TimePoint now);
+    void settleJob(FleetJob &job, TimePoint now);
+    void openOccurrences(FleetJob &job, std::int64_t nowUnixMs);
+    void releaseIfIdle(FleetJob &job);
+    // FleetPlannerRuns.cpp: the life of a run
+    FleetRun *findRun(const RunKey &key);
+    FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now);
+    void sendStart(FleetRun &run, TimePoint now);
+    void requestStop(FleetRun &run, StopReason reason, TimePoint now);
+    void trySendStop(FleetRun &run, TimePoint now);
+    void removeRun(const RunKey &key);
+    void endRun(const RunKey &key, RunEnd end, const std::string &checkpoint, const std::string &worker, TimePoint now);
+    void runNeverStarted(const RunKey &key, const char *reason, Millis pause, TimePoint now);
+    void taskDone(FleetJob &job, FleetTask &task, TimePoint now);
+    void taskFailed(FleetJob &job, FleetTask &task, std::int64_t attempt, const std::string &worker, TimePoint now);
+    void stopRunsOf(FleetJob &job, StopReason reason, TimePoint now);
+    void breakGang(FleetJob &job, FleetStep &step, TimePoint now);
+    // FleetPlannerWorkers.cpp: workers
+    FleetWorker &workerNamed(const std::string &worker);
+    void workerReborn(FleetWorker &worker, std::int64_t bornMs, TimePoint now);
+    void loseRunsOf(FleetWorker &worker, const char *reason, TimePoint now);
+    void matchRuns(FleetWorker &worker, const HoldAnswer &answer, TimePoint sentAt, TimePoint now);
+    void noteRunning(FleetWorker &worker, const RunningRow &row, TimePoint now);
+    void noteAbsent(FleetWorker &worker, FleetRun &run, TimePoint sentAt, TimePoint now);
+    void sendHoldIfDue(FleetWorker &worker, TimePoint now);
+    void checkWorker(FleetWorker &worker, TimePoint now);
+    void evacuate(FleetWorker &worker, TimePoint now);
+    void checkStuck(FleetRun &run, TimePoint now);
+    void paceFillers(FleetWorker &worker, TimePoint now);
+    void orderPace(FleetRun &run, int percent, TimePoint now);
+    int awayCount(const FleetJob &job, const FleetStep &step) const;
+    // FleetPlannerPlacement.cpp: who goes where
+    std::vector<OpenStep> openSteps(TimePoint now);
+    bool isUsable(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec, TimePoint now) const;
+    void placeStep(OpenStep &open, TimePoint now);
+    void placeTasks(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
+    void placeGang(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
+    FleetWorker *choose(const OpenStep &open, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
+    std::map<std::string, int> runsPerWorker(const FleetStep &step) const;
+    void seekAdvice(OpenStep &open, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
+    const QueuePolicy &queueOf(const FleetJob &job) const;
+
+    FleetPort &m_port;
+    EventLog &m_events;
+    const PlannerLimits m_limits;
+    const std::int64_t m_fence;
+    bool m_isOpen = false;
+    TimePoint m_openedAt;
+    FleetConfiguration m_configuration;
+    std::map<std::string, std::unique_ptr<FleetJob>> m_jobs;
+    std::set<std::string> m_activeJobs;
+    std::set<std::string> m_dirtyJobs;
+    std::set<std::string> m_cancelledUnknown;
+    std::vector<std::string> m_droppedRecords;
+    std::map<RunKey, FleetRun> m_runs;
+    std::map<std::string, FleetWorker> m_workers;
+    AdviceBook m_advice;
+    std::int64_t m_batchNumber = 0;
+    std::unique_ptr<Batch> m_batch;
+    bool m_hasUnstoredEnds = false;
+};
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "marjoramhaven/base/Time.h"
+#include "marjoramhaven/fleet/FleetCalls.h"
+
+namespace marjoramhaven {
+
+/// Slowest that a worker's clock may run against ours.
+inline constexpr double SlowestWorkerClock = 0.98;
+
+/// What the planner believes of one worker's clock and lease, all in that worker's milliseconds.
+class WorkerLease
+{
+public:
+    /// Takes a reading of the worker's clock, which was taken at some moment before now.
+    void observe(std::int64_t workerClockMs, TimePoint now);
+    /// The worker's clock at least shows this; nothing before the first reading.
+    std::optional<std::int64_t> clockAt(TimePoint now) const;
+    /// The lease end to grant for a length of time from now, and remembers it as granted.
+    std::int64_t grant(Millis length, TimePoint now);
+    /// True when all that was granted has surely lapsed on the worker's own clock.
+    bool hasSurelyLapsed(TimePoint now) const;
+    /// Makes the lease count as granted until an instant of ours; used for what another planner granted.
+    void assumeGrantedUntil(TimePoint until) { m_assumedUntil = std::max(m_assumedUntil, until); }
+    /// Forgets everything; for a new incarnation.
+    void reset() { *this = {}; }
+
+private:
+    std::optional<std::int64_t> m_clockMs;
+    TimePoint m_observedAt {};
+    std::int64_t m_grantedMs = 0;
+    TimePoint m_assumedUntil {};
+};
+
+/// One run that stands on a worker: a task, and the number of its attempt.
+struct RunKey {
+    FleetTaskId task;
+    std::int64_t attempt = 0;
+
+    auto operator<=>(const RunKey &) const = default;
+};
+
+/// One worker as the planner believes it to be.
+struct FleetWorker {
+    WorkerReport report;
+    /// True while the worker's entry stands in the platform's list.
+    bool isListed = false;
+    TimePoint unlistedSince {};
+    /// The incarnation that the inventory was taken of; 0 before the first inventory.
+    std::int64_t bornMs = 0;
+    /// True when the worker has told all its runs under this planner's fencing token.
+    bool isInventoried = false;
+    WorkerLease lease;
+    TimePoint lastAnswerAt {};
+    TimePoint drainingSince {};
+    int failedHolds = 0;
+    bool isHoldInFlight = false;
+    TimePoint nextHoldAt {};
+    /// Ends up to this number are stored; the worker may forget them.
+    std::int64_t acknowledged = 0;
+    /// Ends up to this number are taken note of.
+    std::int64_t seen = 0;
+    /// Runs that may occupy the worker, with what each needs.
+    std::map<RunKey, TaskNeeds> occupied;
+    TaskNeeds used;
+    /// No starts before this instant, since the worker refused or failed.
+    TimePoint avoidUntil {};
+    /// Jobs whose runs failed here lately, newest last.
+    std::vector<std::pair<TimePoint, std::string>> recentFailures;
+
+    /// Where calls go.
+    WorkerTarget target() const { return {report.id, report.host, report.port}; }
+    /// True when needs fit beside what stands on the worker.
+    bool hasRoomFor(const TaskNeeds &needs) const;
+    /// Adds and removes a run's needs; fillers leave their processors out.
+    void occupy(const RunKey &key, const TaskNeeds &needs, bool isFiller);
+    void vacate(const RunKey &key);
+    /// True when the worker carries a label; racks are labels too.
+    bool hasLabel(const std::string &label) const;
+};
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "marjoramhaven/fleet/FleetDesk.h"
+#include "marjoramhaven/fleet/FleetNodeSettings.h"
+#include "marjoramhaven/fleet/PlannerClaim.h"
+#include "marjoramhaven/fleetnode/PlannerHost.h"
+#include "marjoramhaven/fleetnode/RecordWriter.h"
+#include "marjoramhaven/fleetnode/TopicFollower.h"
+#include "marjoramhaven/telemetry/Metrics.h"
+#include "marjoramhaven/wire/PeerHub.h"
+
+namespace marjoramhaven {
+
+/// What one process of the fleet scheduler needs of the platform.
+struct FleetPlatform {
+    StateLog &log;
+    WorkerCalls &workers;
+    AdvisorCalls &advisor;
+    WorkerReader readWorker;
+    std::function<std::optional<FleetConfiguration>(const std::string &)> readConfiguration;
+    /// The key of the configuration among the operators' records.
+    std::string configurationKey;
+};
+
+/// One process of the fleet scheduler: answers callers, asks the advisor for the planner, and plans when the log says that it leads.
+class FleetNode : public QObject, public FleetDesk
+{
+    Q_OBJECT
+
+public:
+    FleetNode(FleetNodeSettings settings, FleetPlatform platform, EventLog &events, Metrics &metrics, QObject *parent = nullptr);
+    ~FleetNode() override;
+
+    /// Begins; false with a last reason when it can't listen for other processes.
+    bool start();
+    /// True when callers may be sent here.
+    bool isReady() const;
+    /// Tells the balancer to send no more callers, and hands planning over.
+    void beginStop();
+    /// True when nothing waits here any more.
+    bool isIdle() const;
+
+    const FleetConfiguration *configuration() const override;
+    void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitAnswer &)> done) override;
+    void query(const std::string &job, Millis budget, std::function<void(const QueryAnswer &)> done) override;
+    void cancel(const std::string &job, Millis budget, std::function<void(const QueryAnswer &)> done) override;
+    void pending(const QueuePolicy &queue, Millis budget, std::function<void(const PendingAnswer &)> done) override;
+
+private:
+    struct Question;
+    struct AdviceCall;
+
+    void tick();
+    void takeConfiguration(const std::vector<KeyedRecord> &records);
+    void takeLeadership(const std::vector<KeyedRecord> &records);
+    void claimWhenDue(TimePoint now);
+    void followLeader();
+    void beginPlanning();
+    void endPlanning(const std::string &why);
+    void takeMessage(const std::string &from, const PeerMessage &message);
+    void answerQuery(const std::string &from, const FleetQueryMessage &query);
+    void answerAdvice(const std::string &from, const FleetAdviceAskMessage &ask);
+    void answerStore(const std::string &from, const FleetStoreAskMessage &ask);
+    void ask(std::shared_ptr<Question> question);
+    void askAgain(TimePoint now);
+    void routeAdvice(const AdviceOrder &order, std::function<void(const AdviceAnswer &)> done);
+    void storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done);
+    bool isLinkedToLeader() const;
+
+    const FleetNodeSettings m_settings;
+    FleetPlatform m_platform;
+    EventLog &m_events;
+    Metrics &m_metrics;
+    PeerHub m_hub;
+    PlannerClaim m_claim;
+    TopicFollower m_operator;
+    TopicFollower m_leadership;
+    RecordWriter m_writer;
+    QTimer m_ticker;
+    std::optional<FleetConfiguration> m_configuration;
+    std::unique_ptr<PlannerHost> m_planner;
+    std::string m_dialled;
+    std::map<std::string, TimePoint> m_heardAt;
+    TimePoint m_nextBeatAt {};
+    std::uint64_t m_nextCall = 1;
+    std::map<std::uint64_t, std::shared_ptr<Question>> m_questions;
+    std::map<std::uint64_t, std::shared_ptr<AdviceCall>> m_adviceCalls;
+    bool m_isStopping = false;
+};
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "marjoramhaven/fleet/StateLog.h"
+
+namespace marjoramhaven {
+
+/// Follows one stream: loads the newest record of each key, then reads on for as long as it lives.
+///
+/// When the platform has dropped what would come next, it loads again and reports keys that are gone as dropped. Belongs to the thread that made it.
+class TopicFollower : public QObject
+{
+    Q_OBJECT
+
+public:
+    /// How long one read waits for a record at the log.
+    TopicFollower(StateLog &log, StateTopic topic, Millis wait, QObject *parent = nullptr);
+
+    /// Called for records in order; a record without a value drops its key. Also called without records when a read was answered.
+    std::function<void(const std::vector<KeyedRecord> &)> onRecords;
+    /// Called once for each change between answered and unanswered.
+    std::function<void(bool isReachable, const std::string &reason)> onReachable;
+
+    void start();
+    void stop();
+    /// Reads once more and calls back when everything up to this moment was handed on; false when the log did not answer.
+    void refresh(std::function<void(bool)> done);
+    /// True when everything that stood in the stream at the start was handed on.
+    bool isLoaded() const { return m_isLoaded; }
+    /// Where the next record will stand.
+    std::int64_t next() const { return m_next; }
+    /// How long the last load's first page took.
+    Millis lastDelay() const { return m_lastDelay; }
+    TimePoint lastAnswerAt() const { return m_lastAnswerAt; }
+
+private:
+    void loadPage(const std::string &afterKey);
+    void finishLoad();
+    void poll();
+    void takeRead(const ReadResult &result);
+    void retryLater(const std::string &reason);
+    void noteReachable(bool isReachable, const std::string &reason);
+    std::vector<KeyedRecord> newerOf(const std::vector<KeyedRecord> &records);
+
+    StateLog &m_log;
+    const StateTopic m_topic;
+    const Millis m_wait;
+    std::map<std::string, std::int64_t> m_offsets;
+    std::vector<KeyedRecord> m_page;
+    std::int64_t m_next = 0;
+    std::int64_t m_pageEnd = 0;
+    bool m_isLoaded = false;
+    bool m_isStopped = false;
+    bool m_isReachable = true;
+    int m_failures = 0;
+    Millis m_lastDelay {0};
+    TimePoint m_lastAnswerAt {};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace marjoramhaven
--- a/include/marjoramhaven/http/HttpServer.h
+++ b/include/marjoramhaven/http/HttpServer.h
@@ -4,6 +4,7 @@
 #include <QByteArray>
 #include <QHostAddress>
 #include <QJsonObject>
+#include <QList>
 #include <QPointer>
 #include <QTcpSocket>
 #include <QUrl>
@@ -28,6 +29,10 @@
     QUrl url;
     QByteArray body;
     std::string traceparent;
+    QList<std::pair<QByteArray, QByteArray>> headers;
+
+    /// The value of a header, whatever the case of its name; empty when there is none.
+    QByteArray header(const QByteArray &name) const;
 };
 
 /// The answer to one request.
--- a/include/marjoramhaven/wire/PeerHub.h
+++ b/include/marjoramhaven/wire/PeerHub.h
@@ -23,6 +23,8 @@
     std::string name;
     std::string host;
     int port = 0;
+    /// True when the peer dials this process too, so that one of the two leaves the first dial to the other.
+    bool dialsBack = true;
 };
 
 /// A peer with an open link.
@@ -44,6 +46,10 @@
     int listenOn(const std::string &host, int port);
     /// Names the peers to dial.
     void setPeers(std::vector<PeerAddress> peers);
+    /// Dials this peer and no other; links that others opened stay.
+    void dialOnly(PeerAddress peer);
+    /// Closes the link to a peer, if there is one; it is dialled again when it is known.
+    void closeLink(const std::string &peer);
     /// Dials what is not linked; call at least every 100 ms.
     void tick(TimePoint now);
     /// Sends to a peer; false when there is no open link.
--- a/include/marjoramhaven/wire/PeerMessage.h
+++ b/include/marjoramhaven/wire/PeerMessage.h
@@ -132,6 +132,96 @@
     }
 };
 
+/// Keeps a link of the fleet scheduler known to be alive; tells the fencing token of the planner that the sender knows.
+struct FleetBeatMessage {
+    std::int64_t fence = 0;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.fence);
+    }
+};
+
+/// Asks the planner for a job's state, or for the number of pending jobs of a queue when no job is named.
+struct FleetQueryMessage {
+    std::uint64_t call = 0;
+    std::string job;
+    std::string host;
+    std::string prefix;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.job, self.host, self.prefix);
+    }
+};
+
+/// The planner's answer; not leading when the asked process does not plan.
+struct FleetQueryAnswerMessage {
+    std::uint64_t call = 0;
+    bool isLeading = false;
+    bool isKnown = false;
+    std::string state;
+    std::int64_t pending = 0;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.isLeading, self.isKnown, self.state, self.pending);
+    }
+};
+
+/// Asks a process to ask the advisor.
+struct FleetAdviceAskMessage {
+    std::uint64_t call = 0;
+    std::string step;
+    std::vector<std::string> workers;
+    std::int64_t timeoutMs = 0;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.step, self.workers, self.timeoutMs);
+    }
+};
+
+/// The advisor's answer; the lists of workers and tickets go in step.
+struct FleetAdviceAnswerMessage {
+    std::uint64_t call = 0;
+    bool isAnswered = false;
+    bool isBusy = false;
+    std::vector<std::string> workers;
+    std::vector<std::string> tickets;
+    std::string reason;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.isAnswered, self.isBusy, self.workers, self.tickets, self.reason);
+    }
+};
+
+/// Asks a process that reaches the store to store a record of a job for one that doesn't.
+struct FleetStoreAskMessage {
+    std::uint64_t call = 0;
+    std::string key;
+    std::string value;
+    std::int64_t budgetMs = 0;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.key, self.value, self.budgetMs);
+    }
+};
+
+/// How that went, by the name of the verdict.
+struct FleetStoreAnswerMessage {
+    std::uint64_t call = 0;
+    std::string verdict;
+    std::string reason;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.call, self.verdict, self.reason);
+    }
+};
+
 using PeerMessage = std::variant<HelloMessage,
                                  BeatMessage,
                                  ShortAskMessage,
@@ -140,6 +230,13 @@
                                  ConfigurationAskMessage,
                                  ConfigurationNewsMessage,
                                  JobAskMessage,
-                                 JobAnswerMessage>;
+                                 JobAnswerMessage,
+                                 FleetBeatMessage,
+                                 FleetQueryMessage,
+                                 FleetQueryAnswerMessage,
+                                 FleetAdviceAskMessage,
+                                 FleetAdviceAnswerMessage,
+                                 FleetStoreAskMessage,
+                                 FleetStoreAnswerMessage>;
 
 } // namespace marjoramhaven
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -44,6 +44,7 @@
 {
     static const std::vector<Command> all {
         {"serve", "Run an entry process", "serve --settings entry.yaml", runServe},
+        {"node", "Run one process on the users' platform", "node", runNode},
         {"check", "Check a settings, configuration, patch or job file", "check --kind patch policy.yaml", runCheck},
         {"submit", "Submit a job or a short request", "submit sweep.yaml --id sweep-17", runSubmit},
         {"get", "Show a job", "get sweep-17", runGet},
--- a/src/cli/ServeCommands.cpp
+++ b/src/cli/ServeCommands.cpp
@@ -8,6 +8,7 @@
 
 #include "CommandLine.h"
 #include "DemoRun.h"
+#include "PlatformNode.h"
 #include "marjoramhaven/base/Json.h"
 #include "marjoramhaven/base/LastReason.h"
 #include "marjoramhaven/node/EntryNode.h"
@@ -61,6 +62,14 @@
 
 } // namespace
 
+ExitCode runNode(std::vector<std::string> arguments)
+{
+    TCLAP::CmdLine line("Runs one process on the users' platform until SIGTERM. MARJORAMHAVEN_NODE_FILE names its settings file.", ' ', MARJORAMHAVEN_VERSION);
+    line.setExceptionHandling(false);
+    line.parse(arguments);
+    return platform::runNode();
+}
+
 ExitCode runServe(std::vector<std::string> arguments)
 {
     TCLAP::CmdLine line("Runs an entry process until SIGTERM, then stops gracefully.", ' ', MARJORAMHAVEN_VERSION);
--- a/src/cli/ServeCommands.h
+++ b/src/cli/ServeCommands.h
@@ -7,8 +7,9 @@
 
 namespace marjoramhaven {
 
-// Subcommands that run until they are told to stop: serve and stand-in; and the demo.
+// Subcommands that run until they are told to stop: node, serve and stand-in; and the demo.
 
+ExitCode runNode(std::vector<std::string> arguments);
 ExitCode runServe(std::vector<std::string> arguments);
 ExitCode runStandIn(std::vector<std::string> arguments);
 ExitCode runDemo(std::vector<std::string> arguments);
--- /dev/null
+++ b/src/fleet/FleetPlanner.cpp
@@ -0,0 +1,321 @@
+#include "marjoramhaven/fleet/FleetPlanner.h"
+
+#include <algorithm>
+
+#include "FleetPlannerBatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+// Jobs stay known for longer than callers may ask, so that a late question finds its answer.
+constexpr Millis RetentionMargin {30000};
+
+} // namespace
+
+FleetPlanner::FleetPlanner(FleetPort &port, EventLog &events, PlannerLimits limits, std::int64_t fence, TimePoint now)
+    : m_port(port)
+    , m_events(events)
+    , m_limits(limits)
+    , m_fence(fence)
+    , m_openedAt(now)
+{
+}
+
+FleetPlanner::~FleetPlanner() = default;
+
+void FleetPlanner::restoreJob(FleetJobRequest request, std::int64_t nowUnixMs, TimePoint now)
+{
+    const auto age = std::clamp<std::int64_t>(nowUnixMs - request.acceptedUnixMs, 0, m_limits.statusRetention.count());
+    const auto id = request.id;
+    if (!m_jobs.contains(id)) {
+        m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now - Millis(age)));
+    }
+}
+
+void FleetPlanner::restoreRecord(const JobRecord &record, TimePoint now)
+{
+    auto *job = findJob(record.job);
+    if (job == nullptr) {
+        m_droppedRecords.push_back(record.job);
+        return;
+    }
+    job->restore(record);
+    job->endedAt = now;
+    for (const auto &row : record.tasks) {
+        for (const auto &it : row.runs) {
+            FleetRun run;
+            run.key = {{record.job, row.occurrence, row.step, row.index}, it.attempt};
+            run.worker = it.worker;
+            run.workerBornMs = it.workerBornMs;
+            run.state = RunState::Inherited;
+            run.since = now;
+            auto &worker = workerNamed(it.worker);
+            const auto &spec = job->spec(row.step);
+            worker.occupy(run.key, spec.needs, spec.isFiller);
+            m_runs.emplace(run.key, std::move(run));
+        }
+    }
+}
+
+void FleetPlanner::open(TimePoint now)
+{
+    m_isOpen = true;
+    m_openedAt = now;
+    for (auto &[id, job] : m_jobs) {
+        if (m_cancelledUnknown.erase(id) > 0 && !job->isEnded()) {
+            job->isCancelRequested = true;
+        }
+        m_activeJobs.insert(id);
+        if (job->isCancelRequested && !job->isEnded()) {
+            finishJob(*job, FleetJobState::Cancelled, "cancelled before the takeover", now);
+        }
+        releaseIfIdle(*job);
+    }
+    // Another planner may have granted leases until now.
+    constexpr double LeaseStretch = 1 / SlowestWorkerClock;
+    constexpr Millis LateGrant {1500};
+    const Millis longest(static_cast<std::int64_t>(static_cast<double>(m_limits.lease.count()) * LeaseStretch));
+    for (auto &[id, worker] : m_workers) {
+        worker.lease.assumeGrantedUntil(now + longest + LateGrant);
+    }
+    m_events.write("planner_open",
+                   {{"fence", m_fence},
+                    {"jobs", static_cast<std::int64_t>(m_jobs.size())},
+                    {"runs", static_cast<std::int64_t>(m_runs.size())},
+                    {"workers", static_cast<std::int64_t>(m_workers.size())}});
+}
+
+FleetJob *FleetPlanner::findJob(const std::string &job)
+{
+    const auto it = m_jobs.find(job);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+void FleetPlanner::markDirty(FleetJob &job)
+{
+    job.isDirty = true;
+    m_dirtyJobs.insert(job.id());
+}
+
+void FleetPlanner::jobAccepted(FleetJobRequest request, TimePoint now)
+{
+    const auto id = request.id;
+    if (m_jobs.contains(id)) {
+        return;
+    }
+    m_events.write("job_known", {{"id", id}, {"queue", request.queue.name}, {"steps", static_cast<std::int64_t>(request.steps.size())}});
+    auto &job = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now)).first->second;
+    m_activeJobs.insert(id);
+    if (m_cancelledUnknown.erase(id) > 0) {
+        jobCancelled(id, now);
+    }
+    if (job.request().repeatCount == 0) {
+        job.occurrence(0);
+    }
+}
+
+void FleetPlanner::jobCancelled(const std::string &id, TimePoint now)
+{
+    auto *job = findJob(id);
+    if (job == nullptr) {
+        m_cancelledUnknown.insert(id);
+        return;
+    }
+    if (!m_isOpen) {
+        job->isCancelRequested = true;
+        return;
+    }
+    if (!job->isEnded()) {
+        job->isCancelRequested = true;
+        finishJob(*job, FleetJobState::Cancelled, "cancelled by its caller", now);
+    }
+}
+
+void FleetPlanner::finishJob(FleetJob &job, FleetJobState state, const char *reason, TimePoint now)
+{
+    job.state = state;
+    job.endedAt = now;
+    markDirty(job);
+    m_events.write("job_ended",
+                   {{"id", job.id()},
+                    {"state", std::string(nameOf(state))},
+                    {"reason", std::string(reason)},
+                    {"age_ms", (now - job.acceptedAt()).count()},
+                    {"on_time_ms", (job.onTimeUntil() - job.acceptedAt()).count()}});
+    stopRunsOf(job, state == FleetJobState::Cancelled ? StopReason::Cancelled : StopReason::NotNeeded, now);
+    releaseIfIdle(job);
+}
+
+void FleetPlanner::settleJob(FleetJob &job, TimePoint now)
+{
+    if (!job.isEnded() && job.isWholeDone()) {
+        finishJob(job, FleetJobState::Completed, "all tasks done", now);
+    }
+}
+
+void FleetPlanner::releaseIfIdle(FleetJob &job)
+{
+    if (!job.isEnded()) {
+        return;
+    }
+    for (const auto &[number, occurrence] : job.occurrences()) {
+        for (const auto &step : occurrence.steps) {
+            for (const auto &task : step.tasks) {
+                if (!task.activeAttempts.empty()) {
+                    return;
+                }
+            }
+        }
+    }
+    for (const auto &[number, occurrence] : job.occurrences()) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            m_advice.forget(job.id() + "." + std::to_string(number) + "." + std::to_string(step));
+        }
+    }
+    job.releaseTasks();
+    m_activeJobs.erase(job.id());
+    markDirty(job);
+}
+
+void FleetPlanner::openOccurrences(FleetJob &job, std::int64_t nowUnixMs)
+{
+    const auto &request = job.request();
+    for (int k = static_cast<int>(job.occurrences().size()); k < request.repeatCount; ++k) {
+        const auto dueMs = request.firstDueUnixMs + k * request.repeatIntervalMs;
+        if (nowUnixMs < dueMs) {
+            return;
+        }
+        job.occurrence(k);
+    }
+}
+
+void FleetPlanner::configurationChanged(const FleetConfiguration &configuration)
+{
+    m_configuration = configuration;
+}
+
+const QueuePolicy &FleetPlanner::queueOf(const FleetJob &job) const
+{
+    const auto &own = job.request().queue;
+    const auto *current = m_configuration.find(own.host, own.prefix);
+    return current == nullptr ? own : *current;
+}
+
+void FleetPlanner::helperJoined(const std::string &helper)
+{
+    m_advice.addHelper(helper);
+}
+
+void FleetPlanner::helperLeft(const std::string &helper)
+{
+    m_advice.removeHelper(helper);
+}
+
+ProgressBatch FleetPlanner::takeBatch(TimePoint now)
+{
+    ProgressBatch out;
+    if (!hasNews()) {
+        return out;
+    }
+    out.number = ++m_batchNumber;
+    m_batch = std::make_unique<Batch>();
+    const auto placeOf = [this](const FleetTaskId &task, std::int64_t attempt) {
+        const auto *run = findRun({task, attempt});
+        return run == nullptr ? std::pair<std::string, std::int64_t>() : std::pair(run->worker, run->workerBornMs);
+    };
+    for (const auto &id : m_dirtyJobs) {
+        auto *job = findJob(id);
+        if (job == nullptr) {
+            continue;
+        }
+        job->isDirty = false;
+        out.records.push_back(job->record(placeOf));
+        m_batch->shown.emplace_back(id, job->state);
+    }
+    m_dirtyJobs.clear();
+    for (auto &[key, run] : m_runs) {
+        if (run.state == RunState::Intended) {
+            m_batch->starts.push_back(key);
+        }
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.seen > worker.acknowledged) {
+            m_batch->ends.push_back({id, worker.bornMs, worker.seen});
+        }
+    }
+    m_hasUnstoredEnds = false;
+    out.dropped = std::move(m_droppedRecords);
+    m_droppedRecords.clear();
+    if (out.isEmpty()) {
+        // Ends that change no job need no record; their workers may forget them at once.
+        batchStored(out.number, now);
+    }
+    return out;
+}
+
+void FleetPlanner::batchStored(std::int64_t number, TimePoint now)
+{
+    if (!m_batch || number != m_batchNumber) {
+        return;
+    }
+    const auto batch = std::move(m_batch);
+    for (const auto &[id, state] : batch->shown) {
+        auto *job = findJob(id);
+        if (job != nullptr) {
+            job->shownState = state;
+        }
+    }
+    for (const auto &it : batch->ends) {
+        auto &worker = workerNamed(it.worker);
+        if (worker.bornMs == it.bornMs && it.number > worker.acknowledged) {
+            worker.acknowledged = it.number;
+            worker.nextHoldAt = std::min(worker.nextHoldAt, now);
+        }
+    }
+    for (const auto &key : batch->starts) {
+        auto *run = findRun(key);
+        if (run != nullptr && run->state == RunState::Intended) {
+            sendStart(*run, now);
+        }
+    }
+}
+
+std::vector<std::string> FleetPlanner::takeExpiredJobs(TimePoint now)
+{
+    std::vector<std::string> out;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->isEnded() && !m_activeJobs.contains(id) && job->endedAt != TimePoint::max()
+            && now - job->endedAt > m_limits.statusRetention + RetentionMargin) {
+            job->endedAt = TimePoint::max();
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
+void FleetPlanner::jobDropped(const std::string &job)
+{
+    m_jobs.erase(job);
+    m_dirtyJobs.erase(job);
+    m_droppedRecords.push_back(job);
+}
+
+std::optional<FleetJobState> FleetPlanner::jobState(const std::string &job) const
+{
+    const auto it = m_jobs.find(job);
+    if (it == m_jobs.end()) {
+        return std::nullopt;
+    }
+    return it->second->shownState;
+}
+
+std::int64_t FleetPlanner::pendingOf(const std::string &host, const std::string &prefix) const
+{
+    return std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&](const std::string &id) {
+        const auto &job = *m_jobs.at(id);
+        return job.state == FleetJobState::Queued && job.request().queue.host == host && job.request().queue.prefix == prefix;
+    });
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -0,0 +1,278 @@
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+#include "FleetPlannerBatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+// Late completion still earns a part of the worth within this multiple of the time allowed.
+constexpr int LateFactor = 3;
+constexpr Millis UseUnlistedFor {2500};
+constexpr std::size_t MostAdvisedWorkers = 48;
+constexpr std::size_t MostAdvisedWhenSlow = 32;
+constexpr double SlowAdvicePerWorkerMs = 2;
+constexpr double AskBeyondNeed = 1.3;
+constexpr std::size_t AskAtLeast = 4;
+
+// Jobs that can still be on time come before those that can only be late, and those before jobs that earn nothing more.
+int lateness(const FleetJob &job, TimePoint now)
+{
+    if (now <= job.onTimeUntil()) {
+        return 0;
+    }
+    const auto allowed = job.onTimeUntil() - job.acceptedAt();
+    return now <= job.acceptedAt() + allowed * LateFactor ? 1 : 2;
+}
+
+TaskNeeds countedNeeds(const StepSpec &spec)
+{
+    auto out = spec.needs;
+    if (spec.isFiller) {
+        out.cpuMilli = 0;
+    }
+    return out;
+}
+
+} // namespace
+
+std::vector<FleetPlanner::OpenStep> FleetPlanner::openSteps(TimePoint now)
+{
+    std::vector<OpenStep> out;
+    for (const auto &id : m_activeJobs) {
+        auto &job = *m_jobs.at(id);
+        if (job.isEnded()) {
+            continue;
+        }
+        for (auto &[number, occurrence] : job.occurrences()) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                auto &step = occurrence.steps[i];
+                const auto &spec = job.spec(static_cast<int>(i));
+                if (step.isDone() || !occurrence.isReady(spec)) {
+                    continue;
+                }
+                OpenStep open {&job, number, static_cast<int>(i), &step, &spec, {}};
+                for (auto &task : step.tasks) {
+                    if (task.isWaiting(now)) {
+                        open.waiting.push_back(&task);
+                    }
+                }
+                // A gang starts only when none of its members is left from before.
+                const bool isHeldBack = spec.isGang && open.waiting.size() != step.tasks.size();
+                if (!open.waiting.empty() && !isHeldBack) {
+                    out.push_back(std::move(open));
+                }
+            }
+        }
+    }
+    return out;
+}
+
+void FleetPlanner::plan(TimePoint now)
+{
+    if (!m_isOpen) {
+        return;
+    }
+    auto open = openSteps(now);
+    const auto rank = [now](const OpenStep &it) {
+        const auto late = lateness(*it.job, now);
+        const auto priority = it.job->request().queue.priority;
+        return std::tuple(late == 2, priority, late, it.job->onTimeUntil(), it.job->id());
+    };
+    std::sort(open.begin(), open.end(), [&](const OpenStep &a, const OpenStep &b) {
+        return rank(a) < rank(b);
+    });
+    for (auto &it : open) {
+        placeStep(it, now);
+    }
+}
+
+bool FleetPlanner::isUsable(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec, TimePoint now) const
+{
+    const bool isListed = worker.isListed || (worker.unlistedSince != TimePoint {} && now - worker.unlistedSince < UseUnlistedFor);
+    return isListed && worker.isInventoried && worker.failedHolds == 0 && !worker.report.isDraining && worker.avoidUntil <= now
+        && worker.bornMs == worker.report.bornMs && worker.report.service == queueOf(job).service
+        && (spec.requiredLabel.empty() || worker.hasLabel(spec.requiredLabel));
+}
+
+void FleetPlanner::placeStep(OpenStep &open, TimePoint now)
+{
+    const auto needs = countedNeeds(*open.spec);
+    std::vector<FleetWorker *> candidates;
+    for (auto &[id, worker] : m_workers) {
+        if (isUsable(worker, *open.job, *open.spec, now) && worker.hasRoomFor(needs)) {
+            candidates.push_back(&worker);
+        }
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    const auto &queue = queueOf(*open.job);
+    auto ready = candidates;
+    if (queue.needsAdvice) {
+        const auto name = open.name();
+        std::erase_if(ready, [&](const FleetWorker *it) {
+            return m_advice.verdict(name, it->report.id, it->bornMs, now) != AdviceBook::Verdict::Allowed;
+        });
+    }
+    const auto waitingBefore = open.waiting.size();
+    if (open.spec->isGang) {
+        placeGang(open, ready, now);
+    } else {
+        placeTasks(open, ready, now);
+    }
+    if (queue.needsAdvice && !open.waiting.empty()) {
+        seekAdvice(open, candidates, open.spec->isGang ? waitingBefore : open.waiting.size(), now);
+    }
+}
+
+std::map<std::string, int> FleetPlanner::runsPerWorker(const FleetStep &step) const
+{
+    std::map<std::string, int> out;
+    for (const auto &task : step.tasks) {
+        for (const auto attempt : task.activeAttempts) {
+            const auto it = m_runs.find({task.id, attempt});
+            if (it != m_runs.end()) {
+                ++out[it->second.worker];
+            }
+        }
+    }
+    return out;
+}
+
+FleetWorker *
+FleetPlanner::choose(const OpenStep &open, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker)
+{
+    const auto &spec = *open.spec;
+    const auto needs = countedNeeds(spec);
+    FleetWorker *best = nullptr;
+    std::tuple<bool, bool, std::int64_t> bestRank;
+    for (auto *it : candidates) {
+        if (!it->hasRoomFor(needs) || (spec.maxPerWorker > 0 && perWorker[it->report.id] >= spec.maxPerWorker)) {
+            continue;
+        }
+        const bool hasFailed = task.failedOn.contains(it->report.id);
+        const bool isFar = !spec.preferredRack.empty() && !it->hasLabel(spec.preferredRack);
+        const auto left = it->report.capacity.cpuMilli - it->used.cpuMilli - needs.cpuMilli;
+        // The tightest fit keeps large gaps for large tasks; fillers go where most is left over.
+        const std::tuple rank(hasFailed, isFar, spec.isFiller ? -left : left);
+        if (best == nullptr || rank < bestRank) {
+            best = it;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+void FleetPlanner::placeTasks(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now)
+{
+    if (candidates.empty()) {
+        return;
+    }
+    auto perWorker = runsPerWorker(*open.step);
+    std::vector<FleetTask *> left;
+    for (auto *task : open.waiting) {
+        auto *worker = choose(open, *task, candidates, perWorker);
+        if (worker == nullptr) {
+            left.push_back(task);
+            continue;
+        }
+        auto &run = createRun(*open.job, *task, *worker, task->lastAttempt + 1, now);
+        run.ticket = m_advice.ticket(open.name(), worker->report.id);
+        ++perWorker[worker->report.id];
+    }
+    open.waiting = std::move(left);
+}
+
+void FleetPlanner::placeGang(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now)
+{
+    auto perWorker = runsPerWorker(*open.step);
+    std::int64_t attempt = 0;
+    for (const auto *task : open.waiting) {
+        attempt = std::max(attempt, task->lastAttempt + 1);
+    }
+    std::vector<std::pair<RunKey, FleetWorker *>> placed;
+    for (auto *task : open.waiting) {
+        auto *worker = choose(open, *task, candidates, perWorker);
+        if (worker == nullptr) {
+            break;
+        }
+        placed.emplace_back(RunKey {task->id, attempt}, worker);
+        worker->occupy(placed.back().first, open.spec->needs, open.spec->isFiller);
+        ++perWorker[worker->report.id];
+    }
+    for (const auto &[key, worker] : placed) {
+        worker->vacate(key);
+    }
+    if (placed.size() != open.waiting.size()) {
+        return;
+    }
+    for (std::size_t i = 0; i < placed.size(); ++i) {
+        auto *worker = placed[i].second;
+        auto &run = createRun(*open.job, *open.waiting[i], *worker, attempt, now);
+        run.ticket = m_advice.ticket(open.name(), worker->report.id);
+    }
+    open.waiting.clear();
+}
+
+void FleetPlanner::seekAdvice(OpenStep &open, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now)
+{
+    const auto name = open.name();
+    if (m_advice.isBusy(name, now)) {
+        return;
+    }
+    const auto &queue = queueOf(*open.job);
+    const auto perWorker = runsPerWorker(*open.step);
+    std::vector<FleetWorker *> expired;
+    std::vector<FleetWorker *> unknown;
+    for (auto *it : candidates) {
+        const auto count = perWorker.find(it->report.id);
+        if (open.spec->maxPerWorker > 0 && count != perWorker.end() && count->second >= open.spec->maxPerWorker) {
+            continue;
+        }
+        const auto verdict = m_advice.verdict(name, it->report.id, it->bornMs, now);
+        if (verdict == AdviceBook::Verdict::Expired) {
+            expired.push_back(it);
+        } else if (verdict == AdviceBook::Verdict::Unknown) {
+            unknown.push_back(it);
+        }
+    }
+    const auto roomFirst = [](const FleetWorker *a, const FleetWorker *b) {
+        return a->report.capacity.cpuMilli - a->used.cpuMilli > b->report.capacity.cpuMilli - b->used.cpuMilli;
+    };
+    std::sort(expired.begin(), expired.end(), roomFirst);
+    std::sort(unknown.begin(), unknown.end(), roomFirst);
+    const auto most = queue.advicePerWorkerMs > SlowAdvicePerWorkerMs ? MostAdvisedWhenSlow : MostAdvisedWorkers;
+    const auto share = m_advice.allowedShare(queue.name);
+    const auto need = static_cast<double>(wanted) * AskBeyondNeed;
+    const auto known = static_cast<double>(expired.size());
+    const auto more = need > known ? static_cast<std::size_t>(std::ceil((need - known) / share)) + AskAtLeast : 0;
+    std::vector<std::pair<std::string, std::int64_t>> ask;
+    for (std::size_t i = 0; i < expired.size() && ask.size() < std::min(most, static_cast<std::size_t>(std::ceil(need))); ++i) {
+        ask.emplace_back(expired[i]->report.id, expired[i]->bornMs);
+    }
+    for (std::size_t i = 0; i < unknown.size() && i < more && ask.size() < most; ++i) {
+        ask.emplace_back(unknown[i]->report.id, unknown[i]->bornMs);
+    }
+    const auto order = m_advice.order(name, queue, ask, now);
+    if (order) {
+        m_port.askAdvice(*order);
+    }
+}
+
+void FleetPlanner::adviceAnswered(const AdviceOrder &order, const AdviceAnswer &answer, TimePoint now)
+{
+    m_events.write("advice",
+                   {{"step", order.step},
+                    {"helper", order.helper},
+                    {"asked", static_cast<std::int64_t>(order.workers.size())},
+                    {"allowed", static_cast<std::int64_t>(answer.allowed.size())},
+                    {"answered", static_cast<std::int64_t>(answer.isAnswered)},
+                    {"reason", answer.reason}});
+    m_advice.answered(order.helper, order.step, answer, now);
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -0,0 +1,354 @@
+#include <algorithm>
+
+#include "FleetPlannerBatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis StartTimeout {600};
+constexpr Millis StopTimeout {600};
+constexpr Millis RetryStopAfter {150};
+constexpr Millis PauseAfterRefusal {50};
+constexpr Millis AvoidAfterRefusal {400};
+constexpr Millis AvoidAfterSilence {1500};
+// A worker that fails the runs of this many jobs, and does none in between, is left alone for a while.
+constexpr std::size_t FailedJobsToAvoid = 2;
+constexpr Millis AvoidAfterFailures {4000};
+
+} // namespace
+
+FleetRun *FleetPlanner::findRun(const RunKey &key)
+{
+    const auto it = m_runs.find(key);
+    return it == m_runs.end() ? nullptr : &it->second;
+}
+
+FleetRun &FleetPlanner::createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now)
+{
+    FleetRun run;
+    run.key = {task.id, attempt};
+    run.worker = worker.report.id;
+    run.workerBornMs = worker.bornMs;
+    run.since = now;
+    run.percentChangedAt = now;
+    run.checkpoint = task.checkpoint;
+    task.lastAttempt = attempt;
+    task.activeAttempts.push_back(attempt);
+    const auto &spec = job.spec(task.id.step);
+    worker.occupy(run.key, spec.needs, spec.isFiller);
+    if (job.state == FleetJobState::Queued) {
+        job.state = FleetJobState::Running;
+    }
+    markDirty(job);
+    return m_runs.emplace(run.key, std::move(run)).first->second;
+}
+
+void FleetPlanner::sendStart(FleetRun &run, TimePoint now)
+{
+    auto *job = findJob(run.key.task.job);
+    auto &worker = workerNamed(run.worker);
+    if (job == nullptr || job->isEnded() || worker.bornMs != run.workerBornMs) {
+        runNeverStarted(RunKey(run.key), "its worker or its job has gone meanwhile", Millis(0), now);
+        return;
+    }
+    run.state = RunState::Starting;
+    run.since = now;
+    StartOrder order;
+    order.worker = worker.target();
+    order.task = run.key.task;
+    order.attempt = run.key.attempt;
+    order.payload = job->request().payload;
+    order.leaseUntilMs = worker.lease.grant(m_limits.lease, now);
+    order.fence = m_fence;
+    order.checkpoint = run.checkpoint;
+    order.ticket = run.ticket;
+    m_port.sendStart(order, StartTimeout);
+}
+
+void FleetPlanner::startAnswered(const StartOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    const RunKey key {order.task, order.attempt};
+    auto *run = findRun(key);
+    auto &worker = workerNamed(order.worker.id);
+    if (answer.workerClockMs > 0 && run != nullptr && worker.bornMs == run->workerBornMs) {
+        worker.lease.observe(answer.workerClockMs, now);
+    }
+    if (answer.outcome != OrderOutcome::Done) {
+        m_events.write("start_refused",
+                       {{"task", order.task.toString()},
+                        {"attempt", order.attempt},
+                        {"worker", order.worker.id},
+                        {"outcome", std::string(nameOf(answer.outcome))},
+                        {"reason", answer.reason}});
+    }
+    if (run == nullptr || run->state != RunState::Starting) {
+        return;
+    }
+    switch (answer.outcome) {
+    case OrderOutcome::Done:
+        run->state = RunState::Running;
+        run->since = now;
+        run->percentChangedAt = now;
+        return;
+    case OrderOutcome::Unknown:
+        run->state = RunState::Doubtful;
+        run->since = now;
+        worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
+        worker.nextHoldAt = std::min(worker.nextHoldAt, now);
+        return;
+    case OrderOutcome::Fenced:
+        m_port.fenced(order.worker.id);
+        runNeverStarted(key, "fenced", PauseAfterRefusal, now);
+        return;
+    case OrderOutcome::NoTicket:
+        m_advice.rejectTicket(order.task.job + "." + std::to_string(order.task.occurrence) + "." + std::to_string(order.task.step), order.worker.id);
+        runNeverStarted(key, "no ticket", Millis(0), now);
+        return;
+    case OrderOutcome::OtherIncarnation:
+        worker.isInventoried = false;
+        worker.nextHoldAt = now;
+        runNeverStarted(key, "another incarnation", Millis(0), now);
+        return;
+    case OrderOutcome::Unsent:
+        worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterSilence);
+        worker.nextHoldAt = std::min(worker.nextHoldAt, now);
+        runNeverStarted(key, "unsent", Millis(0), now);
+        return;
+    case OrderOutcome::Stale:
+    case OrderOutcome::Late:
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::Unhealthy:
+    case OrderOutcome::Invalid:
+        worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
+        runNeverStarted(key, "refused", PauseAfterRefusal, now);
+        return;
+    }
+}
+
+void FleetPlanner::runNeverStarted(const RunKey &key, const char *reason, Millis pause, TimePoint now)
+{
+    auto *job = findJob(key.task.job);
+    auto *task = job == nullptr ? nullptr : job->find(key.task);
+    removeRun(key);
+    if (task == nullptr) {
+        return;
+    }
+    m_events.write("run_not_started", {{"task", key.task.toString()}, {"attempt", key.attempt}, {"reason", std::string(reason)}});
+    task->notBefore = std::max(task->notBefore, now + pause);
+    markDirty(*job);
+    if (job->spec(key.task.step).isGang) {
+        breakGang(*job, *job->findStep(key.task.occurrence, key.task.step), now);
+    }
+    releaseIfIdle(*job);
+}
+
+void FleetPlanner::removeRun(const RunKey &key)
+{
+    const auto it = m_runs.find(key);
+    if (it == m_runs.end()) {
+        return;
+    }
+    workerNamed(it->second.worker).vacate(key);
+    auto *job = findJob(key.task.job);
+    auto *task = job == nullptr ? nullptr : job->find(key.task);
+    if (task != nullptr) {
+        std::erase(task->activeAttempts, key.attempt);
+    }
+    m_runs.erase(it);
+}
+
+void FleetPlanner::requestStop(FleetRun &run, StopReason reason, TimePoint now)
+{
+    if (run.stopReason == StopReason::None) {
+        run.stopReason = reason;
+        m_events.write("run_stop",
+                       {{"task", run.key.task.toString()},
+                        {"attempt", run.key.attempt},
+                        {"worker", run.worker},
+                        {"reason", std::string(nameOf(reason))},
+                        {"percent", static_cast<std::int64_t>(run.percent)}});
+    }
+    if (run.state == RunState::Intended) {
+        runNeverStarted(RunKey(run.key), "stopped before it was sent", Millis(0), now);
+        return;
+    }
+    trySendStop(run, now);
+}
+
+void FleetPlanner::trySendStop(FleetRun &run, TimePoint now)
+{
+    // A start on its way is stopped once it was answered, so that the stop can't overtake it.
+    if (run.state == RunState::Starting || run.isStopInFlight || run.isStopAnswered || now < run.nextStopAt) {
+        return;
+    }
+    run.isStopInFlight = true;
+    m_port.sendStop({workerNamed(run.worker).target(), run.key.task, run.key.attempt, m_fence}, StopTimeout);
+}
+
+void FleetPlanner::stopAnswered(const StopOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    const RunKey key {order.task, order.attempt};
+    auto *run = findRun(key);
+    if (run == nullptr) {
+        return;
+    }
+    run->isStopInFlight = false;
+    auto &worker = workerNamed(run->worker);
+    if (answer.outcome == OrderOutcome::Done) {
+        run->isStopAnswered = true;
+        run->stopAnsweredAt = now;
+        worker.nextHoldAt = std::min(worker.nextHoldAt, now);
+        return;
+    }
+    if (answer.outcome == OrderOutcome::Fenced) {
+        m_port.fenced(order.worker.id);
+    }
+    run->nextStopAt = now + RetryStopAfter;
+}
+
+void FleetPlanner::stopRunsOf(FleetJob &job, StopReason reason, TimePoint now)
+{
+    std::vector<RunKey> keys;
+    for (const auto &[number, occurrence] : job.occurrences()) {
+        for (const auto &step : occurrence.steps) {
+            for (const auto &task : step.tasks) {
+                for (const auto attempt : task.activeAttempts) {
+                    keys.push_back({task.id, attempt});
+                }
+            }
+        }
+    }
+    for (const auto &key : keys) {
+        auto *run = findRun(key);
+        if (run != nullptr) {
+            requestStop(*run, reason, now);
+        }
+    }
+}
+
+void FleetPlanner::breakGang(FleetJob &job, FleetStep &step, TimePoint now)
+{
+    std::vector<RunKey> keys;
+    for (const auto &task : step.tasks) {
+        for (const auto attempt : task.activeAttempts) {
+            keys.push_back({task.id, attempt});
+        }
+    }
+    for (const auto &key : keys) {
+        auto *run = findRun(key);
+        if (run != nullptr && run->stopReason == StopReason::None) {
+            requestStop(*run, job.isEnded() ? StopReason::NotNeeded : StopReason::GangBroken, now);
+        }
+    }
+}
+
+void FleetPlanner::endRun(const RunKey &key, RunEnd end, const std::string &checkpoint, const std::string &worker, TimePoint now)
+{
+    auto *job = findJob(key.task.job);
+    auto *run = findRun(key);
+    const bool isKnown = run != nullptr && run->worker == worker;
+    m_events.write("run_ended",
+                   {{"task", key.task.toString()},
+                    {"attempt", key.attempt},
+                    {"worker", worker},
+                    {"end", std::string(nameOf(end))},
+                    {"ran_ms", isKnown ? (now - run->since).count() : std::int64_t(-1)}});
+    if (isKnown) {
+        removeRun(key);
+    }
+    auto *task = job == nullptr ? nullptr : job->find(key.task);
+    if (task == nullptr) {
+        return;
+    }
+    auto &step = *job->findStep(key.task.occurrence, key.task.step);
+    const auto &spec = job->spec(key.task.step);
+    markDirty(*job);
+    if (!checkpoint.empty() && !task->isDone) {
+        task->checkpoint = checkpoint;
+        if (spec.isGang) {
+            for (auto &it : step.tasks) {
+                it.checkpoint = checkpoint;
+            }
+        }
+    }
+    if (end == RunEnd::Done && !spec.isLasting) {
+        workerNamed(worker).recentFailures.clear();
+        if (spec.isGang) {
+            for (auto &it : step.tasks) {
+                taskDone(*job, it, now);
+            }
+        } else {
+            taskDone(*job, *task, now);
+        }
+        settleJob(*job, now);
+    } else if (end == RunEnd::Failed) {
+        taskFailed(*job, *task, key.attempt, worker, now);
+    }
+    if (spec.isGang && !step.isDone() && isKnown) {
+        breakGang(*job, step, now);
+    }
+    releaseIfIdle(*job);
+}
+
+void FleetPlanner::taskDone(FleetJob &job, FleetTask &task, TimePoint now)
+{
+    if (task.isDone) {
+        return;
+    }
+    task.isDone = true;
+    task.checkpoint.clear();
+    auto &step = *job.findStep(task.id.occurrence, task.id.step);
+    ++step.doneCount;
+    const auto attempts = task.activeAttempts;
+    for (const auto attempt : attempts) {
+        auto *run = findRun({task.id, attempt});
+        // The other members of a gang end by themselves.
+        if (run != nullptr && !job.spec(task.id.step).isGang) {
+            requestStop(*run, StopReason::NotNeeded, now);
+        }
+    }
+    if (step.isDone()) {
+        m_advice.forget(job.id() + "." + std::to_string(task.id.occurrence) + "." + std::to_string(task.id.step));
+    }
+}
+
+void FleetPlanner::taskFailed(FleetJob &job, FleetTask &task, std::int64_t attempt, const std::string &workerId, TimePoint now)
+{
+    auto &worker = workerNamed(workerId);
+    const bool isNewJob = std::none_of(worker.recentFailures.begin(), worker.recentFailures.end(), [&](const auto &it) {
+        return it.second == job.id();
+    });
+    if (isNewJob) {
+        worker.recentFailures.emplace_back(now, job.id());
+    }
+    if (worker.recentFailures.size() >= FailedJobsToAvoid && worker.avoidUntil < now) {
+        worker.avoidUntil = now + AvoidAfterFailures;
+        m_events.write("worker_avoided", {{"worker", workerId}, {"failed_jobs", static_cast<std::int64_t>(worker.recentFailures.size())}});
+    }
+    if (task.isDone || job.isEnded()) {
+        return;
+    }
+    task.failedOn.insert(workerId);
+    const auto &spec = job.spec(task.id.step);
+    if (spec.isLasting) {
+        return;
+    }
+    auto &step = *job.findStep(task.id.occurrence, task.id.step);
+    if (spec.isGang) {
+        if (attempt <= step.countedGangAttempt) {
+            return;
+        }
+        step.countedGangAttempt = attempt;
+        for (auto &it : step.tasks) {
+            ++it.failures;
+        }
+    } else {
+        ++task.failures;
+    }
+    if (task.failures >= queueOf(job).maxAttempts) {
+        finishJob(job, FleetJobState::Failed, "a task failed too often", now);
+    }
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -0,0 +1,461 @@
+#include <algorithm>
+
+#include "FleetPlannerBatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+// A hold's answer may take this much longer than the wait that it asks for.
+constexpr Millis HoldSlack {700};
+constexpr Millis HoldRetry {100};
+// Ends that come close together are fetched by one call.
+constexpr Millis HoldGap {20};
+constexpr Millis HoldWhileStoring {300};
+constexpr int FailedHoldsToSuspect = 1;
+// Entries that lapsed while the store was away come back within this time of its return.
+constexpr Millis ForgetUnlistedAfter {8000};
+// A task whose progress stands still for this long is stopped; longer for tasks that take long.
+constexpr Millis StuckAfter {2500};
+constexpr double StuckShareOfEstimate = 0.35;
+constexpr Millis PercentSteps {100};
+constexpr Millis FailureMemory {10000};
+// A worker that leaves keeps this much time to report the ends of what is stopped.
+constexpr Millis LeaveMargin {800};
+constexpr Millis PaceTimeout {600};
+constexpr Millis PaceInterval {700};
+constexpr double PaceDownAt = 0.9;
+constexpr double PaceUpBelow = 0.6;
+constexpr int PaceStep = 25;
+constexpr int FullPace = 100;
+
+} // namespace
+
+FleetWorker &FleetPlanner::workerNamed(const std::string &id)
+{
+    auto &out = m_workers[id];
+    if (out.report.id.empty()) {
+        out.report.id = id;
+    }
+    return out;
+}
+
+void FleetPlanner::workerReported(const WorkerReport &report, TimePoint now)
+{
+    auto &worker = workerNamed(report.id);
+    const bool wasDraining = worker.report.isDraining && worker.isListed;
+    const bool isNew = worker.report.host.empty();
+    if (worker.bornMs != 0 && report.bornMs > worker.bornMs) {
+        m_events.write("worker_reborn", {{"worker", report.id}, {"born_ms", report.bornMs}, {"was_born_ms", worker.bornMs}});
+        workerReborn(worker, report.bornMs, now);
+    }
+    worker.report = report;
+    worker.isListed = true;
+    if (report.isDraining && !wasDraining) {
+        worker.drainingSince = now;
+        m_events.write("worker_draining", {{"worker", report.id}, {"remaining_ms", report.remainingMs}});
+    }
+    if (isNew) {
+        worker.nextHoldAt = now;
+        m_events.write("worker_listed", {{"worker", report.id}, {"zone", report.zone}, {"cpu", report.capacity.cpuMilli}});
+    }
+}
+
+void FleetPlanner::workerUnlisted(const std::string &id, TimePoint now)
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || !it->second.isListed) {
+        return;
+    }
+    it->second.isListed = false;
+    it->second.unlistedSince = now;
+    m_events.write("worker_unlisted", {{"worker", id}, {"runs", static_cast<std::int64_t>(it->second.occupied.size())}});
+}
+
+void FleetPlanner::workerReborn(FleetWorker &worker, std::int64_t bornMs, TimePoint now)
+{
+    loseRunsOf(worker, "worker started anew", now);
+    worker.bornMs = bornMs;
+    worker.lease.reset();
+    worker.acknowledged = 0;
+    worker.seen = 0;
+    worker.isInventoried = false;
+    worker.nextHoldAt = now;
+    worker.recentFailures.clear();
+}
+
+void FleetPlanner::loseRunsOf(FleetWorker &worker, const char *reason, TimePoint now)
+{
+    std::vector<RunKey> keys;
+    for (const auto &[key, needs] : worker.occupied) {
+        keys.push_back(key);
+    }
+    for (const auto &key : keys) {
+        auto *run = findRun(key);
+        if (run == nullptr) {
+            worker.vacate(key);
+            continue;
+        }
+        m_events.write("run_lost",
+                       {{"task", key.task.toString()}, {"attempt", key.attempt}, {"worker", worker.report.id}, {"reason", std::string(reason)}});
+        const auto checkpoint = run->checkpoint;
+        endRun(key, RunEnd::Lapsed, checkpoint, worker.report.id, now);
+    }
+}
+
+void FleetPlanner::sendHoldIfDue(FleetWorker &worker, TimePoint now)
+{
+    if (worker.isHoldInFlight || now < worker.nextHoldAt || worker.report.host.empty()) {
+        return;
+    }
+    HoldOrder order;
+    order.worker = worker.target();
+    order.fence = m_fence;
+    order.acknowledged = worker.acknowledged;
+    const bool hasLease = worker.isInventoried;
+    order.leaseUntilMs = hasLease ? worker.lease.grant(m_limits.lease, now) : 0;
+    const bool isSettled = hasLease && worker.seen == worker.acknowledged && worker.failedHolds == 0;
+    order.wait = isSettled ? m_limits.holdWait : Millis(0);
+    worker.isHoldInFlight = true;
+    m_port.sendHold(order, order.wait + HoldSlack);
+}
+
+void FleetPlanner::holdAnswered(const HoldOrder &order, const HoldAnswer &answer, TimePoint sentAt, TimePoint now)
+{
+    const auto it = m_workers.find(order.worker.id);
+    if (it == m_workers.end()) {
+        return;
+    }
+    auto &worker = it->second;
+    worker.isHoldInFlight = false;
+    if (answer.outcome == OrderOutcome::Fenced) {
+        m_port.fenced(order.worker.id);
+        worker.nextHoldAt = now + HoldRetry;
+        return;
+    }
+    if (answer.outcome == OrderOutcome::OtherIncarnation) {
+        // Another worker answers at this address: the one that was known has gone.
+        m_events.write("worker_replaced", {{"worker", order.worker.id}});
+        workerReborn(worker, 0, now);
+        worker.nextHoldAt = now + Millis(10 * HoldRetry.count());
+        return;
+    }
+    if (answer.outcome != OrderOutcome::Done) {
+        ++worker.failedHolds;
+        worker.nextHoldAt = now + HoldRetry;
+        if (worker.failedHolds == FailedHoldsToSuspect) {
+            m_events.write("worker_suspected", {{"worker", order.worker.id}, {"reason", answer.reason}, {"outcome", std::string(nameOf(answer.outcome))}});
+        }
+        return;
+    }
+    if (worker.failedHolds >= FailedHoldsToSuspect) {
+        m_events.write("worker_answers", {{"worker", order.worker.id}, {"failed_holds", static_cast<std::int64_t>(worker.failedHolds)}});
+    }
+    worker.failedHolds = 0;
+    worker.lastAnswerAt = now;
+    if (worker.bornMs != 0 && answer.bornMs != 0 && answer.bornMs != worker.bornMs) {
+        if (answer.bornMs < worker.bornMs) {
+            worker.nextHoldAt = now + HoldRetry;
+            return;
+        }
+        workerReborn(worker, answer.bornMs, now);
+    }
+    if (worker.bornMs == 0) {
+        worker.bornMs = answer.bornMs;
+    }
+    worker.lease.observe(answer.workerClockMs, now);
+    matchRuns(worker, answer, sentAt, now);
+    if (!worker.isInventoried) {
+        worker.isInventoried = true;
+        m_events.write("worker_inventory",
+                       {{"worker", order.worker.id},
+                        {"running", static_cast<std::int64_t>(answer.running.size())},
+                        {"ended", static_cast<std::int64_t>(answer.ended.size())}});
+    }
+    paceFillers(worker, now);
+    worker.nextHoldAt = worker.seen > worker.acknowledged ? now + HoldWhileStoring : now + HoldGap;
+}
+
+void FleetPlanner::matchRuns(FleetWorker &worker, const HoldAnswer &answer, TimePoint sentAt, TimePoint now)
+{
+    std::set<RunKey> listed;
+    for (const auto &row : answer.running) {
+        listed.insert({row.task, row.attempt});
+        noteRunning(worker, row, now);
+    }
+    const auto seenBefore = worker.seen;
+    for (const auto &row : answer.ended) {
+        listed.insert({row.task, row.attempt});
+        if (row.number > seenBefore) {
+            worker.seen = std::max(worker.seen, row.number);
+            m_hasUnstoredEnds = true;
+            endRun({row.task, row.attempt}, row.end, row.checkpoint, worker.report.id, now);
+        }
+    }
+    std::vector<RunKey> absent;
+    for (const auto &[key, needs] : worker.occupied) {
+        if (!listed.contains(key)) {
+            absent.push_back(key);
+        }
+    }
+    for (const auto &key : absent) {
+        auto *run = findRun(key);
+        if (run == nullptr) {
+            worker.vacate(key);
+        } else {
+            noteAbsent(worker, *run, sentAt, now);
+        }
+    }
+}
+
+void FleetPlanner::noteRunning(FleetWorker &worker, const RunningRow &row, TimePoint now)
+{
+    const RunKey key {row.task, row.attempt};
+    auto *job = findJob(row.task.job);
+    auto *task = job == nullptr ? nullptr : job->find(row.task);
+    auto *run = findRun(key);
+    if (run == nullptr) {
+        // Nobody wants it any more, but it takes room until it has ended.
+        FleetRun foreign;
+        foreign.key = key;
+        foreign.worker = worker.report.id;
+        foreign.workerBornMs = worker.bornMs;
+        foreign.state = RunState::Running;
+        foreign.since = now;
+        const bool isKnownStep = job != nullptr && row.task.step >= 0 && row.task.step < static_cast<int>(job->request().steps.size());
+        const auto needs = isKnownStep ? job->spec(row.task.step).needs : worker.report.capacity;
+        worker.occupy(key, needs, isKnownStep && job->spec(row.task.step).isFiller);
+        run = &m_runs.emplace(key, std::move(foreign)).first->second;
+        if (task != nullptr) {
+            task->activeAttempts.push_back(row.attempt);
+            task->lastAttempt = std::max(task->lastAttempt, row.attempt);
+        }
+        requestStop(*run, StopReason::Foreign, now);
+        run = findRun(key);
+        if (run == nullptr) {
+            return;
+        }
+    }
+    if (run->worker != worker.report.id) {
+        return;
+    }
+    if (run->state == RunState::Inherited || run->state == RunState::Doubtful) {
+        run->state = RunState::Running;
+        run->since = now;
+        run->percentChangedAt = now;
+    }
+    if (row.percent != run->percent) {
+        run->percent = row.percent;
+        run->percentChangedAt = now;
+    }
+    run->usage = row.usage;
+    if (!row.checkpoint.empty()) {
+        run->checkpoint = row.checkpoint;
+    }
+    const bool isUnwanted = job == nullptr || job->isEnded() || task == nullptr || task->isDone;
+    if (isUnwanted && run->stopReason == StopReason::None && (task == nullptr || !job->spec(row.task.step).isGang)) {
+        requestStop(*run, StopReason::NotNeeded, now);
+    }
+}
+
+void FleetPlanner::noteAbsent(FleetWorker &worker, FleetRun &run, TimePoint sentAt, TimePoint now)
+{
+    const RunKey key = run.key;
+    switch (run.state) {
+    case RunState::Intended:
+    case RunState::Starting:
+        return;
+    case RunState::Inherited:
+        // The worker now follows this planner's token, so the old planner's start can't take effect any more.
+        runNeverStarted(key, "its worker does not know it", Millis(0), now);
+        return;
+    case RunState::Doubtful:
+        if (run.isStopAnswered && run.stopAnsweredAt <= sentAt) {
+            runNeverStarted(key, "unanswered and stopped", Millis(0), now);
+        } else if (run.since <= sentAt && run.stopReason == StopReason::None) {
+            requestStop(run, StopReason::Unanswered, now);
+        }
+        return;
+    case RunState::Running:
+        if (run.since <= sentAt) {
+            m_events.write("run_vanished", {{"task", key.task.toString()}, {"attempt", key.attempt}, {"worker", worker.report.id}});
+            const auto checkpoint = run.checkpoint;
+            endRun(key, RunEnd::Lapsed, checkpoint, worker.report.id, now);
+        }
+        return;
+    }
+}
+
+void FleetPlanner::tick(std::int64_t nowUnixMs, TimePoint now)
+{
+    for (const auto &id : m_activeJobs) {
+        auto &job = *m_jobs.at(id);
+        if (!job.isEnded() && job.request().repeatCount > 0) {
+            openOccurrences(job, nowUnixMs + m_limits.early.count() / 2);
+        }
+    }
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        auto &worker = it->second;
+        ++it;
+        checkWorker(worker, now);
+    }
+    std::vector<RunKey> keys;
+    for (const auto &[key, run] : m_runs) {
+        keys.push_back(key);
+    }
+    for (const auto &key : keys) {
+        auto *run = findRun(key);
+        if (run == nullptr) {
+            continue;
+        }
+        if (run->stopReason != StopReason::None) {
+            trySendStop(*run, now);
+        } else {
+            checkStuck(*run, now);
+        }
+    }
+}
+
+void FleetPlanner::checkWorker(FleetWorker &worker, TimePoint now)
+{
+    const auto id = worker.report.id;
+    std::erase_if(worker.recentFailures, [now](const auto &it) {
+        return now - it.first > FailureMemory;
+    });
+    sendHoldIfDue(worker, now);
+    const bool isSilent = worker.failedHolds > 0 || worker.report.host.empty();
+    if (isSilent && !worker.occupied.empty() && worker.lease.hasSurelyLapsed(now)) {
+        loseRunsOf(worker, "its lease has lapsed", now);
+    }
+    if (worker.report.isDraining) {
+        evacuate(worker, now);
+    }
+    if (!worker.isListed && worker.occupied.empty() && now - worker.unlistedSince > ForgetUnlistedAfter && !worker.isHoldInFlight) {
+        m_workers.erase(id);
+    }
+}
+
+void FleetPlanner::checkStuck(FleetRun &run, TimePoint now)
+{
+    auto *job = findJob(run.key.task.job);
+    if (job == nullptr || run.state != RunState::Running || run.pacedTo != FullPace) {
+        return;
+    }
+    const auto &worker = workerNamed(run.worker);
+    const auto &spec = job->spec(run.key.task.step);
+    if (spec.isFiller || spec.isGang || worker.failedHolds > 0 || (spec.isLasting && run.percent >= FullPace)) {
+        return;
+    }
+    const auto patience = std::max(StuckAfter, Millis(static_cast<std::int64_t>(static_cast<double>(spec.estimateMs) * StuckShareOfEstimate)));
+    if (now - run.percentChangedAt > patience + PercentSteps) {
+        auto &failing = workerNamed(run.worker);
+        failing.recentFailures.emplace_back(now, job->id());
+        failing.avoidUntil = std::max(failing.avoidUntil, now + StuckAfter);
+        requestStop(run, StopReason::Stuck, now);
+    }
+}
+
+int FleetPlanner::awayCount(const FleetJob &job, const FleetStep &step) const
+{
+    static_cast<void>(job);
+    int out = 0;
+    for (const auto &task : step.tasks) {
+        const bool isAtWork = std::any_of(task.activeAttempts.begin(), task.activeAttempts.end(), [&](std::int64_t attempt) {
+            const auto it = m_runs.find({task.id, attempt});
+            return it != m_runs.end() && it->second.state == RunState::Running && it->second.percent >= FullPace
+                && it->second.stopReason == StopReason::None;
+        });
+        out += isAtWork ? 0 : 1;
+    }
+    return out;
+}
+
+void FleetPlanner::evacuate(FleetWorker &worker, TimePoint now)
+{
+    const auto left = Millis(worker.report.remainingMs) - (now - worker.drainingSince);
+    std::vector<RunKey> keys;
+    for (const auto &[key, needs] : worker.occupied) {
+        keys.push_back(key);
+    }
+    for (const auto &key : keys) {
+        auto *run = findRun(key);
+        auto *job = findJob(key.task.job);
+        if (run == nullptr || job == nullptr || run->state != RunState::Running || run->stopReason != StopReason::None) {
+            continue;
+        }
+        const auto &spec = job->spec(key.task.step);
+        if (spec.isLasting) {
+            auto *step = job->findStep(key.task.occurrence, key.task.step);
+            const bool mayMove = spec.maxUnavailable == 0 || step == nullptr || awayCount(*job, *step) < spec.maxUnavailable || run->percent < FullPace;
+            if (mayMove) {
+                requestStop(*run, StopReason::Leaving, now);
+            }
+            continue;
+        }
+        if (spec.isGang) {
+            continue;
+        }
+        const auto restMs = static_cast<double>(spec.estimateMs) * (FullPace - run->percent) / FullPace;
+        const bool willEnd = Millis(static_cast<std::int64_t>(restMs)) + LeaveMargin < left;
+        const bool isTime = spec.checkpoints ? left < m_limits.stopTime + LeaveMargin : !willEnd;
+        if (!willEnd && isTime) {
+            requestStop(*run, StopReason::Leaving, now);
+        }
+    }
+}
+
+void FleetPlanner::paceFillers(FleetWorker &worker, TimePoint now)
+{
+    double worst = 0;
+    std::vector<FleetRun *> fillers;
+    for (const auto &[key, needs] : worker.occupied) {
+        auto *run = findRun(key);
+        const auto *job = findJob(key.task.job);
+        if (run == nullptr || job == nullptr || run->state != RunState::Running) {
+            continue;
+        }
+        const auto &spec = job->spec(key.task.step);
+        if (spec.isFiller && run->stopReason == StopReason::None) {
+            fillers.push_back(run);
+        } else if (spec.isLasting && spec.targetMs > 0) {
+            worst = std::max(worst, run->usage / static_cast<double>(spec.targetMs));
+        }
+    }
+    for (auto *run : fillers) {
+        if (worst > PaceDownAt) {
+            orderPace(*run, 0, now);
+        } else if (worst < PaceUpBelow && now - run->pacedAt > PaceInterval) {
+            orderPace(*run, std::min(FullPace, run->pacedTo + PaceStep), now);
+        }
+    }
+}
+
+void FleetPlanner::orderPace(FleetRun &run, int percent, TimePoint now)
+{
+    if (run.pacedTo == percent || run.isPaceInFlight) {
+        return;
+    }
+    m_events.write("run_paced",
+                   {{"task", run.key.task.toString()},
+                    {"worker", run.worker},
+                    {"from", static_cast<std::int64_t>(run.pacedTo)},
+                    {"to", static_cast<std::int64_t>(percent)}});
+    run.isPaceInFlight = true;
+    run.pacedAt = now;
+    m_port.sendPace({workerNamed(run.worker).target(), run.key.task, run.key.attempt, percent, m_fence}, PaceTimeout);
+}
+
+void FleetPlanner::paceAnswered(const PaceOrder &order, const OrderAnswer &answer, TimePoint now)
+{
+    auto *run = findRun({order.task, order.attempt});
+    if (run == nullptr) {
+        return;
+    }
+    run->isPaceInFlight = false;
+    if (answer.outcome == OrderOutcome::Done) {
+        run->pacedTo = order.percent;
+        run->percentChangedAt = now;
+    }
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleet/FleetRecords.cpp
@@ -0,0 +1,175 @@
+#include <msgpack.hpp>
+
+#include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/fleet/FleetJob.h"
+
+MSGPACK_ADD_ENUM(marjoramhaven::FleetJobState)
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+namespace adaptor {
+
+// The order of fields on the wire of one stored type; readers take a shorter array from an older writer.
+template<typename T>
+struct FieldOrder;
+
+template<>
+struct FieldOrder<marjoramhaven::TaskNeeds> {
+    static auto of(auto &it) { return std::tie(it.cpuMilli, it.memoryMb, it.gpus); }
+};
+
+template<>
+struct FieldOrder<marjoramhaven::StepSpec> {
+    static auto of(auto &it)
+    {
+        return std::tie(it.taskCount,
+                        it.needs,
+                        it.estimateMs,
+                        it.after,
+                        it.checkpoints,
+                        it.isGang,
+                        it.isRackLocal,
+                        it.allowsCopies,
+                        it.isLasting,
+                        it.isFiller,
+                        it.requiredLabel,
+                        it.preferredRack,
+                        it.maxPerWorker,
+                        it.image,
+                        it.targetMs,
+                        it.maxUnavailable);
+    }
+};
+
+template<>
+struct FieldOrder<marjoramhaven::QueuePolicy> {
+    static auto of(auto &it)
+    {
+        return std::tie(it.name,
+                        it.host,
+                        it.prefix,
+                        it.service,
+                        it.priority,
+                        it.maxAttempts,
+                        it.slackFactor,
+                        it.objectiveMs,
+                        it.needsAdvice,
+                        it.adviceBaseMs,
+                        it.advicePerWorkerMs,
+                        it.ticketValidityMs);
+    }
+};
+
+template<>
+struct FieldOrder<marjoramhaven::FleetJobRequest> {
+    static auto of(auto &it)
+    {
+        return std::tie(it.id, it.queue, it.payload, it.steps, it.firstDueUnixMs, it.repeatIntervalMs, it.repeatCount, it.acceptedUnixMs);
+    }
+};
+
+template<>
+struct FieldOrder<marjoramhaven::RunRecord> {
+    static auto of(auto &it) { return std::tie(it.attempt, it.worker, it.workerBornMs); }
+};
+
+template<>
+struct FieldOrder<marjoramhaven::TaskRecord> {
+    static auto of(auto &it)
+    {
+        return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failures, it.isDone, it.checkpoint, it.runs);
+    }
+};
+
+template<>
+struct FieldOrder<marjoramhaven::JobRecord> {
+    static auto of(auto &it) { return std::tie(it.job, it.state, it.tasks); }
+};
+
+template<typename T>
+concept HasFieldOrder = requires(T &it) { FieldOrder<T>::of(it); };
+
+template<HasFieldOrder T>
+struct pack<T> {
+    template<typename Stream>
+    packer<Stream> &operator()(packer<Stream> &out, const T &value) const
+    {
+        std::apply(
+            [&](const auto &...field) {
+                out.pack_array(sizeof...(field));
+                (out.pack(field), ...);
+            },
+            FieldOrder<T>::of(value));
+        return out;
+    }
+};
+
+template<HasFieldOrder T>
+struct convert<T> {
+    const msgpack::object &operator()(const msgpack::object &from, T &value) const
+    {
+        if (from.type != type::ARRAY) {
+            throw type_error();
+        }
+        std::apply(
+            [&](auto &...field) {
+                std::uint32_t i = 0;
+                ((i < from.via.array.size ? (from.via.array.ptr[i].convert(field), ++i) : i), ...);
+            },
+            FieldOrder<T>::of(value));
+        return from;
+    }
+};
+
+} // namespace adaptor
+}
+} // namespace msgpack
+
+namespace marjoramhaven {
+
+namespace {
+
+template<typename T>
+std::string encode(const T &value)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, value);
+    return {buf.data(), buf.size()};
+}
+
+template<typename T>
+std::optional<T> decode(const std::string &bytes)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        return handle.get().as<T>();
+    } catch (const std::exception &ec) {
+        setLastReason(std::string("a stored record can't be read: ") + ec.what());
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encodeJobRequest(const FleetJobRequest &request)
+{
+    return encode(request);
+}
+
+std::optional<FleetJobRequest> decodeJobRequest(const std::string &bytes)
+{
+    return decode<FleetJobRequest>(bytes);
+}
+
+std::string encodeJobRecord(const JobRecord &record)
+{
+    return encode(record);
+}
+
+std::optional<JobRecord> decodeJobRecord(const std::string &bytes)
+{
+    return decode<JobRecord>(bytes);
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleet/FleetWorker.cpp
@@ -0,0 +1,83 @@
+#include "marjoramhaven/fleet/FleetWorker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjoramhaven {
+
+void WorkerLease::observe(std::int64_t workerClockMs, TimePoint now)
+{
+    if (m_clockMs && workerClockMs < *m_clockMs) {
+        return;
+    }
+    m_clockMs = workerClockMs;
+    m_observedAt = now;
+}
+
+std::optional<std::int64_t> WorkerLease::clockAt(TimePoint now) const
+{
+    if (!m_clockMs) {
+        return std::nullopt;
+    }
+    const auto elapsed = static_cast<double>((now - m_observedAt).count());
+    return *m_clockMs + static_cast<std::int64_t>(elapsed * SlowestWorkerClock);
+}
+
+std::int64_t WorkerLease::grant(Millis length, TimePoint now)
+{
+    const auto clock = clockAt(now);
+    if (!clock) {
+        return 0;
+    }
+    m_grantedMs = std::max(m_grantedMs, *clock + length.count());
+    return *clock + length.count();
+}
+
+bool WorkerLease::hasSurelyLapsed(TimePoint now) const
+{
+    if (now < m_assumedUntil) {
+        return false;
+    }
+    const auto clock = clockAt(now);
+    return m_grantedMs == 0 || (clock && *clock > m_grantedMs);
+}
+
+bool FleetWorker::hasRoomFor(const TaskNeeds &needs) const
+{
+    return used.cpuMilli + needs.cpuMilli <= report.capacity.cpuMilli && used.memoryMb + needs.memoryMb <= report.capacity.memoryMb
+        && used.gpus + needs.gpus <= report.capacity.gpus;
+}
+
+void FleetWorker::occupy(const RunKey &key, const TaskNeeds &needs, bool isFiller)
+{
+    if (occupied.contains(key)) {
+        return;
+    }
+    TaskNeeds counted = needs;
+    if (isFiller) {
+        counted.cpuMilli = 0;
+    }
+    occupied.emplace(key, counted);
+    used.cpuMilli += counted.cpuMilli;
+    used.memoryMb += counted.memoryMb;
+    used.gpus += counted.gpus;
+}
+
+void FleetWorker::vacate(const RunKey &key)
+{
+    const auto it = occupied.find(key);
+    if (it == occupied.end()) {
+        return;
+    }
+    used.cpuMilli -= it->second.cpuMilli;
+    used.memoryMb -= it->second.memoryMb;
+    used.gpus -= it->second.gpus;
+    occupied.erase(it);
+}
+
+bool FleetWorker::hasLabel(const std::string &label) const
+{
+    return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleet/PlannerClaim.cpp
@@ -0,0 +1,162 @@
+#include "marjoramhaven/fleet/PlannerClaim.h"
+
+#include <algorithm>
+#include <msgpack.hpp>
+
+#include "marjoramhaven/base/LastReason.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+// A process waits this many of its own log delays before it claims.
+constexpr int HeadStartDelays = 4;
+
+using LeadershipTuple = std::tuple<std::string, std::string, int, std::string, std::int64_t, std::int64_t, bool>;
+
+} // namespace
+
+std::string encodeLeadership(const LeadershipRecord &record)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf,
+                  LeadershipTuple {record.node, record.host, record.port, record.incarnation, record.claimOffset, record.beat, record.isLeaving});
+    return {buf.data(), buf.size()};
+}
+
+std::optional<LeadershipRecord> decodeLeadership(const std::string &bytes)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto [node, host, port, incarnation, claimOffset, beat, isLeaving] = handle.get().as<LeadershipTuple>();
+        return LeadershipRecord {node, host, port, incarnation, claimOffset, beat, isLeaving};
+    } catch (const std::exception &ec) {
+        setLastReason(std::string("a leadership record can't be read: ") + ec.what());
+        return std::nullopt;
+    }
+}
+
+PlannerClaim::PlannerClaim(LeadershipRecord self, ClaimTimes times)
+    : m_self(std::move(self))
+    , m_times(times)
+{
+}
+
+void PlannerClaim::apply(std::int64_t offset, const LeadershipRecord &record, TimePoint now)
+{
+    const auto claim = record.claimOffset < 0 ? offset : record.claimOffset;
+    if (claim < m_leaderClaim) {
+        return;
+    }
+    const bool isNewLeader = claim > m_leaderClaim;
+    m_leaderClaim = claim;
+    m_leader = record;
+    m_leaderSeenAt = now;
+    if (isNewLeader) {
+        m_linkLostAt.reset();
+    }
+    if (record.incarnation == m_self.incarnation && record.claimOffset < 0 && !m_isRetired) {
+        m_ownClaim = offset;
+    } else if (record.incarnation != m_self.incarnation) {
+        m_ownClaim.reset();
+    }
+    if (record.incarnation == m_self.incarnation && record.isLeaving) {
+        m_hasToldLeaving = true;
+    }
+}
+
+void PlannerClaim::recordsRead(const std::vector<std::pair<std::int64_t, LeadershipRecord>> &records, std::int64_t end, TimePoint now)
+{
+    if (!m_lastReadAt || now - *m_lastReadAt > m_times.longestReadGap) {
+        m_readingSince = now;
+    }
+    m_lastReadAt = now;
+    for (const auto &[offset, record] : records) {
+        apply(offset, record, now);
+    }
+    m_end = std::max(m_end.value_or(0), end);
+    m_mustRead = false;
+}
+
+void PlannerClaim::observeDelay(Millis delay)
+{
+    m_headStart = std::min(m_times.longestHeadStart, delay * HeadStartDelays);
+}
+
+void PlannerClaim::setPlannerLinked(bool isLinked, TimePoint now)
+{
+    if (isLinked) {
+        m_linkLostAt.reset();
+    } else if (!m_linkLostAt) {
+        m_linkLostAt = now;
+    }
+}
+
+void PlannerClaim::resign(TimePoint now)
+{
+    m_ownClaim.reset();
+    m_leaderSeenAt = now;
+}
+
+void PlannerClaim::retire()
+{
+    m_isRetired = true;
+}
+
+bool PlannerClaim::mayClaim(TimePoint now) const
+{
+    if (m_isRetired || m_mustRead || !m_end || !m_lastReadAt || now - *m_lastReadAt > m_times.longestReadGap) {
+        return false;
+    }
+    if (!m_leader || m_leader->isLeaving || (m_leader->node == m_self.node && m_leader->incarnation != m_self.incarnation)) {
+        return now - m_readingSince >= m_headStart;
+    }
+    const auto silence = m_linkLostAt ? m_times.silenceAfterLinkLoss : m_times.silence;
+    const auto quietSince = std::max(m_leaderSeenAt, m_readingSince);
+    return now - quietSince >= silence + m_headStart;
+}
+
+std::optional<ClaimAppend> PlannerClaim::nextAppend(TimePoint now)
+{
+    if (m_isAppending || !m_end || m_mustRead) {
+        return std::nullopt;
+    }
+    ClaimAppend out {m_self, *m_end};
+    if (m_ownClaim) {
+        const bool isLast = m_isRetired && !m_isLeavingSent;
+        if (m_hasToldLeaving || (!isLast && now < m_nextBeatAt)) {
+            return std::nullopt;
+        }
+        out.record.claimOffset = *m_ownClaim;
+        out.record.beat = ++m_beat;
+        out.record.isLeaving = m_isRetired;
+        m_isLeavingSent = m_isRetired;
+        m_nextBeatAt = now + m_times.beat;
+    } else if (!mayClaim(now)) {
+        return std::nullopt;
+    }
+    m_isAppending = true;
+    return out;
+}
+
+void PlannerClaim::appendFinished(const AppendResult &result, TimePoint now)
+{
+    m_isAppending = false;
+    if (result.outcome == AppendOutcome::Stored) {
+        m_end = std::max(m_end.value_or(0), result.offset + 1);
+        if (!m_ownClaim) {
+            LeadershipRecord claim = m_self;
+            apply(result.offset, claim, now);
+        } else {
+            m_leaderSeenAt = now;
+            m_hasToldLeaving = m_hasToldLeaving || m_isLeavingSent;
+        }
+        return;
+    }
+    // What the stream holds now is known only after the next read.
+    m_mustRead = result.outcome == AppendOutcome::Moved || result.outcome == AppendOutcome::Unknown;
+    m_isLeavingSent = false;
+    m_nextBeatAt = now + m_times.beat / 4;
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleetnode/FleetNode.cpp
@@ -0,0 +1,516 @@
+#include "marjoramhaven/fleetnode/FleetNode.h"
+
+#include <algorithm>
+#include <random>
+
+#include "marjoramhaven/base/LastReason.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis TickEvery {50};
+constexpr Millis FollowWait {1000};
+constexpr Millis BeatEvery {300};
+constexpr Millis LinkSilence {1300};
+// A question that was sent is sent again after this time, as its planner may have gone.
+constexpr Millis AskAgainAfter {600};
+constexpr Millis AnswerMargin {150};
+
+std::string freshIncarnation(const std::string &name)
+{
+    std::random_device random;
+    return name + "/" + std::to_string(random()) + std::to_string(random());
+}
+
+LeadershipRecord selfOf(const FleetNodeSettings &settings)
+{
+    LeadershipRecord out;
+    out.node = settings.name;
+    out.host = settings.peers.host;
+    out.port = settings.peers.port;
+    out.incarnation = freshIncarnation(settings.name);
+    return out;
+}
+
+std::uint64_t seedOf(const std::string &name)
+{
+    return std::hash<std::string> {}(name);
+}
+
+} // namespace
+
+// A caller's question that waits for the planner's answer.
+struct FleetNode::Question {
+    std::uint64_t call = 0;
+    FleetQueryMessage message;
+    TimePoint deadline;
+    TimePoint askAgainAt {};
+    std::function<void(const FleetQueryAnswerMessage *)> done;
+};
+
+// A call for advice that a peer makes for the planner of this process.
+struct FleetNode::AdviceCall {
+    std::string helper;
+    TimePoint deadline;
+    std::function<void(const AdviceAnswer &)> done;
+};
+
+FleetNode::FleetNode(FleetNodeSettings settings, FleetPlatform platform, EventLog &events, Metrics &metrics, QObject *parent)
+    : QObject(parent)
+    , m_settings(std::move(settings))
+    , m_platform(std::move(platform))
+    , m_events(events)
+    , m_metrics(metrics)
+    , m_hub({m_settings.name, m_settings.zone}, seedOf(m_settings.name))
+    , m_claim(selfOf(m_settings), ClaimTimes {})
+    , m_operator(m_platform.log, StateTopic::Operator, FollowWait)
+    , m_leadership(m_platform.log, StateTopic::Leadership, FollowWait)
+    , m_writer(m_platform.log, StateTopic::Jobs)
+{
+    m_operator.onRecords = [this](const std::vector<KeyedRecord> &records) {
+        takeConfiguration(records);
+    };
+    m_operator.onReachable = [this](bool isReachable, const std::string &reason) {
+        m_events.write(isReachable ? "store_regained" : "store_lost", {{"reason", reason}});
+    };
+    m_leadership.onRecords = [this](const std::vector<KeyedRecord> &records) {
+        takeLeadership(records);
+    };
+    connect(&m_hub, &PeerHub::received, this, [this](const std::string &from, const PeerMessage &message) {
+        m_heardAt[from] = monotonicNow();
+        takeMessage(from, message);
+    });
+    connect(&m_hub, &PeerHub::peerUp, this, [this](const std::string &name, const std::string & /*zone*/) {
+        const auto now = monotonicNow();
+        m_heardAt[name] = now;
+        if (m_claim.leader() && m_claim.leader()->node == name) {
+            m_claim.setPlannerLinked(true, now);
+        }
+        if (m_planner) {
+            m_planner->helperJoined(name);
+        }
+        m_events.write("peer_linked", {{"peer", name}});
+        askAgain(now);
+    });
+    connect(&m_hub, &PeerHub::peerDown, this, [this](const std::string &name) {
+        if (m_claim.leader() && m_claim.leader()->node == name) {
+            m_claim.setPlannerLinked(false, monotonicNow());
+        }
+        if (m_planner) {
+            m_planner->helperLeft(name);
+        }
+        m_events.write("peer_lost", {{"peer", name}});
+    });
+    m_ticker.setTimerType(Qt::PreciseTimer);
+    connect(&m_ticker, &QTimer::timeout, this, [this]() {
+        tick();
+    });
+}
+
+FleetNode::~FleetNode()
+{
+    if (m_planner) {
+        m_planner->shutDown();
+    }
+    m_operator.stop();
+    m_leadership.stop();
+    disconnect(&m_hub, nullptr, this, nullptr);
+    m_hub.shutDown();
+}
+
+bool FleetNode::start()
+{
+    if (m_hub.listenOn(m_settings.peers.host, m_settings.peers.port) == 0) {
+        return false;
+    }
+    m_leadership.start();
+    m_operator.start();
+    m_ticker.start(static_cast<int>(TickEvery.count()));
+    return true;
+}
+
+bool FleetNode::isReady() const
+{
+    return !m_isStopping && m_configuration.has_value();
+}
+
+const FleetConfiguration *FleetNode::configuration() const
+{
+    return m_configuration ? &*m_configuration : nullptr;
+}
+
+void FleetNode::beginStop()
+{
+    m_isStopping = true;
+    m_claim.retire();
+    if (m_planner) {
+        m_planner->retire();
+    }
+    m_events.write("stopping", {{"leading", static_cast<std::int64_t>(m_claim.isLeading())}});
+    claimWhenDue(monotonicNow());
+}
+
+bool FleetNode::isIdle() const
+{
+    return m_questions.empty() && m_writer.waiting() == 0 && m_claim.isRetired();
+}
+
+void FleetNode::tick()
+{
+    const auto now = monotonicNow();
+    claimWhenDue(now);
+    if (now >= m_nextBeatAt) {
+        m_nextBeatAt = now + BeatEvery;
+        for (const auto &it : m_hub.linked()) {
+            m_hub.send(it.name, FleetBeatMessage {m_claim.leaderFence()});
+        }
+    }
+    for (const auto &it : m_hub.linked()) {
+        if (now - m_heardAt[it.name] > LinkSilence) {
+            m_events.write("peer_silent", {{"peer", it.name}, {"silent_ms", (now - m_heardAt[it.name]).count()}});
+            m_hub.closeLink(it.name);
+        }
+    }
+    m_hub.tick(now);
+    askAgain(now);
+    std::vector<std::shared_ptr<AdviceCall>> late;
+    std::erase_if(m_adviceCalls, [&](const auto &it) {
+        const bool isLate = it.second->deadline <= now;
+        if (isLate) {
+            late.push_back(it.second);
+        }
+        return isLate;
+    });
+    for (const auto &it : late) {
+        AdviceAnswer answer;
+        answer.reason = "no answer from " + it->helper;
+        it->done(answer);
+    }
+}
+
+void FleetNode::takeConfiguration(const std::vector<KeyedRecord> &records)
+{
+    for (const auto &it : records) {
+        if (it.key != m_platform.configurationKey || !it.value) {
+            continue;
+        }
+        auto configuration = m_platform.readConfiguration(*it.value);
+        if (!configuration) {
+            m_events.write("configuration_unreadable", {{"reason", lastReason()}});
+            continue;
+        }
+        if (m_configuration && configuration->version < m_configuration->version) {
+            continue;
+        }
+        m_configuration = std::move(configuration);
+        m_events.write("configuration_in_force",
+                       {{"version", m_configuration->version}, {"queues", static_cast<std::int64_t>(m_configuration->queues.size())}});
+        if (m_planner) {
+            m_planner->configurationChanged(*m_configuration);
+        }
+    }
+}
+
+void FleetNode::takeLeadership(const std::vector<KeyedRecord> &records)
+{
+    const auto now = monotonicNow();
+    std::vector<std::pair<std::int64_t, LeadershipRecord>> read;
+    for (const auto &it : records) {
+        const auto record = it.value ? decodeLeadership(*it.value) : std::nullopt;
+        if (record) {
+            read.emplace_back(it.offset, *record);
+        }
+    }
+    m_claim.observeDelay(m_leadership.lastDelay());
+    m_claim.recordsRead(read, m_leadership.next(), now);
+    followLeader();
+    claimWhenDue(now);
+}
+
+void FleetNode::claimWhenDue(TimePoint now)
+{
+    const auto append = m_claim.nextAppend(now);
+    if (!append) {
+        return;
+    }
+    constexpr char Key[] = "planner";
+    constexpr Millis ClaimTimeout {1500};
+    AppendRequest request;
+    request.topic = StateTopic::Leadership;
+    request.records.push_back({Key, encodeLeadership(append->record), 0});
+    request.expectedEnd = append->expectedEnd;
+    request.timeout = ClaimTimeout;
+    const bool isClaim = append->record.claimOffset < 0;
+    m_platform.log.append(std::move(request), [this, isClaim](const AppendResult &result) {
+        if (isClaim || result.outcome != AppendOutcome::Stored) {
+            m_events.write(isClaim ? "claim_answered" : "heartbeat_not_stored",
+                           {{"outcome", std::string(nameOf(result.outcome))}, {"offset", result.offset}, {"reason", result.reason}});
+        }
+        m_claim.appendFinished(result, monotonicNow());
+        followLeader();
+    });
+}
+
+void FleetNode::followLeader()
+{
+    const bool shouldPlan = m_claim.isLeading() && !m_isStopping;
+    if (m_planner && (!m_claim.isLeading() || m_planner->planner().fence() != m_claim.fence())) {
+        endPlanning("the log names another planner");
+    }
+    if (shouldPlan && !m_planner) {
+        beginPlanning();
+    }
+    const auto &leader = m_claim.leader();
+    if (!leader || leader->node == m_settings.name) {
+        return;
+    }
+    const auto address = leader->node + "@" + leader->host + ":" + std::to_string(leader->port);
+    if (address != m_dialled) {
+        m_dialled = address;
+        m_events.write("planner_known", {{"planner", leader->node}, {"fence", m_claim.leaderFence()}});
+        m_hub.dialOnly({leader->node, leader->host, leader->port, false});
+        const auto now = monotonicNow();
+        m_claim.setPlannerLinked(isLinkedToLeader(), now);
+        m_hub.tick(now);
+        askAgain(now);
+    }
+}
+
+bool FleetNode::isLinkedToLeader() const
+{
+    const auto linked = m_hub.linked();
+    return m_claim.leader() && std::any_of(linked.begin(), linked.end(), [this](const PeerInfo &it) {
+               return it.name == m_claim.leader()->node;
+           });
+}
+
+void FleetNode::beginPlanning()
+{
+    PlannerServices services {m_platform.log,
+                              m_platform.workers,
+                              m_events,
+                              m_metrics,
+                              m_platform.readWorker,
+                              [this](const AdviceOrder &order, std::function<void(const AdviceAnswer &)> done) {
+                                  routeAdvice(order, std::move(done));
+                              },
+                              [this](const std::string &why) {
+                                  // The planner may be in the middle of a decision.
+                                  QTimer::singleShot(0, this, [this, why]() {
+                                      m_claim.resign(monotonicNow());
+                                      endPlanning(why);
+                                  });
+                              }};
+    PlannerLimits limits;
+    limits.stopTime = m_settings.bounds.stopTime;
+    limits.statusRetention = m_settings.bounds.statusRetention;
+    limits.early = m_settings.bounds.early;
+    limits.impact = m_settings.bounds.impact;
+    m_planner = std::make_unique<PlannerHost>(std::move(services), limits, m_claim.fence(), m_configuration.value_or(FleetConfiguration {}));
+    m_planner->helperJoined(m_settings.name);
+    for (const auto &it : m_hub.linked()) {
+        m_planner->helperJoined(it.name);
+    }
+    m_metrics.count("takeovers_total");
+    m_planner->start();
+}
+
+void FleetNode::endPlanning(const std::string &why)
+{
+    if (!m_planner) {
+        return;
+    }
+    m_events.write("planner_end", {{"fence", m_planner->planner().fence()}, {"reason", why}});
+    m_planner->shutDown();
+    m_planner.release()->deleteLater();
+    m_adviceCalls.clear();
+}
+
+void FleetNode::routeAdvice(const AdviceOrder &order, std::function<void(const AdviceAnswer &)> done)
+{
+    if (order.helper == m_settings.name) {
+        m_platform.advisor.ask(order.step, order.workers, order.timeout, std::move(done));
+        return;
+    }
+    const auto call = m_nextCall++;
+    m_adviceCalls[call] = std::make_shared<AdviceCall>(AdviceCall {order.helper, monotonicNow() + order.timeout, std::move(done)});
+    m_hub.send(order.helper, FleetAdviceAskMessage {call, order.step, order.workers, order.timeout.count()});
+}
+
+void FleetNode::takeMessage(const std::string &from, const PeerMessage &message)
+{
+    if (const auto *query = std::get_if<FleetQueryMessage>(&message)) {
+        answerQuery(from, *query);
+    } else if (const auto *answer = std::get_if<FleetQueryAnswerMessage>(&message)) {
+        const auto it = m_questions.find(answer->call);
+        if (it != m_questions.end() && answer->isLeading) {
+            const auto question = it->second;
+            m_questions.erase(it);
+            question->done(answer);
+        }
+    } else if (const auto *ask = std::get_if<FleetAdviceAskMessage>(&message)) {
+        answerAdvice(from, *ask);
+    } else if (const auto *advice = std::get_if<FleetAdviceAnswerMessage>(&message)) {
+        const auto it = m_adviceCalls.find(advice->call);
+        if (it == m_adviceCalls.end()) {
+            return;
+        }
+        const auto call = it->second;
+        m_adviceCalls.erase(it);
+        AdviceAnswer out {advice->isAnswered, advice->isBusy, {}, advice->reason};
+        for (std::size_t i = 0; i < std::min(advice->workers.size(), advice->tickets.size()); ++i) {
+            out.allowed.push_back({advice->workers[i], advice->tickets[i]});
+        }
+        call->done(out);
+    }
+}
+
+void FleetNode::answerQuery(const std::string &from, const FleetQueryMessage &query)
+{
+    FleetQueryAnswerMessage out;
+    out.call = query.call;
+    if (!m_planner || !m_planner->isOpen()) {
+        return;
+    }
+    out.isLeading = true;
+    if (query.job.empty()) {
+        out.isKnown = true;
+        out.pending = m_planner->pendingOf(query.host, query.prefix);
+        m_hub.send(from, out);
+        return;
+    }
+    m_planner->query(query.job, [this, from, out](const std::optional<FleetJobState> &state, bool isSure) mutable {
+        out.isKnown = state.has_value();
+        out.state = state ? std::string(nameOf(*state)) : "";
+        if (state || isSure) {
+            m_hub.send(from, out);
+        }
+    });
+}
+
+void FleetNode::answerAdvice(const std::string &from, const FleetAdviceAskMessage &ask)
+{
+    m_platform.advisor.ask(ask.step, ask.workers, Millis(ask.timeoutMs), [this, from, call = ask.call](const AdviceAnswer &answer) {
+        FleetAdviceAnswerMessage out;
+        out.call = call;
+        out.isAnswered = answer.isAnswered;
+        out.isBusy = answer.isBusy;
+        out.reason = answer.reason;
+        for (const auto &it : answer.allowed) {
+            out.workers.push_back(it.worker);
+            out.tickets.push_back(it.ticket);
+        }
+        m_hub.send(from, out);
+    });
+}
+
+void FleetNode::ask(std::shared_ptr<Question> question)
+{
+    question->call = m_nextCall++;
+    question->message.call = question->call;
+    m_questions[question->call] = question;
+    askAgain(monotonicNow());
+}
+
+void FleetNode::askAgain(TimePoint now)
+{
+    std::vector<std::shared_ptr<Question>> late;
+    std::vector<std::shared_ptr<Question>> local;
+    for (const auto &[call, it] : m_questions) {
+        if (it->deadline <= now) {
+            late.push_back(it);
+        } else if (it->askAgainAt <= now && m_planner && m_planner->isOpen()) {
+            local.push_back(it);
+        } else if (it->askAgainAt <= now && isLinkedToLeader() && m_hub.send(m_claim.leader()->node, it->message)) {
+            it->askAgainAt = now + AskAgainAfter;
+        }
+    }
+    for (const auto &it : late) {
+        m_questions.erase(it->call);
+        it->done(nullptr);
+    }
+    for (const auto &it : local) {
+        it->askAgainAt = now + AskAgainAfter;
+        FleetQueryAnswerMessage out;
+        out.call = it->call;
+        out.isLeading = true;
+        if (it->message.job.empty()) {
+            out.isKnown = true;
+            out.pending = m_planner->pendingOf(it->message.host, it->message.prefix);
+            takeMessage(m_settings.name, out);
+            continue;
+        }
+        m_planner->query(it->message.job, [this, out](const std::optional<FleetJobState> &state, bool isSure) mutable {
+            out.isKnown = state.has_value();
+            out.state = state ? std::string(nameOf(*state)) : "";
+            if (state || isSure) {
+                takeMessage(m_settings.name, out);
+            }
+        });
+    }
+}
+
+void FleetNode::submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitAnswer &)> done)
+{
+    const auto id = request.id;
+    const auto queue = request.queue.name;
+    const auto receivedAt = monotonicNow();
+    KeyedRecord record {acceptanceKey(id), encodeJobRequest(request), 0};
+    m_writer.store(std::move(record), receivedAt + budget - AnswerMargin, [this, id, queue, receivedAt, done = std::move(done)](const SubmitAnswer &answer) {
+        const auto took = (monotonicNow() - receivedAt).count();
+        m_events.write("submit",
+                       {{"id", id},
+                        {"queue", queue},
+                        {"verdict", std::string(nameOf(answer.verdict))},
+                        {"reason", answer.reason},
+                        {"configuration", m_configuration ? m_configuration->version : 0},
+                        {"took_ms", took}});
+        m_metrics.count("submits_total{verdict=\"" + std::string(nameOf(answer.verdict)) + "\"}");
+        m_metrics.observeMillis("submit_ms", static_cast<double>(took));
+        done(answer);
+    });
+}
+
+void FleetNode::query(const std::string &job, Millis budget, std::function<void(const QueryAnswer &)> done)
+{
+    auto question = std::make_shared<Question>();
+    question->message.job = job;
+    question->deadline = monotonicNow() + budget - AnswerMargin;
+    question->done = [done = std::move(done)](const FleetQueryAnswerMessage *answer) {
+        QueryAnswer out;
+        if (answer != nullptr) {
+            const auto state = valueOf<FleetJobState>(answer->state);
+            out.verdict = answer->isKnown && state ? QueryVerdict::Known : QueryVerdict::NoSuchJob;
+            out.state = state.value_or(FleetJobState::Queued);
+        }
+        done(out);
+    };
+    ask(std::move(question));
+}
+
+void FleetNode::pending(const QueuePolicy &queue, Millis budget, std::function<void(const PendingAnswer &)> done)
+{
+    auto question = std::make_shared<Question>();
+    question->message.host = queue.host;
+    question->message.prefix = queue.prefix;
+    question->deadline = monotonicNow() + budget - AnswerMargin;
+    question->done = [done = std::move(done)](const FleetQueryAnswerMessage *answer) {
+        done({answer != nullptr, answer == nullptr ? 0 : answer->pending});
+    };
+    ask(std::move(question));
+}
+
+void FleetNode::cancel(const std::string &job, Millis budget, std::function<void(const QueryAnswer &)> done)
+{
+    const auto deadline = monotonicNow() + budget - AnswerMargin;
+    m_writer.store({cancellationKey(job), std::string("1"), 0}, deadline, [this, job, done = std::move(done)](const SubmitAnswer &answer) {
+        m_events.write("cancel", {{"id", job}, {"verdict", std::string(nameOf(answer.verdict))}, {"reason", answer.reason}});
+        QueryAnswer out;
+        out.verdict = answer.verdict == SubmitVerdict::Accepted ? QueryVerdict::Known : QueryVerdict::Unavailable;
+        out.state = FleetJobState::Cancelled;
+        done(out);
+    });
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/http/HttpCaller.cpp
@@ -0,0 +1,353 @@
+#include "marjoramhaven/http/HttpCaller.h"
+
+#include <QMetaObject>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace marjoramhaven {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
+
+// One call on its way.
+struct Job {
+    OutgoingCall call;
+    HttpCaller::Done done;
+    std::chrono::steady_clock::time_point deadline;
+};
+
+} // namespace
+
+// The thread with the connections. Everything but submit() and the delivery runs on it.
+class HttpCaller::Loop
+{
+public:
+    Loop(QObject &context, int connectionsPerHost)
+        : m_context(context)
+        , m_connectionsPerHost(connectionsPerHost)
+        , m_guard(asio::make_work_guard(m_io))
+        , m_thread([this]() {
+            m_io.run();
+        })
+    {
+    }
+
+    ~Loop()
+    {
+        m_io.stop();
+        m_thread.join();
+        const std::lock_guard<std::mutex> lock(m_mailbox->lock);
+        m_mailbox->finished.clear();
+    }
+
+    void submit(std::shared_ptr<Job> job)
+    {
+        asio::post(m_io, [this, job = std::move(job)]() {
+            dispatch(job);
+        });
+    }
+
+private:
+    class Connection;
+
+    // The connections and waiting calls of one server.
+    struct Host {
+        std::vector<std::shared_ptr<Connection>> idle;
+        std::deque<std::shared_ptr<Job>> waiting;
+        int open = 0;
+    };
+
+    // Finished calls on their way to the context's thread; outlives the loop while a delivery is queued.
+    struct Mailbox {
+        std::mutex lock;
+        std::vector<std::pair<std::shared_ptr<Job>, CallResult>> finished;
+    };
+
+    using HostKey = std::pair<std::string, int>;
+
+    void dispatch(const std::shared_ptr<Job> &job);
+    void startOn(const std::shared_ptr<Connection> &connection, const std::shared_ptr<Job> &job);
+    void release(const std::shared_ptr<Connection> &connection, bool reusable);
+    void serveWaiting(Host &host, const HostKey &key);
+    void deliver(const std::shared_ptr<Job> &job, CallResult result);
+
+    QObject &m_context;
+    const int m_connectionsPerHost;
+    asio::io_context m_io {1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_guard;
+    std::map<HostKey, Host> m_hosts;
+    std::shared_ptr<Mailbox> m_mailbox = std::make_shared<Mailbox>();
+    std::thread m_thread;
+};
+
+// One kept-alive connection; carries one call at a time.
+class HttpCaller::Loop::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(Loop &loop, HostKey key)
+        : m_loop(loop)
+        , m_key(std::move(key))
+        , m_socket(loop.m_io)
+        , m_timer(loop.m_io)
+    {
+    }
+
+    const HostKey &key() const { return m_key; }
+
+    void run(std::shared_ptr<Job> job)
+    {
+        m_job = std::move(job);
+        m_isReused = m_isConnected;
+        m_hasAnswerBytes = false;
+        armTimer();
+        prepare();
+        if (m_isConnected) {
+            send();
+        } else {
+            connect();
+        }
+    }
+
+private:
+    void armTimer()
+    {
+        m_timer.expires_at(m_job->deadline);
+        m_timer.async_wait([self = this->shared_from_this(), job = m_job](const boost::system::error_code &ec) {
+            if (!ec && self->m_job == job) {
+                self->fail("timeout");
+            }
+        });
+    }
+
+    void prepare()
+    {
+        const auto &call = m_job->call;
+        m_request = {};
+        m_request.method_string(call.method);
+        m_request.target(call.target);
+        m_request.version(11);
+        m_request.set(http::field::host, m_key.first + ":" + std::to_string(m_key.second));
+        for (const auto &[name, value] : call.headers) {
+            m_request.set(name, value);
+        }
+        if (!call.body.empty()) {
+            m_request.set(http::field::content_type, call.contentType);
+        }
+        m_request.body() = call.body;
+        if (!call.body.empty() || call.method != "GET") {
+            m_request.content_length(call.body.size());
+        }
+    }
+
+    void connect()
+    {
+        boost::system::error_code ec;
+        const auto address = asio::ip::make_address(m_key.first, ec);
+        if (ec) {
+            fail("not an IP number: " + m_key.first);
+            return;
+        }
+        const asio::ip::tcp::endpoint to(address, static_cast<unsigned short>(m_key.second));
+        m_socket.async_connect(to, [self = this->shared_from_this(), job = m_job](const boost::system::error_code &error) {
+            if (self->m_job != job) {
+                return;
+            }
+            if (error) {
+                self->fail(error.message());
+                return;
+            }
+            boost::system::error_code ignored;
+            self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->m_isConnected = true;
+            self->send();
+        });
+    }
+
+    void send()
+    {
+        http::async_write(m_socket, m_request, [self = this->shared_from_this(), job = m_job](const boost::system::error_code &ec, std::size_t) {
+            if (self->m_job != job) {
+                return;
+            }
+            if (ec) {
+                self->failOrResend(ec.message());
+                return;
+            }
+            self->receive();
+        });
+    }
+
+    void receive()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(MaxAnswerBytes);
+        http::async_read(m_socket, m_buffer, *m_parser, [self = this->shared_from_this(), job = m_job](const boost::system::error_code &ec, std::size_t n) {
+            if (self->m_job != job) {
+                return;
+            }
+            if (ec) {
+                self->m_hasAnswerBytes = n > 0;
+                self->failOrResend(ec.message());
+                return;
+            }
+            self->succeed();
+        });
+    }
+
+    void succeed()
+    {
+        CallResult result;
+        result.isAnswered = true;
+        result.status = static_cast<int>(m_parser->get().result_int());
+        const bool keep = m_parser->get().keep_alive();
+        result.body = std::move(m_parser->get().body());
+        finish(std::move(result), keep);
+    }
+
+    // A kept-alive connection that was closed meanwhile gets one fresh try.
+    void failOrResend(const std::string &why)
+    {
+        if (!m_isReused || m_hasAnswerBytes) {
+            fail(why);
+            return;
+        }
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        m_buffer.consume(m_buffer.size());
+        m_isReused = false;
+        m_isConnected = false;
+        connect();
+    }
+
+    void fail(const std::string &why)
+    {
+        CallResult result;
+        result.isUnsent = !m_isConnected;
+        result.error = why;
+        finish(std::move(result), false);
+    }
+
+    void finish(CallResult result, bool keep)
+    {
+        const auto job = std::move(m_job);
+        m_job = nullptr;
+        m_timer.cancel();
+        if (!keep) {
+            boost::system::error_code ignored;
+            m_socket.close(ignored);
+        }
+        m_loop.deliver(job, std::move(result));
+        m_loop.release(this->shared_from_this(), keep);
+    }
+
+    Loop &m_loop;
+    HostKey m_key;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::shared_ptr<Job> m_job;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    beast::flat_buffer m_buffer;
+    bool m_isConnected = false;
+    bool m_isReused = false;
+    bool m_hasAnswerBytes = false;
+};
+
+void HttpCaller::Loop::dispatch(const std::shared_ptr<Job> &job)
+{
+    const HostKey key {job->call.host, job->call.port};
+    auto &host = m_hosts[key];
+    host.waiting.push_back(job);
+    serveWaiting(host, key);
+}
+
+void HttpCaller::Loop::serveWaiting(Host &host, const HostKey &key)
+{
+    while (!host.waiting.empty()) {
+        const auto job = host.waiting.front();
+        if (job->deadline <= std::chrono::steady_clock::now()) {
+            host.waiting.pop_front();
+            CallResult late;
+            late.isUnsent = true;
+            late.error = "timeout before a connection was free";
+            deliver(job, late);
+            continue;
+        }
+        std::shared_ptr<Connection> connection;
+        if (!host.idle.empty()) {
+            connection = host.idle.back();
+            host.idle.pop_back();
+        } else if (host.open < m_connectionsPerHost) {
+            connection = std::make_shared<Connection>(*this, key);
+            ++host.open;
+        } else {
+            return;
+        }
+        host.waiting.pop_front();
+        connection->run(job);
+    }
+}
+
+void HttpCaller::Loop::release(const std::shared_ptr<Connection> &connection, bool reusable)
+{
+    auto &host = m_hosts[connection->key()];
+    if (reusable) {
+        host.idle.push_back(connection);
+    } else {
+        --host.open;
+    }
+    serveWaiting(host, connection->key());
+}
+
+void HttpCaller::Loop::deliver(const std::shared_ptr<Job> &job, CallResult result)
+{
+    const std::lock_guard<std::mutex> lock(m_mailbox->lock);
+    m_mailbox->finished.emplace_back(job, std::move(result));
+    if (m_mailbox->finished.size() > 1) {
+        return;
+    }
+    QMetaObject::invokeMethod(
+        &m_context,
+        [mailbox = m_mailbox]() {
+            std::vector<std::pair<std::shared_ptr<Job>, CallResult>> batch;
+            {
+                const std::lock_guard<std::mutex> inner(mailbox->lock);
+                batch.swap(mailbox->finished);
+            }
+            for (auto &[finished, outcome] : batch) {
+                finished->done(outcome);
+            }
+        },
+        Qt::QueuedConnection);
+}
+
+HttpCaller::HttpCaller(QObject &context, int connectionsPerHost)
+    : m_loop(std::make_unique<Loop>(context, connectionsPerHost))
+{
+}
+
+HttpCaller::~HttpCaller() = default;
+
+void HttpCaller::call(OutgoingCall call, Done done)
+{
+    auto job = std::make_shared<Job>();
+    job->deadline = std::chrono::steady_clock::now() + call.timeout;
+    job->call = std::move(call);
+    job->done = std::move(done);
+    m_loop->submit(std::move(job));
+}
+
+} // namespace marjoramhaven
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -43,12 +43,23 @@
         out.parts.push_back(it.toStdString());
     }
     out.body = from.body();
-    out.traceparent = from.value("traceparent").toStdString();
+    out.headers = from.headers();
+    out.traceparent = out.header("traceparent").toStdString();
     return out;
 }
 
 } // namespace
 
+QByteArray HttpRequest::header(const QByteArray &name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (key.compare(name, Qt::CaseInsensitive) == 0) {
+            return value;
+        }
+    }
+    return {};
+}
+
 HttpResponse HttpResponse::json(int status, const QJsonObject &object)
 {
     HttpResponse out;
--- a/src/node/NodeCoreMessages.cpp
+++ b/src/node/NodeCoreMessages.cpp
@@ -48,7 +48,10 @@
     const auto now = monotonicNow();
     std::visit(
         [&](const auto &it) {
-            handle(from, it, now);
+            // Messages of the fleet scheduler are not for this kind of process.
+            if constexpr (requires { handle(from, it, now); }) {
+                handle(from, it, now);
+            }
         },
         message);
 }
--- a/src/wire/PeerHub.cpp
+++ b/src/wire/PeerHub.cpp
@@ -81,6 +81,32 @@
     }
 }
 
+void PeerHub::dialOnly(PeerAddress peer)
+{
+    for (auto it = m_dials.begin(); it != m_dials.end();) {
+        if (it->first == peer.name && it->second.address.host == peer.host && it->second.address.port == peer.port) {
+            ++it;
+            continue;
+        }
+        auto *socket = it->second.socket;
+        it = m_dials.erase(it);
+        if (socket != nullptr) {
+            socket->abort();
+        }
+    }
+    if (!m_dials.contains(peer.name)) {
+        m_dials[peer.name].address = std::move(peer);
+    }
+}
+
+void PeerHub::closeLink(const std::string &peer)
+{
+    const auto it = m_byName.find(peer);
+    if (it != m_byName.end()) {
+        it->second->socket->abort();
+    }
+}
+
 void PeerHub::attach(QTcpSocket *socket)
 {
     socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -128,10 +154,10 @@
     for (auto &[name, it] : m_dials) {
         if (m_byName.contains(name)) {
             it.failures = 0;
-            it.nextAt = now + (m_self.name < name ? Millis(0) : LeaveFirstDial);
+            it.nextAt = now + (m_self.name < name || !it.address.dialsBack ? Millis(0) : LeaveFirstDial);
             continue;
         }
-        if (it.nextAt == TimePoint {} && m_self.name > name) {
+        if (it.nextAt == TimePoint {} && m_self.name > name && it.address.dialsBack) {
             it.nextAt = now + LeaveFirstDial;
         }
         if (now < it.nextAt) {
