Restored jobs get their tasks back; a failed attempt is counted once

Cause: a job accepted but never started had no tasks after a takeover; a worker lists an end until it may forget it, and a new planner counted a failure that its predecessor had stored already. Ruled out: lost acceptances (the log held them). Change: open() makes the first occurrence of each restored job; failed attempts are kept as numbers.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -146,7 +146,8 @@
     int index = 0;
     /// Number of the newest run; 0 before the first.
     std::int64_t lastAttempt = 0;
-    int failures = 0;
+    /// Attempts whose runs ended as failed.
+    std::vector<std::int64_t> failedAttempts;
     bool isDone = false;
     std::string checkpoint;
     std::vector<RunRecord> runs;
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -16,8 +16,8 @@
     FleetTaskId id;
     /// Number of the newest run; numbers are never used twice.
     std::int64_t lastAttempt = 0;
-    /// Runs that ended as failed.
-    int failures = 0;
+    /// Attempts whose runs ended as failed; a worker may list an end more than once.
+    std::set<std::int64_t> failedAttempts;
     bool isDone = false;
     /// Where the next run resumes; empty for the beginning.
     std::string checkpoint;
@@ -35,8 +35,6 @@
 struct FleetStep {
     std::vector<FleetTask> tasks;
     int doneCount = 0;
-    /// The newest attempt of a gang that was counted as failed, so that it is counted once.
-    std::int64_t countedGangAttempt = 0;
     TimePoint readySince {};
 
     bool isDone() const { return doneCount == static_cast<int>(tasks.size()); }
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -116,7 +116,7 @@
             continue;
         }
         task->lastAttempt = it.lastAttempt;
-        task->failures = it.failures;
+        task->failedAttempts.insert(it.failedAttempts.begin(), it.failedAttempts.end());
         task->checkpoint = it.checkpoint;
         if (it.isDone && !task->isDone) {
             task->isDone = true;
@@ -139,7 +139,8 @@
                 if (task.lastAttempt == 0 && !task.isDone) {
                     continue;
                 }
-                TaskRecord row {number, task.id.step, task.id.index, task.lastAttempt, task.failures, task.isDone, task.checkpoint, {}};
+                TaskRecord row {number, task.id.step, task.id.index, task.lastAttempt, {}, task.isDone, task.checkpoint, {}};
+                row.failedAttempts.assign(task.failedAttempts.begin(), task.failedAttempts.end());
                 for (const auto attempt : task.activeAttempts) {
                     auto [worker, bornMs] = placeOf(task.id, attempt);
                     row.runs.push_back({attempt, std::move(worker), bornMs});
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -67,6 +67,9 @@
             job->isCancelRequested = true;
         }
         m_activeJobs.insert(id);
+        if (!job->isEnded() && job->request().repeatCount == 0) {
+            job->occurrence(0);
+        }
         if (job->isCancelRequested && !job->isEnded()) {
             finishJob(*job, FleetJobState::Cancelled, "cancelled before the takeover", now);
         }
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -264,7 +264,7 @@
     auto &step = *job->findStep(key.task.occurrence, key.task.step);
     const auto &spec = job->spec(key.task.step);
     markDirty(*job);
-    if (!checkpoint.empty() && !task->isDone) {
+    if (isKnown && !checkpoint.empty() && !task->isDone) {
         task->checkpoint = checkpoint;
         if (spec.isGang) {
             for (auto &it : step.tasks) {
@@ -334,19 +334,14 @@
     if (spec.isLasting) {
         return;
     }
-    auto &step = *job.findStep(task.id.occurrence, task.id.step);
+    task.failedAttempts.insert(attempt);
     if (spec.isGang) {
-        if (attempt <= step.countedGangAttempt) {
-            return;
-        }
-        step.countedGangAttempt = attempt;
-        for (auto &it : step.tasks) {
-            ++it.failures;
+        // The members of a gang fail together.
+        for (auto &it : job.findStep(task.id.occurrence, task.id.step)->tasks) {
+            it.failedAttempts.insert(attempt);
         }
-    } else {
-        ++task.failures;
     }
-    if (task.failures >= queueOf(job).maxAttempts) {
+    if (static_cast<int>(task.failedAttempts.size()) >= queueOf(job).maxAttempts) {
         finishJob(job, FleetJobState::Failed, "a task failed too often", now);
     }
 }
--- a/src/fleet/FleetRecords.cpp
+++ b/src/fleet/FleetRecords.cpp
@@ -78,7 +78,7 @@
 struct FieldOrder<marjoramhaven::TaskRecord> {
     static auto of(auto &it)
     {
-        return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failures, it.isDone, it.checkpoint, it.runs);
+        return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failedAttempts, it.isDone, it.checkpoint, it.runs);
     }
 };
 
