Fleet in virtual time: nine faults alone and in pairs against the real planner; what they found

Ruled out as harness errors: gang members alone beside faults, ends unknown when a lease lapsed. Change: silent workers are asked without renewal and with acknowledgement 0; unanswered starts stay until settled on the new incarnation, and are closed there; a worker clock that goes back shows a new incarnation; ended jobs are released between events.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -110,6 +110,8 @@
 struct PlannerLimits {
     /// Length of the leases granted; long enough to outlive a planner's replacement.
     Millis lease {5000};
+    /// Longest lease that a worker grants, whatever is asked.
+    Millis longestLease {10000};
     /// Longest that a worker waits before it answers a hold.
     Millis holdWait {1000};
     Millis stopTime {400};
@@ -194,6 +196,9 @@
     void finishJob(FleetJob &job, FleetJobState state, const char *reason, TimePoint now);
     void settleJob(FleetJob &job, TimePoint now);
     void openOccurrences(FleetJob &job, std::int64_t nowUnixMs);
+    // Tasks of ended jobs are let go of only between events, since callers further up may still hold them.
+    void noteEnded(const FleetJob &job);
+    void releaseEnded();
     void releaseIfIdle(FleetJob &job);
     // FleetPlannerRuns.cpp: the life of a run
     FleetRun *findRun(const RunKey &key);
@@ -211,7 +216,8 @@
     // FleetPlannerWorkers.cpp: workers
     FleetWorker &workerNamed(const std::string &worker);
     void workerReborn(FleetWorker &worker, std::int64_t bornMs, TimePoint now);
-    void loseRunsOf(FleetWorker &worker, const char *reason, TimePoint now);
+    void loseRunsOf(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
+    void closeUnansweredStarts(FleetWorker &worker);
     void matchRuns(FleetWorker &worker, const HoldAnswer &answer, TimePoint sentAt, TimePoint now);
     void noteRunning(FleetWorker &worker, const RunningRow &row, TimePoint now);
     void noteAbsent(FleetWorker &worker, FleetRun &run, TimePoint sentAt, TimePoint now);
@@ -242,6 +248,7 @@
     FleetConfiguration m_configuration;
     std::map<std::string, std::unique_ptr<FleetJob>> m_jobs;
     std::set<std::string> m_activeJobs;
+    std::set<std::string> m_endingJobs;
     std::set<std::string> m_dirtyJobs;
     std::set<std::string> m_cancelledUnknown;
     std::vector<std::string> m_droppedRecords;
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -20,6 +20,8 @@
 public:
     /// Takes a reading of the worker's clock, which was taken at some moment before now.
     void observe(std::int64_t workerClockMs, TimePoint now);
+    /// True when a reading is older than the clock can be by now: it is another incarnation's.
+    bool isBefore(std::int64_t workerClockMs, TimePoint now) const;
     /// The worker's clock at least shows this; nothing before the first reading.
     std::optional<std::int64_t> clockAt(TimePoint now) const;
     /// The lease end to grant for a length of time from now, and remembers it as granted.
@@ -71,6 +73,8 @@
     TaskNeeds used;
     /// No starts before this instant, since the worker refused or failed.
     TimePoint avoidUntil {};
+    /// Starts that were given up without an answer; they may still be carried out, on a new incarnation too.
+    std::vector<std::pair<TimePoint, RunKey>> unansweredStarts;
     /// Jobs whose runs failed here lately, newest last.
     std::vector<std::pair<TimePoint, std::string>> recentFailures;
 
--- a/include/marjoramhaven/http/HttpCaller.h
+++ b/include/marjoramhaven/http/HttpCaller.h
@@ -21,6 +21,8 @@
     std::string body;
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
+    /// A call that finds its kept-alive connection closed is sent once more; only for idempotent calls.
+    bool mayResend = true;
     /// Bounds the whole call: waiting for a connection, sending and the answer.
     Millis timeout {1000};
 };
@@ -38,8 +40,6 @@
 };
 
 /// Calls HTTP servers over kept-alive connections, on a thread of its own, at a fraction of the processor time of Qt's network access.
-///
-/// A call that finds its kept-alive connection closed is sent once more on a fresh one, so every call must be idempotent.
 class HttpCaller
 {
 public:
--- a/include/marjoramhaven/telemetry/EventLog.h
+++ b/include/marjoramhaven/telemetry/EventLog.h
@@ -34,7 +34,7 @@
 class EventLog
 {
 public:
-    /// Writes to the file descriptor; 1 is standard output.
+    /// Writes to the file descriptor; 1 is standard output, a negative one discards every line.
     EventLog(std::string node, int descriptor, EventLimits limits = {});
     ~EventLog();
     EventLog(const EventLog &) = delete;
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -73,7 +73,7 @@
         if (job->isCancelRequested && !job->isEnded()) {
             finishJob(*job, FleetJobState::Cancelled, "cancelled before the takeover", now);
         }
-        releaseIfIdle(*job);
+        noteEnded(*job);
     }
     // Another planner may have granted leases until now.
     constexpr double LeaseStretch = 1 / SlowestWorkerClock;
@@ -147,7 +147,7 @@
                     {"age_ms", (now - job.acceptedAt()).count()},
                     {"on_time_ms", (job.onTimeUntil() - job.acceptedAt()).count()}});
     stopRunsOf(job, state == FleetJobState::Cancelled ? StopReason::Cancelled : StopReason::NotNeeded, now);
-    releaseIfIdle(job);
+    noteEnded(job);
 }
 
 void FleetPlanner::settleJob(FleetJob &job, TimePoint now)
@@ -157,11 +157,26 @@
     }
 }
 
-void FleetPlanner::releaseIfIdle(FleetJob &job)
+void FleetPlanner::noteEnded(const FleetJob &job)
 {
-    if (!job.isEnded()) {
-        return;
+    if (job.isEnded() && m_activeJobs.contains(job.id())) {
+        m_endingJobs.insert(job.id());
     }
+}
+
+void FleetPlanner::releaseEnded()
+{
+    const auto ending = std::move(m_endingJobs);
+    m_endingJobs.clear();
+    for (const auto &it : ending) {
+        if (auto *job = findJob(it)) {
+            releaseIfIdle(*job);
+        }
+    }
+}
+
+void FleetPlanner::releaseIfIdle(FleetJob &job)
+{
     for (const auto &[number, occurrence] : job.occurrences()) {
         for (const auto &step : occurrence.steps) {
             for (const auto &task : step.tasks) {
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -76,6 +76,7 @@
     if (!m_isOpen) {
         return;
     }
+    releaseEnded();
     auto open = openSteps(now);
     const auto rank = [now](const OpenStep &it) {
         const auto late = lateness(*it.job, now);
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -71,7 +71,12 @@
     const RunKey key {order.task, order.attempt};
     auto *run = findRun(key);
     auto &worker = workerNamed(order.worker.id);
-    if (answer.workerClockMs > 0 && run != nullptr && worker.bornMs == run->workerBornMs) {
+    const bool isOtherLife = answer.workerClockMs > 0 && worker.lease.isBefore(answer.workerClockMs, now);
+    if (isOtherLife) {
+        m_events.write("worker_clock_back", {{"worker", order.worker.id}, {"clock_ms", answer.workerClockMs}});
+        worker.isInventoried = false;
+        worker.nextHoldAt = now;
+    } else if (answer.workerClockMs > 0 && run != nullptr && worker.bornMs == run->workerBornMs) {
         worker.lease.observe(answer.workerClockMs, now);
     }
     if (answer.outcome != OrderOutcome::Done) {
@@ -87,11 +92,13 @@
     }
     switch (answer.outcome) {
     case OrderOutcome::Done:
-        run->state = RunState::Running;
+        // A worker that has started anew lists the run under its new incarnation, or not at all.
+        run->state = isOtherLife ? RunState::Doubtful : RunState::Running;
         run->since = now;
         run->percentChangedAt = now;
         return;
     case OrderOutcome::Unknown:
+        worker.unansweredStarts.emplace_back(now, key);
         run->state = RunState::Doubtful;
         run->since = now;
         worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
@@ -140,7 +147,7 @@
     if (job->spec(key.task.step).isGang) {
         breakGang(*job, *job->findStep(key.task.occurrence, key.task.step), now);
     }
-    releaseIfIdle(*job);
+    noteEnded(*job);
 }
 
 void FleetPlanner::removeRun(const RunKey &key)
@@ -288,7 +295,7 @@
     if (spec.isGang && !step.isDone() && isKnown) {
         breakGang(*job, step, now);
     }
-    releaseIfIdle(*job);
+    noteEnded(*job);
 }
 
 void FleetPlanner::taskDone(FleetJob &job, FleetTask &task, TimePoint now)
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -23,6 +23,9 @@
 // A worker that leaves keeps this much time to report the ends of what is stopped.
 constexpr Millis LeaveMargin {800};
 constexpr Millis PaceTimeout {600};
+constexpr Millis CloseTimeout {600};
+// Orders without an answer are carried out within this time, or never.
+constexpr Millis LatestOrder {13000};
 constexpr Millis PaceInterval {700};
 constexpr double PaceDownAt = 0.9;
 constexpr double PaceUpBelow = 0.6;
@@ -74,9 +77,29 @@
 
 void FleetPlanner::workerReborn(FleetWorker &worker, std::int64_t bornMs, TimePoint now)
 {
-    loseRunsOf(worker, "worker started anew", now);
+    // A start that has no answer yet may still reach the new incarnation, which knows nothing of its attempt: it stays until it is settled there.
+    std::vector<RunKey> unanswered;
+    for (const auto &[key, needs] : worker.occupied) {
+        auto *run = findRun(key);
+        if (run != nullptr && bornMs != 0 && (run->state == RunState::Starting || run->state == RunState::Doubtful)) {
+            run->workerBornMs = bornMs;
+            run->isStopAnswered = false;
+            unanswered.push_back(key);
+            if (auto *job = findJob(key.task.job)) {
+                markDirty(*job);
+            }
+        }
+    }
+    loseRunsOf(worker, "worker started anew", unanswered, now);
+    if (bornMs != 0) {
+        closeUnansweredStarts(worker);
+    }
     worker.bornMs = bornMs;
     worker.lease.reset();
+    if (!unanswered.empty()) {
+        // Their starts name a time on the old clock, which the new incarnation cuts down to the longest lease.
+        worker.lease.assumeGrantedUntil(now + m_limits.longestLease);
+    }
     worker.acknowledged = 0;
     worker.seen = 0;
     worker.isInventoried = false;
@@ -84,11 +107,22 @@
     worker.recentFailures.clear();
 }
 
-void FleetPlanner::loseRunsOf(FleetWorker &worker, const char *reason, TimePoint now)
+void FleetPlanner::closeUnansweredStarts(FleetWorker &worker)
+{
+    for (const auto &[at, key] : worker.unansweredStarts) {
+        if (findRun(key) == nullptr) {
+            m_port.sendStop({worker.target(), key.task, key.attempt, m_fence}, CloseTimeout);
+        }
+    }
+}
+
+void FleetPlanner::loseRunsOf(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now)
 {
     std::vector<RunKey> keys;
     for (const auto &[key, needs] : worker.occupied) {
-        keys.push_back(key);
+        if (std::find(except.begin(), except.end(), key) == except.end()) {
+            keys.push_back(key);
+        }
     }
     for (const auto &key : keys) {
         auto *run = findRun(key);
@@ -111,10 +145,11 @@
     HoldOrder order;
     order.worker = worker.target();
     order.fence = m_fence;
-    order.acknowledged = worker.acknowledged;
-    const bool hasLease = worker.isInventoried;
+    // A silent worker is asked but not renewed, so that its lease surely lapses. It may have started anew and number its ends from 1 again.
+    const bool hasLease = worker.isInventoried && worker.failedHolds == 0;
+    order.acknowledged = hasLease ? worker.acknowledged : 0;
     order.leaseUntilMs = hasLease ? worker.lease.grant(m_limits.lease, now) : 0;
-    const bool isSettled = hasLease && worker.seen == worker.acknowledged && worker.failedHolds == 0;
+    const bool isSettled = hasLease && worker.seen == worker.acknowledged;
     order.wait = isSettled ? m_limits.holdWait : Millis(0);
     worker.isHoldInFlight = true;
     m_port.sendHold(order, order.wait + HoldSlack);
@@ -322,10 +357,13 @@
     std::erase_if(worker.recentFailures, [now](const auto &it) {
         return now - it.first > FailureMemory;
     });
+    std::erase_if(worker.unansweredStarts, [now](const auto &it) {
+        return now - it.first > LatestOrder;
+    });
     sendHoldIfDue(worker, now);
     const bool isSilent = worker.failedHolds > 0 || worker.report.host.empty();
     if (isSilent && !worker.occupied.empty() && worker.lease.hasSurelyLapsed(now)) {
-        loseRunsOf(worker, "its lease has lapsed", now);
+        loseRunsOf(worker, "its lease has lapsed", {}, now);
     }
     if (worker.report.isDraining) {
         evacuate(worker, now);
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -5,6 +5,13 @@
 
 namespace marjoramhaven {
 
+namespace {
+
+// A reading may have been under way for this long.
+constexpr Millis LongestAnswer {3000};
+
+} // namespace
+
 void WorkerLease::observe(std::int64_t workerClockMs, TimePoint now)
 {
     if (m_clockMs && workerClockMs < *m_clockMs) {
@@ -14,6 +21,12 @@
     m_observedAt = now;
 }
 
+bool WorkerLease::isBefore(std::int64_t workerClockMs, TimePoint now) const
+{
+    const auto clock = clockAt(now);
+    return clock && workerClockMs + LongestAnswer.count() < *clock;
+}
+
 std::optional<std::int64_t> WorkerLease::clockAt(TimePoint now) const
 {
     if (!m_clockMs) {
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -303,6 +303,7 @@
                                   });
                               }};
     PlannerLimits limits;
+    limits.longestLease = m_settings.bounds.maxLease;
     limits.stopTime = m_settings.bounds.stopTime;
     limits.statusRetention = m_settings.bounds.statusRetention;
     limits.early = m_settings.bounds.early;
--- a/src/http/HttpCaller.cpp
+++ b/src/http/HttpCaller.cpp
@@ -220,7 +220,7 @@
     // A kept-alive connection that was closed meanwhile gets one fresh try.
     void failOrResend(const std::string &why)
     {
-        if (!m_isReused || m_hasAnswerBytes) {
+        if (!m_isReused || m_hasAnswerBytes || !m_job->call.mayResend) {
             fail(why);
             return;
         }
--- /dev/null
+++ b/src/standin/FleetWorkerModel.cpp
@@ -0,0 +1,275 @@
+#include "marjoramhaven/standin/FleetWorkerModel.h"
+
+#include <algorithm>
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr int FullPercent = 100;
+
+bool isSameStep(const FleetTaskId &a, const FleetTaskId &b)
+{
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
+} // namespace
+
+FleetWorkerModel::FleetWorkerModel(WorkerReport report, FleetWorkerTimes times, Behaviours behaviours, std::function<void(const RunEvent &)> onEvent)
+    : m_report(std::move(report))
+    , m_times(times)
+    , m_behaviours(std::move(behaviours))
+    , m_onEvent(std::move(onEvent))
+{
+}
+
+WorkerReport FleetWorkerModel::reportAt(TimePoint now) const
+{
+    auto out = m_report;
+    out.clockMs = clockAt(now);
+    return out;
+}
+
+void FleetWorkerModel::setDraining(Millis remaining)
+{
+    m_report.isDraining = true;
+    m_report.remainingMs = remaining.count();
+}
+
+std::int64_t FleetWorkerModel::clockAt(TimePoint now) const
+{
+    return (now - m_bornAt).count() + 1;
+}
+
+bool FleetWorkerModel::followsToken(std::int64_t fence)
+{
+    if (fence < m_fence) {
+        return false;
+    }
+    m_fence = fence;
+    return true;
+}
+
+void FleetWorkerModel::extendLease(std::int64_t untilMs, TimePoint now)
+{
+    const auto longest = clockAt(now) + m_times.longestLease.count();
+    m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, longest));
+}
+
+OrderAnswer FleetWorkerModel::answer(OrderOutcome outcome, TimePoint now) const
+{
+    return {outcome, clockAt(now), std::string(nameOf(outcome))};
+}
+
+void FleetWorkerModel::work(Run &run, TimePoint now)
+{
+    const bool isWorking = !run.behaviour.hangs && (run.behaviour.gangSize == 0 || run.isGangComplete);
+    if (isWorking) {
+        run.done += (now - run.workedUntil) * run.pace / FullPercent;
+    }
+    run.workedUntil = now;
+}
+
+std::optional<RunEnd> FleetWorkerModel::endOf(const Run &run, TimePoint now) const
+{
+    if (run.stoppingSince && now - *run.stoppingSince >= m_times.stopTime) {
+        return RunEnd::Stopped;
+    }
+    const bool waitsForGang = run.behaviour.gangSize > 0 && !run.isGangComplete;
+    if (waitsForGang && now - run.begunAt >= m_times.gangTimeout) {
+        return RunEnd::Alone;
+    }
+    if (!run.behaviour.isLasting && !waitsForGang && run.done >= run.behaviour.duration) {
+        return run.behaviour.fails ? RunEnd::Failed : RunEnd::Done;
+    }
+    return std::nullopt;
+}
+
+void FleetWorkerModel::endRun(std::size_t index, RunEnd end, TimePoint now)
+{
+    const auto run = m_runs[index];
+    m_runs.erase(m_runs.begin() + static_cast<std::ptrdiff_t>(index));
+    m_ended.push_back({++m_lastNumber, run.task, run.attempt, end, checkpointOf(run)});
+    auto &closed = m_closedAttempts[run.task];
+    closed = std::max(closed, run.attempt);
+    m_onEvent({RunEvent::Kind::Ended, m_report.id, run.task, run.attempt, end, now});
+}
+
+std::string FleetWorkerModel::checkpointOf(const Run &run) const
+{
+    return run.behaviour.checkpoints ? std::to_string(run.done.count()) : std::string();
+}
+
+void FleetWorkerModel::advance(TimePoint now)
+{
+    for (auto &it : m_runs) {
+        work(it, now);
+    }
+    const bool hasLapsed = clockAt(now) > m_leaseUntilMs;
+    m_lapsedAt = hasLapsed ? now : m_lapsedAt;
+    for (std::size_t i = 0; i < m_runs.size();) {
+        const auto end = hasLapsed ? std::optional(RunEnd::Lapsed) : endOf(m_runs[i], now);
+        if (end) {
+            endRun(i, *end, now);
+        } else {
+            ++i;
+        }
+    }
+}
+
+OrderAnswer FleetWorkerModel::start(const StartOrder &order, TimePoint now)
+{
+    advance(now);
+    if (!followsToken(order.fence)) {
+        return answer(OrderOutcome::Fenced, now);
+    }
+    const bool isThere = std::any_of(m_runs.begin(), m_runs.end(), [&](const Run &it) {
+        return it.task == order.task && it.attempt == order.attempt;
+    });
+    if (isThere) {
+        return answer(OrderOutcome::Done, now);
+    }
+    const auto closed = m_closedAttempts.find(order.task);
+    if (closed != m_closedAttempts.end() && order.attempt <= closed->second) {
+        extendLease(order.leaseUntilMs, now);
+        return answer(OrderOutcome::Stale, now);
+    }
+    if (order.leaseUntilMs <= clockAt(now)) {
+        return answer(OrderOutcome::Late, now);
+    }
+    const auto behaviour = m_behaviours(order.task);
+    if (!behaviour) {
+        return answer(OrderOutcome::Invalid, now);
+    }
+    extendLease(order.leaseUntilMs, now);
+    Run run;
+    run.task = order.task;
+    run.attempt = order.attempt;
+    run.behaviour = *behaviour;
+    run.begunAt = now;
+    run.workedUntil = now;
+    run.done = order.checkpoint.empty() ? Millis(0) : Millis(std::stoll(order.checkpoint));
+    m_runs.push_back(run);
+    m_onEvent({RunEvent::Kind::Begun, m_report.id, order.task, order.attempt, RunEnd::Done, now});
+    return answer(OrderOutcome::Done, now);
+}
+
+OrderAnswer FleetWorkerModel::stop(const StopOrder &order, TimePoint now)
+{
+    advance(now);
+    if (!followsToken(order.fence)) {
+        return answer(OrderOutcome::Fenced, now);
+    }
+    for (auto &it : m_runs) {
+        if (it.task == order.task && it.attempt == order.attempt && !it.stoppingSince) {
+            it.stoppingSince = now;
+        }
+    }
+    auto &closed = m_closedAttempts[order.task];
+    closed = std::max(closed, order.attempt);
+    return answer(OrderOutcome::Done, now);
+}
+
+OrderAnswer FleetWorkerModel::pace(const PaceOrder &order, TimePoint now)
+{
+    advance(now);
+    if (!followsToken(order.fence)) {
+        return answer(OrderOutcome::Fenced, now);
+    }
+    for (auto &it : m_runs) {
+        if (it.task == order.task && it.attempt == order.attempt) {
+            it.pace = order.percent;
+            return answer(OrderOutcome::Done, now);
+        }
+    }
+    return answer(OrderOutcome::Stale, now);
+}
+
+HoldAnswer FleetWorkerModel::hold(const HoldOrder &order, TimePoint now)
+{
+    advance(now);
+    HoldAnswer out;
+    out.workerClockMs = clockAt(now);
+    out.bornMs = m_report.bornMs;
+    if (!followsToken(order.fence)) {
+        out.outcome = OrderOutcome::Fenced;
+        return out;
+    }
+    out.outcome = OrderOutcome::Done;
+    extendLease(order.leaseUntilMs, now);
+    std::erase_if(m_ended, [&](const EndedRow &it) {
+        return it.number <= order.acknowledged;
+    });
+    out.ended = m_ended;
+    for (const auto &it : m_runs) {
+        const auto share = it.behaviour.isLasting ? (now - it.begunAt >= m_times.warmUp ? FullPercent : 0)
+                                                  : static_cast<int>(it.done.count() * FullPercent / std::max<std::int64_t>(1, it.behaviour.duration.count()));
+        out.running.push_back({it.task, it.attempt, checkpointOf(it), std::min(share, FullPercent), 0});
+    }
+    return out;
+}
+
+void FleetWorkerModel::restart(TimePoint now)
+{
+    for (const auto &it : m_runs) {
+        m_onEvent({RunEvent::Kind::Ended, m_report.id, it.task, it.attempt, RunEnd::Lapsed, now});
+    }
+    m_runs.clear();
+    m_ended.clear();
+    m_closedAttempts.clear();
+    m_fence = 0;
+    m_leaseUntilMs = 0;
+    m_lastNumber = 0;
+    m_bornAt = now;
+    m_report.bornMs += 1 + (now - TimePoint {}).count();
+}
+
+int FleetWorkerModel::gangMembers(const FleetTaskId &member, std::int64_t attempt) const
+{
+    return static_cast<int>(std::count_if(m_runs.begin(), m_runs.end(), [&](const Run &it) {
+        return isSameStep(it.task, member) && it.attempt == attempt;
+    }));
+}
+
+void FleetWorkerModel::completeGang(const FleetTaskId &member, std::int64_t attempt)
+{
+    for (auto &it : m_runs) {
+        if (isSameStep(it.task, member) && it.attempt == attempt) {
+            it.isGangComplete = true;
+        }
+    }
+}
+
+void FleetWorkerModel::breakGang(const FleetTaskId &member, std::int64_t attempt, TimePoint now)
+{
+    for (std::size_t i = 0; i < m_runs.size();) {
+        const auto &it = m_runs[i];
+        if (it.isGangComplete && isSameStep(it.task, member) && it.attempt == attempt) {
+            endRun(i, RunEnd::Broken, now);
+        } else {
+            ++i;
+        }
+    }
+}
+
+std::vector<std::pair<FleetTaskId, std::int64_t>> FleetWorkerModel::runs() const
+{
+    std::vector<std::pair<FleetTaskId, std::int64_t>> out;
+    for (const auto &it : m_runs) {
+        out.emplace_back(it.task, it.attempt);
+    }
+    return out;
+}
+
+TaskNeeds FleetWorkerModel::used() const
+{
+    TaskNeeds out;
+    for (const auto &it : m_runs) {
+        out.cpuMilli += it.behaviour.isFiller ? 0 : it.behaviour.needs.cpuMilli;
+        out.memoryMb += it.behaviour.needs.memoryMb;
+        out.gpus += it.behaviour.needs.gpus;
+    }
+    return out;
+}
+
+} // namespace marjoramhaven
--- a/src/telemetry/EventLog.cpp
+++ b/src/telemetry/EventLog.cpp
@@ -64,6 +64,9 @@
 
 void EventLog::write(std::string_view kind, std::initializer_list<EventField> fields)
 {
+    if (m_descriptor < 0) {
+        return;
+    }
     const auto nowMs = unixMillis();
     std::int64_t droppedBefore = 0;
     {
