--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -35,7 +35,10 @@
 struct FleetStep {
     std::vector<FleetTask> tasks;
     int doneCount = 0;
+    /// When its tasks were first allowed to start, or last began to wait again.
     TimePoint readySince {};
+    /// Room is made for it again no sooner than this.
+    TimePoint nextPreemptAt {};
 
     bool isDone() const { return doneCount == static_cast<int>(tasks.size()); }
 };
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -235,8 +235,13 @@
     void placeTasks(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     FleetWorker *choose(const OpenStep &open, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
+    // FleetPlannerPreemption.cpp: room for what is more urgent
+    bool mayPreempt(const OpenStep &open, TimePoint now) const;
+    bool canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims);
+    void makeRoom(OpenStep &open, const std::vector<FleetWorker *> &candidates, TimePoint now);
     std::map<std::string, int> runsPerWorker(const FleetStep &step) const;
     void seekAdvice(OpenStep &open, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
+    static TaskNeeds countedNeeds(const StepSpec &spec);
     const QueuePolicy &queueOf(const FleetJob &job) const;
 
     FleetPort &m_port;
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -56,6 +56,7 @@
 private:
     struct Question;
     struct AdviceCall;
+    struct StoreCall;
 
     void tick();
     void takeConfiguration(const std::vector<KeyedRecord> &records);
@@ -71,7 +72,11 @@
     void ask(std::shared_ptr<Question> question);
     void askAgain(TimePoint now);
     void routeAdvice(const AdviceOrder &order, std::function<void(const AdviceAnswer &)> done);
+    // Stores through the planner, whose appends carry the records of all processes together; directly when it can't be asked or does not answer.
     void storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done);
+    void storeDirectly(const std::shared_ptr<StoreCall> &call);
+    void takeStoreAnswer(const FleetStoreAnswerMessage &answer);
+    void checkStoreCalls(TimePoint now);
     bool isLinkedToLeader() const;
 
     const FleetNodeSettings m_settings;
@@ -92,6 +97,7 @@
     std::uint64_t m_nextCall = 1;
     std::map<std::uint64_t, std::shared_ptr<Question>> m_questions;
     std::map<std::uint64_t, std::shared_ptr<AdviceCall>> m_adviceCalls;
+    std::map<std::uint64_t, std::shared_ptr<StoreCall>> m_storeCalls;
     bool m_isStopping = false;
 };
 
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -28,15 +28,6 @@
     return now <= job.acceptedAt() + allowed * LateFactor ? 1 : 2;
 }
 
-TaskNeeds countedNeeds(const StepSpec &spec)
-{
-    auto out = spec.needs;
-    if (spec.isFiller) {
-        out.cpuMilli = 0;
-    }
-    return out;
-}
-
 } // namespace
 
 std::vector<FleetPlanner::OpenStep> FleetPlanner::openSteps(TimePoint now)
@@ -62,6 +53,11 @@
                 }
                 // A gang starts only when none of its members is left from before.
                 const bool isHeldBack = spec.isGang && open.waiting.size() != step.tasks.size();
+                if (open.waiting.empty()) {
+                    step.readySince = {};
+                } else if (step.readySince == TimePoint {}) {
+                    step.readySince = now;
+                }
                 if (!open.waiting.empty() && !isHeldBack) {
                     out.push_back(std::move(open));
                 }
@@ -79,6 +75,10 @@
     releaseEnded();
     auto open = openSteps(now);
     const auto rank = [now](const OpenStep &it) {
+        // Lasting tasks are few, serve others all the time and never end by themselves.
+        if (it.spec->isLasting) {
+            return std::tuple(false, -1, 0, it.job->onTimeUntil(), it.job->id());
+        }
         const auto late = lateness(*it.job, now);
         const auto priority = it.job->request().queue.priority;
         return std::tuple(late == 2, priority, late, it.job->onTimeUntil(), it.job->id());
@@ -102,31 +102,42 @@
 void FleetPlanner::placeStep(OpenStep &open, TimePoint now)
 {
     const auto needs = countedNeeds(*open.spec);
-    std::vector<FleetWorker *> candidates;
+    std::vector<FleetWorker *> usable;
+    std::vector<FleetWorker *> withRoom;
     for (auto &[id, worker] : m_workers) {
-        if (isUsable(worker, *open.job, *open.spec, now) && worker.hasRoomFor(needs)) {
-            candidates.push_back(&worker);
+        if (isUsable(worker, *open.job, *open.spec, now)) {
+            usable.push_back(&worker);
+            if (worker.hasRoomFor(needs)) {
+                withRoom.push_back(&worker);
+            }
         }
     }
-    if (candidates.empty()) {
-        return;
-    }
     const auto &queue = queueOf(*open.job);
-    auto ready = candidates;
-    if (queue.needsAdvice) {
-        const auto name = open.name();
-        std::erase_if(ready, [&](const FleetWorker *it) {
-            return m_advice.verdict(name, it->report.id, it->bornMs, now) != AdviceBook::Verdict::Allowed;
-        });
-    }
-    const auto waitingBefore = open.waiting.size();
+    const auto name = open.name();
+    const auto isAllowed = [&](const FleetWorker *it) {
+        return !queue.needsAdvice || m_advice.verdict(name, it->report.id, it->bornMs, now) == AdviceBook::Verdict::Allowed;
+    };
+    auto ready = withRoom;
+    std::erase_if(ready, [&](const FleetWorker *it) {
+        return !isAllowed(it);
+    });
     if (open.spec->isGang) {
         placeGang(open, ready, now);
     } else {
         placeTasks(open, ready, now);
     }
-    if (queue.needsAdvice && !open.waiting.empty()) {
-        seekAdvice(open, candidates, open.spec->isGang ? waitingBefore : open.waiting.size(), now);
+    if (open.waiting.empty()) {
+        return;
+    }
+    if (mayPreempt(open, now)) {
+        makeRoom(open, usable, now);
+        std::erase_if(usable, [&](const FleetWorker *it) {
+            return !it->hasRoomFor(needs) && !canBeFreed(*it, open, nullptr);
+        });
+        withRoom = usable;
+    }
+    if (queue.needsAdvice && !withRoom.empty()) {
+        seekAdvice(open, withRoom, open.waiting.size(), now);
     }
 }
 
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -16,6 +16,8 @@
 // A question that was sent is sent again after this time, as its planner may have gone.
 constexpr Millis AskAgainAfter {600};
 constexpr Millis AnswerMargin {150};
+// The planner has this long to store a record for another process before that process does it itself.
+constexpr Millis PlannerStoresWithin {1300};
 
 std::string freshIncarnation(const std::string &name)
 {
@@ -56,6 +58,19 @@
     std::function<void(const AdviceAnswer &)> done;
 };
 
+// A record that the planner is asked to store.
+struct FleetNode::StoreCall {
+    KeyedRecord record;
+    TimePoint deadline;
+    /// When this process stores it itself, for want of an answer.
+    TimePoint directAt;
+    RecordWriter::Done done;
+    bool isAnswered = false;
+    /// True while the planner may have stored it, or may still do so.
+    bool mayBeStored = false;
+    bool isDirect = false;
+};
+
 FleetNode::FleetNode(FleetNodeSettings settings, FleetPlatform platform, EventLog &events, Metrics &metrics, QObject *parent)
     : QObject(parent)
     , m_settings(std::move(settings))
@@ -153,7 +168,7 @@
 
 bool FleetNode::isIdle() const
 {
-    return m_questions.empty() && m_writer.waiting() == 0 && m_claim.isRetired();
+    return m_questions.empty() && m_storeCalls.empty() && m_writer.waiting() == 0 && m_claim.isRetired();
 }
 
 void FleetNode::tick()
@@ -174,6 +189,7 @@
     }
     m_hub.tick(now);
     askAgain(now);
+    checkStoreCalls(now);
     std::vector<std::shared_ptr<AdviceCall>> late;
     std::erase_if(m_adviceCalls, [&](const auto &it) {
         const bool isLate = it.second->deadline <= now;
@@ -352,6 +368,10 @@
         }
     } else if (const auto *ask = std::get_if<FleetAdviceAskMessage>(&message)) {
         answerAdvice(from, *ask);
+    } else if (const auto *store = std::get_if<FleetStoreAskMessage>(&message)) {
+        answerStore(from, *store);
+    } else if (const auto *stored = std::get_if<FleetStoreAnswerMessage>(&message)) {
+        takeStoreAnswer(*stored);
     } else if (const auto *advice = std::get_if<FleetAdviceAnswerMessage>(&message)) {
         const auto it = m_adviceCalls.find(advice->call);
         if (it == m_adviceCalls.end()) {
@@ -406,6 +426,96 @@
     });
 }
 
+void FleetNode::answerStore(const std::string &from, const FleetStoreAskMessage &ask)
+{
+    const auto deadline = monotonicNow() + Millis(ask.budgetMs);
+    m_writer.store({ask.key, ask.value, 0}, deadline, [this, from, call = ask.call](const SubmitAnswer &answer) {
+        m_hub.send(from, FleetStoreAnswerMessage {call, std::string(nameOf(answer.verdict)), answer.reason});
+    });
+}
+
+void FleetNode::storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done)
+{
+    const auto now = monotonicNow();
+    const auto deadline = now + budget - AnswerMargin;
+    const auto patience = std::min(PlannerStoresWithin, budget / 2);
+    auto call = std::make_shared<StoreCall>(StoreCall {std::move(record), deadline, now + patience, std::move(done), false, false, false});
+    if (m_planner || !isLinkedToLeader()) {
+        storeDirectly(call);
+        return;
+    }
+    const auto number = m_nextCall++;
+    const FleetStoreAskMessage ask {number, call->record.key, call->record.value.value_or(""), (deadline - now - AnswerMargin).count()};
+    if (m_hub.send(m_claim.leader()->node, ask)) {
+        call->mayBeStored = true;
+        m_storeCalls[number] = call;
+    } else {
+        storeDirectly(call);
+    }
+}
+
+void FleetNode::storeDirectly(const std::shared_ptr<StoreCall> &call)
+{
+    if (call->isDirect) {
+        return;
+    }
+    call->isDirect = true;
+    m_writer.store(call->record, call->deadline, [call](SubmitAnswer answer) {
+        if (call->isAnswered) {
+            return;
+        }
+        if (answer.verdict == SubmitVerdict::Refused && call->mayBeStored) {
+            answer.verdict = SubmitVerdict::Unknown;
+        }
+        call->isAnswered = true;
+        call->done(answer);
+    });
+}
+
+void FleetNode::takeStoreAnswer(const FleetStoreAnswerMessage &answer)
+{
+    const auto it = m_storeCalls.find(answer.call);
+    if (it == m_storeCalls.end()) {
+        return;
+    }
+    const auto call = it->second;
+    m_storeCalls.erase(it);
+    const auto verdict = valueOf<SubmitVerdict>(answer.verdict);
+    if (call->isAnswered) {
+        return;
+    }
+    if (verdict == SubmitVerdict::Accepted) {
+        call->isAnswered = true;
+        call->done({SubmitVerdict::Accepted, Millis(0), {}});
+        return;
+    }
+    call->mayBeStored = verdict != SubmitVerdict::Refused;
+    storeDirectly(call);
+}
+
+void FleetNode::checkStoreCalls(TimePoint now)
+{
+    std::vector<std::shared_ptr<StoreCall>> late;
+    for (auto it = m_storeCalls.begin(); it != m_storeCalls.end();) {
+        const auto &call = it->second;
+        if (call->isAnswered || call->deadline <= now) {
+            late.push_back(call);
+            it = m_storeCalls.erase(it);
+            continue;
+        }
+        if (call->directAt <= now) {
+            storeDirectly(call);
+        }
+        ++it;
+    }
+    for (const auto &call : late) {
+        if (!call->isAnswered) {
+            call->isAnswered = true;
+            call->done({SubmitVerdict::Unknown, Millis(0), "no answer from the planner"});
+        }
+    }
+}
+
 void FleetNode::ask(std::shared_ptr<Question> question)
 {
     question->call = m_nextCall++;
@@ -458,7 +568,7 @@
     const auto queue = request.queue.name;
     const auto receivedAt = monotonicNow();
     KeyedRecord record {acceptanceKey(id), encodeJobRequest(request), 0};
-    m_writer.store(std::move(record), receivedAt + budget - AnswerMargin, [this, id, queue, receivedAt, done = std::move(done)](const SubmitAnswer &answer) {
+    storeRecord(std::move(record), budget, [this, id, queue, receivedAt, done = std::move(done)](const SubmitAnswer &answer) {
         const auto took = (monotonicNow() - receivedAt).count();
         m_events.write("submit",
                        {{"id", id},
@@ -504,8 +614,7 @@
 
 void FleetNode::cancel(const std::string &job, Millis budget, std::function<void(const QueryAnswer &)> done)
 {
-    const auto deadline = monotonicNow() + budget - AnswerMargin;
-    m_writer.store({cancellationKey(job), std::string("1"), 0}, deadline, [this, job, done = std::move(done)](const SubmitAnswer &answer) {
+    storeRecord({cancellationKey(job), std::string("1"), 0}, budget, [this, job, done = std::move(done)](const SubmitAnswer &answer) {
         m_events.write("cancel", {{"id", job}, {"verdict", std::string(nameOf(answer.verdict))}, {"reason", answer.reason}});
         QueryAnswer out;
         out.verdict = answer.verdict == SubmitVerdict::Accepted ? QueryVerdict::Known : QueryVerdict::Unavailable;
