The adapter and three whole processes against a stand-in that speaks the wire; adaptive timeouts, faster takeover

Change: tests/adapter with a stand-in of store, workers and advisor on loopback; links beat every 200 ms and count as lost after 700 ms; timeouts follow the answers' times; a log that did not answer is asked without waiting; the workers' stream is read five times a second; progress is stored every 12 ms at most.

--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -78,6 +78,7 @@
     void schedulePlan();
     void planNow();
     void storeNext();
+    void storeLater(Millis pause);
     void appendProgress(std::vector<KeyedRecord> records, std::int64_t batch);
     void dropExpired();
     void supersede(const std::string &why);
@@ -91,6 +92,9 @@
     std::vector<KeyedRecord> m_progress;
     std::vector<std::string> m_expired;
     std::int64_t m_sequence = 0;
+    AnswerTimes m_storeTimes;
+    TimePoint m_nextStoreAt {};
+    bool m_isStoreScheduled = false;
     TimePoint m_startedAt {};
     bool m_isProgressLoaded = false;
     bool m_isOpen = false;
--- a/include/marjoramhaven/fleetnode/RecordWriter.h
+++ b/include/marjoramhaven/fleetnode/RecordWriter.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "marjoramhaven/fleet/AnswerTimes.h"
 #include "marjoramhaven/fleet/FleetDesk.h"
 #include "marjoramhaven/fleet/StateLog.h"
 
@@ -45,6 +46,7 @@
     StateLog &m_log;
     const StateTopic m_topic;
     std::vector<EntryPtr> m_queue;
+    AnswerTimes m_times;
     std::size_t m_waiting = 0;
     int m_inFlight = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/marjoramhaven/fleetnode/TopicFollower.h
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "marjoramhaven/fleet/AnswerTimes.h"
 #include "marjoramhaven/fleet/StateLog.h"
 
 namespace marjoramhaven {
@@ -19,8 +20,8 @@
     Q_OBJECT
 
 public:
-    /// How long one read waits for a record at the log.
-    TopicFollower(StateLog &log, StateTopic topic, Millis wait, QObject *parent = nullptr);
+    /// One read waits this long for a record; after a read with records the next one is sent no sooner than the gap.
+    TopicFollower(StateLog &log, StateTopic topic, Millis wait, Millis gap, QObject *parent = nullptr);
 
     /// Called for records in order; a record without a value drops its key. Also called without records when a read was answered.
     std::function<void(const std::vector<KeyedRecord> &)> onRecords;
@@ -43,6 +44,7 @@
     void loadPage(const std::string &afterKey);
     void finishLoad();
     void poll();
+    void pollAfter(Millis pause);
     void takeRead(const ReadResult &result);
     void retryLater(const std::string &reason);
     void noteReachable(bool isReachable, const std::string &reason);
@@ -51,6 +53,8 @@
     StateLog &m_log;
     const StateTopic m_topic;
     const Millis m_wait;
+    const Millis m_gap;
+    AnswerTimes m_times;
     std::map<std::string, std::int64_t> m_offsets;
     std::vector<KeyedRecord> m_page;
     std::int64_t m_next = 0;
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -11,8 +11,8 @@
 
 constexpr Millis TickEvery {50};
 constexpr Millis FollowWait {1000};
-constexpr Millis BeatEvery {300};
-constexpr Millis LinkSilence {1300};
+constexpr Millis BeatEvery {200};
+constexpr Millis LinkSilence {700};
 // A question that was sent is sent again after this time, as its planner may have gone.
 constexpr Millis AskAgainAfter {600};
 constexpr Millis AnswerMargin {150};
@@ -79,8 +79,8 @@
     , m_metrics(metrics)
     , m_hub({m_settings.name, m_settings.zone}, seedOf(m_settings.name))
     , m_claim(selfOf(m_settings), ClaimTimes {})
-    , m_operator(m_platform.log, StateTopic::Operator, FollowWait)
-    , m_leadership(m_platform.log, StateTopic::Leadership, FollowWait)
+    , m_operator(m_platform.log, StateTopic::Operator, FollowWait, Millis(0))
+    , m_leadership(m_platform.log, StateTopic::Leadership, FollowWait, Millis(0))
     , m_writer(m_platform.log, StateTopic::Jobs)
 {
     m_operator.onRecords = [this](const std::vector<KeyedRecord> &records) {
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -11,6 +11,10 @@
 constexpr Millis TickEvery {20};
 constexpr Millis FollowWait {1000};
 constexpr Millis LoadTimeout {2000};
+// Workers write all the time; what they say is read together.
+constexpr Millis WorkersGap {200};
+// Decisions that come close together are stored together.
+constexpr Millis StoreGap {12};
 constexpr Millis StoreTimeout {1200};
 constexpr Millis RetryAfter {60};
 constexpr Millis DropTimeout {3000};
@@ -48,8 +52,8 @@
     , m_services(std::move(services))
     , m_planner(*this, m_services.events, limits, fence, monotonicNow())
     , m_fence(fence)
-    , m_jobs(m_services.log, StateTopic::Jobs, FollowWait)
-    , m_workers(m_services.log, StateTopic::Workers, FollowWait)
+    , m_jobs(m_services.log, StateTopic::Jobs, FollowWait, Millis(0))
+    , m_workers(m_services.log, StateTopic::Workers, FollowWait, WorkersGap)
 {
     m_planner.configurationChanged(configuration);
     m_jobs.onRecords = [this](const std::vector<KeyedRecord> &records) {
@@ -285,6 +289,12 @@
     if (m_isStoring || !m_planner.hasNews()) {
         return;
     }
+    const auto now = monotonicNow();
+    if (now < m_nextStoreAt) {
+        storeLater(m_nextStoreAt - now);
+        return;
+    }
+    m_nextStoreAt = now + StoreGap;
     const auto batch = m_planner.takeBatch(monotonicNow());
     if (batch.isEmpty()) {
         return;
@@ -301,18 +311,39 @@
     appendProgress(std::move(records), batch.number);
 }
 
+void PlannerHost::storeLater(Millis pause)
+{
+    if (m_isStoreScheduled) {
+        return;
+    }
+    m_isStoreScheduled = true;
+    const std::weak_ptr<bool> alive = m_alive;
+    QTimer::singleShot(static_cast<int>(pause.count()), Qt::PreciseTimer, this, [this, alive]() {
+        if (!alive.expired()) {
+            m_isStoreScheduled = false;
+            storeNext();
+        }
+    });
+}
+
 void PlannerHost::appendProgress(std::vector<KeyedRecord> records, std::int64_t batch)
 {
     AppendRequest request;
     request.topic = StateTopic::Progress;
-    request.timeout = StoreTimeout;
+    request.timeout = m_storeTimes.timeout();
     request.records = records;
     request.writer = WriterEpoch {WriterName, m_fence, m_sequence};
     const std::weak_ptr<bool> alive = m_alive;
-    m_services.log.append(std::move(request), [this, alive, batch, records = std::move(records)](const AppendResult &result) mutable {
+    const auto sentAt = monotonicNow();
+    m_services.log.append(std::move(request), [this, alive, batch, sentAt, records = std::move(records)](const AppendResult &result) mutable {
         if (alive.expired()) {
             return;
         }
+        if (result.outcome == AppendOutcome::Unknown) {
+            m_storeTimes.failed();
+        } else {
+            m_storeTimes.answered(monotonicNow() - sentAt);
+        }
         m_services.metrics.count("progress_appends_total{outcome=\"" + std::string(nameOf(result.outcome)) + "\"}");
         if (result.outcome == AppendOutcome::Stored) {
             m_isStoring = false;
--- a/src/fleetnode/RecordWriter.cpp
+++ b/src/fleetnode/RecordWriter.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr int MostAppends = 3;
-constexpr Millis LongestAppend {1200};
 constexpr Millis ShortestAppend {100};
 constexpr Millis RetryAfter {120};
 constexpr Millis ComeBackAfter {1000};
@@ -49,7 +48,7 @@
     }
     AppendRequest request;
     request.topic = m_topic;
-    request.timeout = LongestAppend;
+    request.timeout = m_times.timeout();
     std::vector<EntryPtr> entries;
     std::size_t bytes = 0;
     while (!m_queue.empty() && bytes < MostBytes) {
@@ -62,9 +61,14 @@
     }
     ++m_inFlight;
     const std::weak_ptr<bool> alive = m_alive;
-    m_log.append(std::move(request), [this, alive, entries](const AppendResult &result) {
+    m_log.append(std::move(request), [this, alive, entries, now](const AppendResult &result) {
         if (!alive.expired()) {
             --m_inFlight;
+            if (result.outcome == AppendOutcome::Unknown) {
+                m_times.failed();
+            } else {
+                m_times.answered(monotonicNow() - now);
+            }
             finish(entries, result);
         }
     });
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -8,18 +8,17 @@
 namespace {
 
 constexpr Millis LoadTimeout {2000};
-// A read's answer may take this much longer than it waits for a record.
-constexpr Millis ReadSlack {900};
 constexpr Millis FirstRetry {50};
 constexpr Millis LongestRetry {400};
 
 } // namespace
 
-TopicFollower::TopicFollower(StateLog &log, StateTopic topic, Millis wait, QObject *parent)
+TopicFollower::TopicFollower(StateLog &log, StateTopic topic, Millis wait, Millis gap, QObject *parent)
     : QObject(parent)
     , m_log(log)
     , m_topic(topic)
     , m_wait(wait)
+    , m_gap(gap)
 {
 }
 
@@ -110,19 +109,41 @@
         return;
     }
     const std::weak_ptr<bool> alive = m_alive;
-    m_log.read(m_topic, m_next, m_wait, m_wait + ReadSlack, [this, alive](const ReadResult &result) {
+    // A log that did not answer is asked for what it has, without waiting, until it answers again.
+    const auto wait = m_failures == 0 ? m_wait : Millis(0);
+    const auto sentAt = monotonicNow();
+    m_log.read(m_topic, m_next, wait, wait + m_times.timeout(), [this, alive, wait, sentAt](const ReadResult &result) {
         if (alive.expired()) {
             return;
         }
         if (!result.isAnswered) {
+            m_times.failed();
             retryLater(result.reason);
             return;
         }
+        if (wait.count() == 0) {
+            m_times.answered(monotonicNow() - sentAt);
+        }
         if (result.isTruncated) {
             start();
             return;
         }
+        const bool isNews = !result.records.empty();
         takeRead(result);
+        if (!alive.expired()) {
+            pollAfter(isNews ? m_gap : Millis(0));
+        }
+    });
+}
+
+void TopicFollower::pollAfter(Millis pause)
+{
+    if (pause.count() == 0) {
+        poll();
+        return;
+    }
+    const std::weak_ptr<bool> alive = m_alive;
+    QTimer::singleShot(static_cast<int>(pause.count()), this, [this, alive]() {
         if (!alive.expired()) {
             poll();
         }
@@ -145,7 +166,7 @@
         done(false);
         return;
     }
-    m_log.read(m_topic, m_next, Millis(0), ReadSlack, [this, alive, done = std::move(done)](const ReadResult &result) {
+    m_log.read(m_topic, m_next, Millis(0), m_times.timeout(), [this, alive, done = std::move(done)](const ReadResult &result) {
         if (alive.expired()) {
             return;
         }
--- /dev/null
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -0,0 +1,217 @@
+#include <boost/test/unit_test.hpp>
+
+#include "ClientFront.h"
+#include "Events.h"
+#include "HttpStateLog.h"
+#include "HttpWorkerCalls.h"
+#include "WireDocuments.h"
+#include "WireJson.h"
+#include "WireStandIn.h"
+#include "marjoramhaven/fleetnode/FleetNode.h"
+#include "marjoramhaven/standin/FreePort.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+FleetNodeSettings settingsOf(const std::string &name, WireStandIn &platform)
+{
+    FleetNodeSettings out;
+    out.name = name;
+    out.zone = "z";
+    out.store = {"127.0.0.1", platform.storePort()};
+    out.advisor = {"127.0.0.1", platform.advisorPort()};
+    out.peers = {"127.0.0.1", freePort()};
+    return out;
+}
+
+// One process of the fleet scheduler, inside the test's.
+struct Node {
+    FleetNodeSettings settings;
+    QObject context;
+    EventLog events;
+    Metrics metrics;
+    HttpCaller caller;
+    platform::HttpStateLog log;
+    platform::HttpWorkerCalls workers;
+    platform::HttpAdvisorCalls advisor;
+    FleetNode node;
+    platform::ClientFront front;
+    int port = 0;
+
+    Node(const std::string &name, WireStandIn &platform)
+        : settings(settingsOf(name, platform))
+        , events(name, -1)
+        , caller(context, 10)
+        , log(caller, settings.store)
+        , workers(caller)
+        , advisor(caller, settings.advisor)
+        , node(settings, {log, workers, advisor, platform::decodeWorker, platform::decodeConfiguration, "config"}, events, metrics)
+        , front(node)
+    {
+        port = freePort();
+        BOOST_REQUIRE(front.listenOn("127.0.0.1", port));
+        BOOST_REQUIRE(node.start());
+    }
+};
+
+struct Fleet {
+    WireStandIn platform {4};
+    std::vector<std::unique_ptr<Node>> nodes;
+    QObject context;
+    HttpCaller client {context, 8};
+
+    explicit Fleet(int count)
+    {
+        platform.putConfiguration(3, "host.example", "/q/", true);
+        for (int i = 0; i < count; ++i) {
+            nodes.push_back(std::make_unique<Node>("node-" + std::to_string(i), platform));
+        }
+    }
+
+    CallResult call(std::size_t node, const std::string &method, const std::string &path, const std::string &body = {}, const std::string &host = "host.example")
+    {
+        std::optional<CallResult> out;
+        OutgoingCall call;
+        call.method = method;
+        call.host = "127.0.0.1";
+        call.port = nodes[node]->port;
+        call.target = path;
+        call.body = body;
+        call.headers.emplace_back("Host", host);
+        call.timeout = Millis(5000);
+        client.call(std::move(call), [&](const CallResult &result) {
+            out = result;
+        });
+        waitFor(
+            [&]() {
+                return out.has_value();
+            },
+            6000);
+        return out.value_or(CallResult {});
+    }
+
+    bool isCompleted(std::size_t node, const std::string &job)
+    {
+        const auto answer = call(node, "GET", "/q/" + job);
+        return answer.status == 200 && answer.body == R"({"state":"completed"})";
+    }
+
+    bool areReady() const
+    {
+        return std::all_of(nodes.begin(), nodes.end(), [](const auto &it) {
+            return it->node.isReady();
+        });
+    }
+};
+
+const std::string Job = R"({"spec":"s","phases":[{"count":3,"cpu":1000,"mem-mb":100,"estimate-ms":150},)"
+                        R"({"count":2,"cpu":1000,"mem-mb":100,"estimate-ms":150,"after":[0]}]})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetNodes)
+
+BOOST_AUTO_TEST_CASE(aJobGoesThroughAnyProcess)
+{
+    Fleet fleet(3);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    for (std::size_t i = 0; i < 3; ++i) {
+        const auto id = "000000000000000" + std::to_string(i);
+        BOOST_TEST(fleet.call(i, "POST", "/q/" + id, Job).status == 200);
+        bool isDone = false;
+        for (int tries = 0; tries < 40 && !isDone; ++tries) {
+            isDone = fleet.isCompleted((i + 1) % 3, id);
+            waitFor(
+                []() {
+                    return false;
+                },
+                50);
+        }
+        BOOST_TEST(isDone);
+        BOOST_TEST(fleet.platform.beginsOf(id + ".0.1.1") == 1);
+    }
+    BOOST_TEST(fleet.call(0, "GET", "/q/").body == R"({"pending":0})");
+    BOOST_TEST(fleet.call(1, "GET", "/q/ffffffffffffffff").status == 410);
+    BOOST_TEST(fleet.call(1, "GET", "/other/").status == 404);
+    BOOST_TEST(fleet.call(1, "GET", "/q/", {}, "elsewhere.example").status == 404);
+    BOOST_TEST(fleet.call(1, "POST", "/q/00000000000000aa", "{}").status == 400);
+}
+
+BOOST_AUTO_TEST_CASE(anotherProcessPlansWhenThePlannerIsGone)
+{
+    Fleet fleet(3);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000b0", Job).status == 200);
+    // Whoever planned goes away with the two that are removed, unless it is the last, which then plans on.
+    fleet.nodes.erase(fleet.nodes.begin(), fleet.nodes.begin() + 2);
+    bool isDone = false;
+    for (int tries = 0; tries < 100 && !isDone; ++tries) {
+        isDone = fleet.isCompleted(0, "00000000000000b0");
+        waitFor(
+            []() {
+                return false;
+            },
+            50);
+    }
+    BOOST_TEST(isDone);
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(fleet.platform.beginsOf("00000000000000b0.0.0." + std::to_string(i)) == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aJobThatCannotBeStoredIsRefusedAndNeverRuns)
+{
+    Fleet fleet(2);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.setStoreDown(true);
+    const auto answer = fleet.call(0, "POST", "/q/00000000000000c0", Job);
+    BOOST_TEST(answer.status == 503);
+    fleet.platform.setStoreDown(false);
+    waitFor(
+        []() {
+            return false;
+        },
+        1000);
+    BOOST_TEST(fleet.platform.begins() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aVersionNeverGoesBack)
+{
+    Fleet fleet(1);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.putConfiguration(9, "host.example", "/new/", false);
+    BOOST_TEST(waitFor(
+        [&]() {
+            return fleet.nodes[0]->node.configuration()->version == 9;
+        },
+        2500));
+    fleet.platform.putConfiguration(4, "host.example", "/q/", true);
+    waitFor(
+        []() {
+            return false;
+        },
+        1300);
+    BOOST_TEST(fleet.nodes[0]->node.configuration()->version == 9);
+    BOOST_TEST(fleet.call(0, "GET", "/q/").status == 404);
+    BOOST_TEST(fleet.call(0, "GET", "/new/").status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/adapter/WireStandIn.cpp
@@ -0,0 +1,358 @@
+#include "WireStandIn.h"
+
+#include <QHostAddress>
+#include <QUrlQuery>
+#include <QtEndian>
+
+#include "WireJson.h"
+
+namespace marjoramhaven::test {
+
+using platform::Json;
+
+namespace {
+
+constexpr int TickMs = 5;
+constexpr Millis TaskTime {150};
+
+HttpResponse json(int status, const Json &body)
+{
+    HttpResponse out;
+    out.status = status;
+    out.body = QByteArray::fromStdString(body.dump());
+    return out;
+}
+
+std::string queryOf(const HttpRequest &request, const char *key)
+{
+    return QUrlQuery(request.url).queryItemValue(QLatin1String(key), QUrl::FullyDecoded).toStdString();
+}
+
+std::int64_t numberOf(const HttpRequest &request, const char *key, std::int64_t fallback)
+{
+    const auto text = queryOf(request, key);
+    return text.empty() ? fallback : std::stoll(text);
+}
+
+int statusOf(OrderOutcome outcome)
+{
+    return outcome == OrderOutcome::Done ? 200 : 409;
+}
+
+std::string wireReason(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Fenced:
+        return "fence";
+    case OrderOutcome::Late:
+        return "late";
+    default:
+        return "old";
+    }
+}
+
+} // namespace
+
+WireStandIn::WireStandIn(int workers)
+    : m_store(
+          [this](const HttpRequest &request, HttpRespond respond) {
+              handleStore(request, std::move(respond));
+          },
+          HttpLimits {})
+    , m_advisor(
+          [](const HttpRequest &request, const HttpRespond &respond) {
+              const auto body = Json::parse(request.body.toStdString());
+              Json rows = Json::array();
+              for (const auto &it : body["workers"]) {
+                  rows.push_back(Json::array({it, "ticket"}));
+              }
+              respond(json(200, {{"allowed", rows}}));
+          },
+          HttpLimits {})
+{
+    m_storePort = m_store.listenOn(QHostAddress::LocalHost, 0);
+    m_advisorPort = m_advisor.listenOn(QHostAddress::LocalHost, 0);
+    for (int i = 0; i < workers; ++i) {
+        const auto number = static_cast<std::size_t>(i);
+        m_workerServers.push_back(std::make_unique<HttpServer>(
+            [this, number](const HttpRequest &request, HttpRespond respond) {
+                handleWorker(number, request, std::move(respond));
+            },
+            HttpLimits {}));
+        WorkerReport report;
+        report.id = "i-" + std::to_string(i);
+        report.service = "svc";
+        report.host = "127.0.0.1";
+        report.port = m_workerServers.back()->listenOn(QHostAddress::LocalHost, 0);
+        report.zone = "z";
+        report.capacity = {8000, 16000, 0};
+        report.bornMs = 1000 + i;
+        m_workers.push_back(std::make_unique<FleetWorkerModel>(
+            report,
+            FleetWorkerTimes {},
+            [](const FleetTaskId & /*task*/) {
+                TaskBehaviour out;
+                out.duration = TaskTime;
+                out.needs = {1000, 100, 0};
+                return std::optional(out);
+            },
+            [this](const RunEvent &event) {
+                if (event.kind == RunEvent::Kind::Begun) {
+                    m_begins.push_back(event.task.toString());
+                }
+            }));
+    }
+    writeEntries();
+    connect(&m_ticker, &QTimer::timeout, this, [this]() {
+        serveWaiting();
+    });
+    m_ticker.start(TickMs);
+}
+
+WireStandIn::~WireStandIn() = default;
+
+void WireStandIn::writeEntries()
+{
+    for (const auto &it : m_workers) {
+        const auto report = it->reportAt(monotonicNow());
+        const Json entry {{"service", report.service},
+                          {"address", report.host + ":" + std::to_string(report.port)},
+                          {"zone", report.zone},
+                          {"state", "ready"},
+                          {"capacity", {{"cpu", report.capacity.cpuMilli}, {"mem-mb", report.capacity.memoryMb}, {"gpu", 0}}},
+                          {"labels", Json::array({"a", "r1"})},
+                          {"clock-ms", report.clockMs},
+                          {"born", report.bornMs}};
+        put("keyed.servers", report.id, entry.dump());
+    }
+}
+
+void WireStandIn::putConfiguration(std::int64_t version, const std::string &host, const std::string &prefix, bool needsAdvice)
+{
+    Json route {{"name", "r"},
+                {"host", host},
+                {"path-prefix", prefix},
+                {"service", "svc"},
+                {"target-completion-ms", 500},
+                {"priority", 0},
+                {"max-attempts", 2},
+                {"slack-factor", 1.5}};
+    if (needsAdvice) {
+        route["advisor"] = {{"decision-ms", 5.0}, {"per-worker-ms", 0.1}, {"validity-ms", 2500}};
+    }
+    put("keyed.op", "config", Json {{"version", version}, {"routes", Json::array({route})}}.dump());
+}
+
+void WireStandIn::put(const std::string &topic, const std::string &key, const std::optional<std::string> &value)
+{
+    m_topics[topic].records.emplace_back(key, value);
+}
+
+void WireStandIn::compact(const std::string &topic)
+{
+    auto &it = m_topics[topic];
+    it.first = static_cast<std::int64_t>(it.records.size());
+}
+
+std::size_t WireStandIn::topicSize(const std::string &topic) const
+{
+    const auto it = m_topics.find(topic);
+    return it == m_topics.end() ? 0 : it->second.records.size();
+}
+
+int WireStandIn::beginsOf(const std::string &task) const
+{
+    return static_cast<int>(std::count(m_begins.begin(), m_begins.end(), task));
+}
+
+void WireStandIn::handleStore(const HttpRequest &request, HttpRespond respond)
+{
+    if (m_isStoreDown) {
+        respond(json(503, Json::object()));
+    } else if (request.path == "/v1/log-append") {
+        respond(append(request));
+        serveWaiting();
+    } else if (request.path == "/v1/log-newest") {
+        respond(newest(request));
+    } else if (request.path == "/v1/log-read") {
+        const auto wait = Millis(numberOf(request, "wait-ms", 0));
+        m_readers.push_back({queryOf(request, "topic"), numberOf(request, "from", 0), monotonicNow() + wait, std::move(respond)});
+        serveWaiting();
+    } else {
+        respond(json(404, Json::object()));
+    }
+}
+
+HttpResponse WireStandIn::append(const HttpRequest &request)
+{
+    auto &topic = m_topics[queryOf(request, "topic")];
+    const auto end = static_cast<std::int64_t>(topic.records.size());
+    if (numberOf(request, "at", end) != end) {
+        return json(412, {{"end-offset", end}});
+    }
+    const auto writer = queryOf(request, "producer");
+    const auto epoch = numberOf(request, "epoch", 0);
+    const auto sequence = numberOf(request, "sequence", 0);
+    auto known = topic.writers.find(writer);
+    if (!writer.empty() && known != topic.writers.end()) {
+        if (epoch < known->second.first) {
+            return json(409, {{"reason", "fenced"}});
+        }
+        if (epoch == known->second.first && sequence == known->second.second) {
+            return json(200, {{"offset", end - 1}, {"end-offset", end}});
+        }
+        if (epoch == known->second.first && sequence != known->second.second + 1) {
+            return json(409, {{"reason", "seq"}});
+        }
+    }
+    if (!writer.empty()) {
+        topic.writers[writer] = {epoch, sequence};
+    }
+    const auto &body = request.body;
+    qsizetype at = 0;
+    while (at + 4 <= body.size()) {
+        const auto size = static_cast<qsizetype>(qFromBigEndian<quint32>(body.constData() + at));
+        const auto keySize = static_cast<qsizetype>(static_cast<unsigned char>(body[at + 4]));
+        const auto key = body.mid(at + 5, keySize).toStdString();
+        const auto value = body.mid(at + 5 + keySize, size - 1 - keySize).toStdString();
+        topic.records.emplace_back(key, value.empty() ? std::nullopt : std::optional(value));
+        at += 4 + size;
+    }
+    return json(200, {{"offset", end}, {"end-offset", topic.records.size()}});
+}
+
+HttpResponse WireStandIn::newest(const HttpRequest &request) const
+{
+    constexpr std::size_t PageSize = 3;
+    const auto after = queryOf(request, "after");
+    const auto topic = m_topics.find(queryOf(request, "topic"));
+    std::map<std::string, std::pair<std::string, std::int64_t>> found;
+    std::int64_t end = 0;
+    if (topic != m_topics.end()) {
+        for (const auto &[key, value] : topic->second.records) {
+            found.erase(key);
+            if (value) {
+                found[key] = {*value, end};
+            }
+            ++end;
+        }
+    }
+    Json items = Json::array();
+    for (auto it = found.upper_bound(after); it != found.end() && items.size() < PageSize; ++it) {
+        const auto value = QByteArray::fromStdString(it->second.first).toBase64().toStdString();
+        items.push_back({{"key", it->first}, {"value", value}, {"offset", it->second.second}});
+    }
+    const bool hasMore = !items.empty() && found.upper_bound(items.back()["key"].get<std::string>()) != found.end();
+    return json(200, {{"items", items}, {"has-more", hasMore}, {"end-offset", end}});
+}
+
+HttpResponse WireStandIn::readNow(const Reader &reader) const
+{
+    HttpResponse out;
+    const auto topic = m_topics.find(reader.topic);
+    const auto end = topic == m_topics.end() ? 0 : static_cast<std::int64_t>(topic->second.records.size());
+    const auto first = topic == m_topics.end() ? 0 : topic->second.first;
+    if (reader.from < first) {
+        return json(410, {{"first-offset", first}});
+    }
+    out.body.resize(16);
+    qToBigEndian(static_cast<quint64>(end), out.body.data());
+    qToBigEndian(static_cast<quint64>(first), out.body.data() + 8);
+    for (auto i = reader.from; i < end; ++i) {
+        const auto &[key, value] = topic->second.records[static_cast<std::size_t>(i)];
+        QByteArray record(4, Qt::Uninitialized);
+        qToBigEndian(static_cast<quint32>(1 + key.size() + (value ? value->size() : 0)), record.data());
+        record.append(static_cast<char>(key.size()));
+        record.append(key.data(), static_cast<qsizetype>(key.size()));
+        if (value) {
+            record.append(value->data(), static_cast<qsizetype>(value->size()));
+        }
+        out.body.append(record);
+    }
+    return out;
+}
+
+void WireStandIn::serveWaiting()
+{
+    const auto now = monotonicNow();
+    std::vector<Reader> ready;
+    std::erase_if(m_readers, [&](Reader &it) {
+        const bool isDue = it.until <= now || static_cast<std::int64_t>(topicSize(it.topic)) > it.from || it.from < m_topics[it.topic].first;
+        if (isDue) {
+            ready.push_back(it);
+        }
+        return isDue;
+    });
+    for (const auto &it : ready) {
+        it.respond(m_isStoreDown ? json(503, Json::object()) : readNow(it));
+    }
+    for (auto &it : m_workers) {
+        it->advance(now);
+    }
+    std::vector<Holder> answered;
+    std::erase_if(m_holders, [&](Holder &it) {
+        const bool isDue = it.until <= now || m_workers[it.worker]->hasEndAfter(it.order.acknowledged);
+        if (isDue) {
+            answered.push_back(it);
+        }
+        return isDue;
+    });
+    for (const auto &it : answered) {
+        const auto answer = m_workers[it.worker]->hold(it.order, now);
+        Json running = Json::array();
+        for (const auto &row : answer.running) {
+            running.push_back(Json::array({row.task.toString(), row.attempt, row.checkpoint, row.percent, row.usage}));
+        }
+        Json finished = Json::array();
+        for (const auto &row : answer.ended) {
+            finished.push_back(Json::array({row.number, row.task.toString(), row.attempt, nameOf(row.end), row.checkpoint}));
+        }
+        it.respond(json(statusOf(answer.outcome),
+                        {{"clock-ms", answer.workerClockMs},
+                         {"born", answer.bornMs},
+                         {"reason", wireReason(answer.outcome)},
+                         {"running", running},
+                         {"finished", finished}}));
+    }
+}
+
+void WireStandIn::handleWorker(std::size_t number, const HttpRequest &request, HttpRespond respond)
+{
+    const auto now = monotonicNow();
+    auto &worker = *m_workers[number];
+    const auto body = Json::parse(request.body.toStdString());
+    if (request.header("Expected-Instance").toStdString() != worker.report().id) {
+        HttpResponse out;
+        out.status = 421;
+        respond(out);
+        return;
+    }
+    const auto fence = body.value("fencing-token", std::int64_t(0));
+    if (request.path == "/v1/hold") {
+        HoldOrder order;
+        order.fence = fence;
+        order.leaseUntilMs = body.value("deadline-ms", std::int64_t(0));
+        order.acknowledged = body.value("ack-cursor", std::int64_t(0));
+        const auto wait = Millis(body.value("wait-ms", std::int64_t(0)));
+        worker.hold(order, now);
+        m_holders.push_back({number, order, now + wait, std::move(respond)});
+        serveWaiting();
+        return;
+    }
+    const auto task = *FleetTaskId::parse(body.value("task", ""));
+    const auto attempt = body.value("attempt", std::int64_t(0));
+    OrderAnswer answer;
+    if (request.path == "/v1/run-start") {
+        StartOrder order;
+        order.task = task;
+        order.attempt = attempt;
+        order.fence = fence;
+        order.leaseUntilMs = body.value("deadline-ms", std::int64_t(0));
+        answer = worker.start(order, now);
+    } else {
+        answer = worker.stop({{}, task, attempt, fence}, now);
+    }
+    respond(json(statusOf(answer.outcome), {{"clock-ms", answer.workerClockMs}, {"reason", wireReason(answer.outcome)}}));
+}
+
+} // namespace marjoramhaven::test
--- /dev/null
+++ b/tests/adapter/WireTest.cpp
@@ -0,0 +1,230 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Events.h"
+#include "HttpStateLog.h"
+#include "HttpWorkerCalls.h"
+#include "WireDocuments.h"
+#include "WireStandIn.h"
+#include "marjoramhaven/base/LastReason.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+struct Bench {
+    WireStandIn platform {2};
+    QObject context;
+    HttpCaller caller {context, 6};
+    platform::HttpStateLog log {caller, {"127.0.0.1", platform.storePort()}};
+    platform::HttpWorkerCalls workers {caller};
+
+    AppendResult append(AppendRequest request)
+    {
+        std::optional<AppendResult> out;
+        log.append(std::move(request), [&](const AppendResult &result) {
+            out = result;
+        });
+        waitFor(
+            [&]() {
+                return out.has_value();
+            },
+            3000);
+        return out.value_or(AppendResult {});
+    }
+
+    AppendRequest request(const std::string &key, const std::string &value) const
+    {
+        AppendRequest out;
+        out.topic = StateTopic::Leadership;
+        out.records.push_back({key, value, 0});
+        return out;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Wire)
+
+BOOST_AUTO_TEST_CASE(anAppendAtTheExpectedEndIsStoredOnce)
+{
+    Bench bench;
+    auto request = bench.request("planner", "a");
+    request.expectedEnd = 0;
+    BOOST_TEST((bench.append(request).outcome == AppendOutcome::Stored));
+    const auto second = bench.append(request);
+    BOOST_TEST((second.outcome == AppendOutcome::Moved));
+    BOOST_TEST(second.end == 1);
+}
+
+BOOST_AUTO_TEST_CASE(anOlderWriterIsFencedAndARepeatIsStoredOnce)
+{
+    Bench bench;
+    auto request = bench.request("k", "v");
+    request.writer = WriterEpoch {"planner", 5, 1};
+    BOOST_TEST((bench.append(request).outcome == AppendOutcome::Stored));
+    BOOST_TEST((bench.append(request).outcome == AppendOutcome::Stored));
+    BOOST_TEST(bench.platform.topicSize("keyed.leadership") == 1U);
+    request.writer->epoch = 4;
+    BOOST_TEST((bench.append(request).outcome == AppendOutcome::Fenced));
+}
+
+BOOST_AUTO_TEST_CASE(aStoreThatIsDownSurelyStoresNothing)
+{
+    Bench bench;
+    bench.platform.setStoreDown(true);
+    BOOST_TEST((bench.append(bench.request("k", "v")).outcome == AppendOutcome::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatCannotBeReachedGetsNothing)
+{
+    Bench bench;
+    platform::HttpStateLog nowhere(bench.caller, {"127.0.0.1", 1});
+    std::optional<AppendResult> out;
+    nowhere.append(bench.request("k", "v"), [&](const AppendResult &result) {
+        out = result;
+    });
+    BOOST_TEST(waitFor(
+        [&]() {
+            return out.has_value();
+        },
+        3000));
+    BOOST_TEST((out->outcome == AppendOutcome::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(recordsAreReadBackWithTheirOffsets)
+{
+    Bench bench;
+    bench.append(bench.request("a", std::string("\0\x01z", 3)));
+    auto dropped = bench.request("a", "");
+    dropped.records[0].value.reset();
+    bench.append(dropped);
+    std::optional<ReadResult> out;
+    bench.log.read(StateTopic::Leadership, 0, Millis(0), Millis(2000), [&](const ReadResult &result) {
+        out = result;
+    });
+    BOOST_TEST(waitFor(
+        [&]() {
+            return out.has_value();
+        },
+        3000));
+    BOOST_TEST(out->records.size() == 2U);
+    BOOST_TEST(out->next == 2);
+    BOOST_TEST(*out->records[0].value == std::string("\0\x01z", 3));
+    BOOST_TEST(!out->records[1].value);
+}
+
+BOOST_AUTO_TEST_CASE(aReadBehindTheRetentionSaysSo)
+{
+    Bench bench;
+    bench.append(bench.request("a", "1"));
+    bench.platform.compact("keyed.leadership");
+    std::optional<ReadResult> out;
+    bench.log.read(StateTopic::Leadership, 0, Millis(0), Millis(2000), [&](const ReadResult &result) {
+        out = result;
+    });
+    BOOST_TEST(waitFor(
+        [&]() {
+            return out.has_value();
+        },
+        3000));
+    BOOST_TEST(out->isTruncated);
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerIsStartedHeldAndStopped)
+{
+    Bench bench;
+    const std::string key = "i-0";
+    WorkerTarget target {key, "127.0.0.1", 0};
+    std::optional<NewestResult> entries;
+    bench.log.newest(StateTopic::Workers, {}, Millis(2000), [&](const NewestResult &result) {
+        entries = result;
+    });
+    waitFor(
+        [&]() {
+            return entries.has_value();
+        },
+        3000);
+    const auto report = platform::decodeWorker(key, *entries->records.front().value);
+    BOOST_REQUIRE(report);
+    target.port = report->port;
+    BOOST_TEST(report->bornMs == 1000);
+    const auto leaseUntil = report->clockMs + 60'000;
+    StartOrder order {target, {"0123456789abcdef", 0, 0, 3}, 1, "p", leaseUntil, 7, {}, {}};
+    std::optional<OrderAnswer> started;
+    bench.workers.start(order, Millis(2000), [&](const OrderAnswer &answer) {
+        started = answer;
+    });
+    waitFor(
+        [&]() {
+            return started.has_value();
+        },
+        3000);
+    BOOST_TEST((started->outcome == OrderOutcome::Done));
+    std::optional<HoldAnswer> held;
+    bench.workers.hold({target, leaseUntil, 7, 0, Millis(1000)}, Millis(2000), [&](const HoldAnswer &answer) {
+        held = answer;
+    });
+    waitFor(
+        [&]() {
+            return held.has_value();
+        },
+        3000);
+    BOOST_REQUIRE(held->ended.size() == 1U);
+    BOOST_TEST((held->ended[0].end == RunEnd::Done));
+    BOOST_TEST(held->bornMs == 1000);
+    order.fence = 6;
+    started.reset();
+    bench.workers.start(order, Millis(2000), [&](const OrderAnswer &answer) {
+        started = answer;
+    });
+    waitFor(
+        [&]() {
+            return started.has_value();
+        },
+        3000);
+    BOOST_TEST((started->outcome == OrderOutcome::Fenced));
+    target.id = "i-other";
+    started.reset();
+    bench.workers.stop({target, order.task, 1, 7}, Millis(2000), [&](const OrderAnswer &answer) {
+        started = answer;
+    });
+    waitFor(
+        [&]() {
+            return started.has_value();
+        },
+        3000);
+    BOOST_TEST((started->outcome == OrderOutcome::OtherIncarnation));
+}
+
+BOOST_AUTO_TEST_CASE(aJobIsDecodedAndUnknownMembersAreIgnored)
+{
+    const auto job = platform::decodeJob(R"({"spec":"s","new":1,"phases":[{"count":2,"cpu":500,"estimate-ms":9},)"
+                                         R"({"count":3,"after":[0],"gang":true,"fill-count":1,"anti-affinity":2,"target-ms":40}]})");
+    BOOST_REQUIRE(job);
+    BOOST_TEST(job->steps.size() == 2U);
+    BOOST_TEST(job->steps[1].isGang);
+    BOOST_TEST(job->steps[1].isFiller);
+    BOOST_TEST(job->steps[1].maxPerWorker == 2);
+    BOOST_TEST(job->steps[1].after.front() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(malformedJobsAreRefusedWithAReason)
+{
+    for (const auto *text : {"", "[]", "{}", R"({"phases":[]})", R"({"phases":[{"count":0}]})", R"({"phases":[{"count":"2"}]})", R"({"phases":[{"count":1,"after":[0]}]})",
+                             R"({"phases":[{"count":1,"cpu":-1}]})", R"({"spec":7,"phases":[{"count":1}]})"}) {
+        BOOST_TEST(!platform::decodeJob(text), text);
+        BOOST_TEST(!lastReason().empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entriesOfOtherWritersNameNoWorker)
+{
+    for (const auto *text : {"", "7", "{}", R"({"service":"s","address":"x","state":"ready","capacity":{}})",
+                             R"({"service":"s","address":"127.0.0.1:1","state":"odd","capacity":{}})", R"({"service":"s","address":"127.0.0.1:1","state":"ready"})",
+                             R"({"service":"s","address":"127.0.0.1:1","state":"ready","capacity":{"cpu":"8"}})"}) {
+        BOOST_TEST(!platform::decodeWorker("i", text), text);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
