A slow log gets more time before it counts as silent

Cause: with a first timeout of 700 ms a log that answers 89 times slower (0.6 s and its queue) counted as silent, and repeats filled its queue. Change: 1.2 s at first, 0.7 s and 1.5 s in turn after a call without an answer.

--- a/include/marjoramhaven/fleet/AnswerTimes.h
+++ b/include/marjoramhaven/fleet/AnswerTimes.h
@@ -6,7 +6,7 @@
 
 /// Chooses how long to wait for answers of one service, from how long its answers took lately.
 ///
-/// A service that is silent is asked again soon; one that is only slow gets more time at every second try, so that its queue is not filled with repeats.
+/// A service that is silent is asked again soon, with more time at every second try, since it may only have become slow.
 class AnswerTimes
 {
 public:
--- a/src/fleet/AnswerTimes.cpp
+++ b/src/fleet/AnswerTimes.cpp
@@ -8,7 +8,9 @@
 
 constexpr double WeightOfNewest = 0.25;
 constexpr double TimesTheMean = 4;
-constexpr Millis ShortestTimeout {700};
+// A service that has become slow all at once is not taken for a silent one within this time.
+constexpr Millis FirstTimeout {1200};
+constexpr Millis RetryTimeout {700};
 constexpr Millis LongestTimeout {1500};
 
 } // namespace
@@ -21,9 +23,10 @@
 
 Millis AnswerTimes::timeout() const
 {
-    const auto usual = std::clamp(Millis(static_cast<std::int64_t>(m_meanMs * TimesTheMean)), ShortestTimeout, LongestTimeout);
-    const bool isSecondTry = m_failures % 2 == 1;
-    return isSecondTry ? LongestTimeout : usual;
+    if (m_failures == 0) {
+        return std::clamp(Millis(static_cast<std::int64_t>(m_meanMs * TimesTheMean)), FirstTimeout, LongestTimeout);
+    }
+    return m_failures % 2 == 1 ? RetryTimeout : LongestTimeout;
 }
 
 } // namespace marjoramhaven
