Processes know each other: planner and configuration are passed on, a planner that lost the log says so

The planner that was turned away kept the fleet for 1.4 s, since its links lived. Ruled out: the log itself (others were served), the relay's patience alone. Change: each process registers its address in the leadership stream and links with all; beats carry the planner, its token and the configuration's version; a process behind gets the configuration's text; a planner that can't read the log counts as lost. Open: processes that are gone for good stay registered.

--- a/include/marjoramhaven/fleet/PlannerClaim.h
+++ b/include/marjoramhaven/fleet/PlannerClaim.h
@@ -62,7 +62,9 @@
     void recordsRead(const std::vector<std::pair<std::int64_t, LeadershipRecord>> &records, std::int64_t end, TimePoint now);
     /// A call to the log took this long; slower processes claim later.
     void observeDelay(Millis delay);
-    /// The link to the planner was lost, or is there again.
+    /// Another process tells of a planner; followed when its token is higher. The record's claim offset must be set.
+    void learnLeader(const LeadershipRecord &record, TimePoint now);
+    /// The link to the planner was lost or is there again; a planner that says that it can't reach the log counts as lost.
     void setPlannerLinked(bool isLinked, TimePoint now);
     /// Workers follow a higher token, or this process stops: it does not plan any more.
     void resign(TimePoint now);
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -60,6 +60,10 @@
 
     void tick();
     void takeConfiguration(const std::vector<KeyedRecord> &records);
+    void applyConfiguration(const std::string &text, const std::string &source);
+    void takeBeat(const std::string &from, const FleetBeatMessage &beat);
+    void sendBeats();
+    void registerSelf();
     void takeLeadership(const std::vector<KeyedRecord> &records);
     void claimWhenDue(TimePoint now);
     void followLeader();
@@ -90,8 +94,13 @@
     RecordWriter m_writer;
     QTimer m_ticker;
     std::optional<FleetConfiguration> m_configuration;
+    std::string m_configurationText;
+    /// Other processes and where they listen, by name.
+    std::map<std::string, PeerAddress> m_nodes;
+    bool m_isLeaderBlind = false;
+    bool m_canReadLog = false;
     std::unique_ptr<PlannerHost> m_planner;
-    std::string m_dialled;
+    std::string m_followed;
     std::map<std::string, TimePoint> m_heardAt;
     TimePoint m_nextBeatAt {};
     std::uint64_t m_nextCall = 1;
--- a/include/marjoramhaven/wire/PeerHub.h
+++ b/include/marjoramhaven/wire/PeerHub.h
@@ -23,8 +23,6 @@
     std::string name;
     std::string host;
     int port = 0;
-    /// True when the peer dials this process too, so that one of the two leaves the first dial to the other.
-    bool dialsBack = true;
 };
 
 /// A peer with an open link.
@@ -46,8 +44,8 @@
     int listenOn(const std::string &host, int port);
     /// Names the peers to dial.
     void setPeers(std::vector<PeerAddress> peers);
-    /// Dials this peer and no other; links that others opened stay.
-    void dialOnly(PeerAddress peer);
+    /// Forgets a peer, so that it is not dialled any more; an open link stays.
+    void forgetPeer(const std::string &peer);
     /// Closes the link to a peer, if there is one; it is dialled again when it is known.
     void closeLink(const std::string &peer);
     /// Dials what is not linked; call at least every 100 ms.
--- a/include/marjoramhaven/wire/PeerMessage.h
+++ b/include/marjoramhaven/wire/PeerMessage.h
@@ -132,13 +132,29 @@
     }
 };
 
-/// Keeps a link of the fleet scheduler known to be alive; tells the fencing token of the planner that the sender knows.
+/// Keeps a link of the fleet scheduler known to be alive, and tells what the sender knows: the planner with its token, and the configuration's version.
 struct FleetBeatMessage {
     std::int64_t fence = 0;
+    std::string planner;
+    std::string plannerHost;
+    int plannerPort = 0;
+    /// True when the sender plans and can't reach the log.
+    bool isPlannerBlind = false;
+    std::int64_t configurationVersion = -1;
     template<typename Self>
     static auto fieldsOf(Self &self)
     {
-        return std::tie(self.fence);
+        return std::tie(self.fence, self.planner, self.plannerHost, self.plannerPort, self.isPlannerBlind, self.configurationVersion);
+    }
+};
+
+/// A configuration as the operators wrote it, for a process that can't read it itself.
+struct FleetConfigurationMessage {
+    std::string text;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.text);
     }
 };
 
@@ -232,6 +248,7 @@
                                  JobAskMessage,
                                  JobAnswerMessage,
                                  FleetBeatMessage,
+                                 FleetConfigurationMessage,
                                  FleetQueryMessage,
                                  FleetQueryAnswerMessage,
                                  FleetAdviceAskMessage,
--- a/src/fleet/PlannerClaim.cpp
+++ b/src/fleet/PlannerClaim.cpp
@@ -78,6 +78,13 @@
     m_mustRead = false;
 }
 
+void PlannerClaim::learnLeader(const LeadershipRecord &record, TimePoint now)
+{
+    if (record.claimOffset > m_leaderClaim && record.incarnation != m_self.incarnation) {
+        apply(record.claimOffset, record, now);
+    }
+}
+
 void PlannerClaim::observeDelay(Millis delay)
 {
     m_headStart = std::min(m_times.longestHeadStart, delay * HeadStartDelays);
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -16,6 +16,9 @@
 // A question that was sent is sent again after this time, as its planner may have gone.
 constexpr Millis AskAgainAfter {600};
 constexpr Millis AnswerMargin {150};
+constexpr char NodeKeyPrefix[] = "node/";
+constexpr Millis RegisterTimeout {1500};
+constexpr Millis RegisterAgainAfter {300};
 // The planner has this long to store a record for another process before that process does it itself.
 constexpr Millis PlannerStoresWithin {1300};
 
@@ -86,6 +89,10 @@
     m_operator.onRecords = [this](const std::vector<KeyedRecord> &records) {
         takeConfiguration(records);
     };
+    m_leadership.onReachable = [this](bool isReachable, const std::string & /*reason*/) {
+        m_canReadLog = isReachable;
+        sendBeats();
+    };
     m_operator.onReachable = [this](bool isReachable, const std::string &reason) {
         m_events.write(isReachable ? "store_regained" : "store_lost", {{"reason", reason}});
     };
@@ -139,6 +146,7 @@
     if (m_hub.listenOn(m_settings.peers.host, m_settings.peers.port) == 0) {
         return false;
     }
+    registerSelf();
     m_leadership.start();
     m_operator.start();
     m_ticker.start(static_cast<int>(TickEvery.count()));
@@ -147,7 +155,7 @@
 
 bool FleetNode::isReady() const
 {
-    return !m_isStopping && m_configuration.has_value();
+    return !m_isStopping && m_configuration.has_value() && (m_canReadLog || m_planner || isLinkedToLeader());
 }
 
 const FleetConfiguration *FleetNode::configuration() const
@@ -177,9 +185,7 @@
     claimWhenDue(now);
     if (now >= m_nextBeatAt) {
         m_nextBeatAt = now + BeatEvery;
-        for (const auto &it : m_hub.linked()) {
-            m_hub.send(it.name, FleetBeatMessage {m_claim.leaderFence()});
-        }
+        sendBeats();
     }
     for (const auto &it : m_hub.linked()) {
         if (now - m_heardAt[it.name] > LinkSilence) {
@@ -205,39 +211,105 @@
     }
 }
 
+void FleetNode::registerSelf()
+{
+    AppendRequest request;
+    request.topic = StateTopic::Leadership;
+    request.records.push_back({NodeKeyPrefix + m_settings.name, encodeLeadership(selfOf(m_settings)), 0});
+    request.timeout = RegisterTimeout;
+    m_platform.log.append(std::move(request), [this](const AppendResult &result) {
+        if (result.outcome != AppendOutcome::Stored && !m_isStopping) {
+            QTimer::singleShot(static_cast<int>(RegisterAgainAfter.count()), this, [this]() {
+                registerSelf();
+            });
+        }
+    });
+}
+
+void FleetNode::sendBeats()
+{
+    FleetBeatMessage beat;
+    const auto &leader = m_claim.leader();
+    if (leader) {
+        beat.fence = m_claim.leaderFence();
+        beat.planner = leader->node;
+        beat.plannerHost = leader->host;
+        beat.plannerPort = leader->port;
+    }
+    beat.isPlannerBlind = m_planner && !m_canReadLog;
+    beat.configurationVersion = m_configuration ? m_configuration->version : -1;
+    for (const auto &it : m_hub.linked()) {
+        m_hub.send(it.name, beat);
+    }
+}
+
+void FleetNode::takeBeat(const std::string &from, const FleetBeatMessage &beat)
+{
+    const auto now = monotonicNow();
+    if (beat.fence > m_claim.leaderFence() && !beat.planner.empty()) {
+        LeadershipRecord record;
+        record.node = beat.planner;
+        record.host = beat.plannerHost;
+        record.port = beat.plannerPort;
+        record.claimOffset = beat.fence - 1;
+        m_claim.learnLeader(record, now);
+        followLeader();
+    }
+    if (m_claim.leader() && m_claim.leader()->node == from && !m_planner) {
+        m_isLeaderBlind = beat.isPlannerBlind;
+        m_claim.setPlannerLinked(!m_isLeaderBlind, now);
+    }
+    const auto ownVersion = m_configuration ? m_configuration->version : -1;
+    if (beat.configurationVersion < ownVersion) {
+        m_hub.send(from, FleetConfigurationMessage {m_configurationText});
+    }
+}
+
 void FleetNode::takeConfiguration(const std::vector<KeyedRecord> &records)
 {
     for (const auto &it : records) {
-        if (it.key != m_platform.configurationKey || !it.value) {
-            continue;
-        }
-        auto configuration = m_platform.readConfiguration(*it.value);
-        if (!configuration) {
-            m_events.write("configuration_unreadable", {{"reason", lastReason()}});
-            continue;
-        }
-        if (m_configuration && configuration->version < m_configuration->version) {
-            continue;
-        }
-        m_configuration = std::move(configuration);
-        m_events.write("configuration_in_force",
-                       {{"version", m_configuration->version}, {"queues", static_cast<std::int64_t>(m_configuration->queues.size())}});
-        if (m_planner) {
-            m_planner->configurationChanged(*m_configuration);
+        if (it.key == m_platform.configurationKey && it.value) {
+            applyConfiguration(*it.value, "log");
         }
     }
 }
 
+void FleetNode::applyConfiguration(const std::string &text, const std::string &source)
+{
+    auto configuration = m_platform.readConfiguration(text);
+    if (!configuration) {
+        m_events.write("configuration_unreadable", {{"source", source}, {"reason", lastReason()}});
+        return;
+    }
+    if (m_configuration && configuration->version <= m_configuration->version) {
+        return;
+    }
+    m_configuration = std::move(configuration);
+    m_configurationText = text;
+    m_events.write("configuration_in_force",
+                   {{"version", m_configuration->version}, {"queues", static_cast<std::int64_t>(m_configuration->queues.size())}, {"source", source}});
+    if (m_planner) {
+        m_planner->configurationChanged(*m_configuration);
+    }
+}
+
 void FleetNode::takeLeadership(const std::vector<KeyedRecord> &records)
 {
     const auto now = monotonicNow();
     std::vector<std::pair<std::int64_t, LeadershipRecord>> read;
     for (const auto &it : records) {
         const auto record = it.value ? decodeLeadership(*it.value) : std::nullopt;
-        if (record) {
+        if (!record) {
+            continue;
+        }
+        if (!it.key.starts_with(NodeKeyPrefix)) {
             read.emplace_back(it.offset, *record);
+        } else if (record->node != m_settings.name) {
+            m_nodes[record->node] = {record->node, record->host, record->port};
+            m_hub.setPeers({m_nodes[record->node]});
         }
     }
+    m_canReadLog = true;
     m_claim.observeDelay(m_leadership.lastDelay());
     m_claim.recordsRead(read, m_leadership.next(), now);
     followLeader();
@@ -282,10 +354,11 @@
         return;
     }
     const auto address = leader->node + "@" + leader->host + ":" + std::to_string(leader->port);
-    if (address != m_dialled) {
-        m_dialled = address;
+    if (address != m_followed) {
+        m_followed = address;
+        m_isLeaderBlind = false;
         m_events.write("planner_known", {{"planner", leader->node}, {"fence", m_claim.leaderFence()}});
-        m_hub.dialOnly({leader->node, leader->host, leader->port, false});
+        m_hub.setPeers({{leader->node, leader->host, leader->port}});
         const auto now = monotonicNow();
         m_claim.setPlannerLinked(isLinkedToLeader(), now);
         m_hub.tick(now);
@@ -357,7 +430,11 @@
 
 void FleetNode::takeMessage(const std::string &from, const PeerMessage &message)
 {
-    if (const auto *query = std::get_if<FleetQueryMessage>(&message)) {
+    if (const auto *beat = std::get_if<FleetBeatMessage>(&message)) {
+        takeBeat(from, *beat);
+    } else if (const auto *configuration = std::get_if<FleetConfigurationMessage>(&message)) {
+        applyConfiguration(configuration->text, from);
+    } else if (const auto *query = std::get_if<FleetQueryMessage>(&message)) {
         answerQuery(from, *query);
     } else if (const auto *answer = std::get_if<FleetQueryAnswerMessage>(&message)) {
         const auto it = m_questions.find(answer->call);
@@ -440,7 +517,7 @@
     const auto deadline = now + budget - AnswerMargin;
     const auto patience = std::min(PlannerStoresWithin, budget / 2);
     auto call = std::make_shared<StoreCall>(StoreCall {std::move(record), deadline, now + patience, std::move(done), false, false, false});
-    if (m_planner || !isLinkedToLeader()) {
+    if (m_planner || m_isLeaderBlind || !isLinkedToLeader()) {
         storeDirectly(call);
         return;
     }
--- a/src/wire/PeerHub.cpp
+++ b/src/wire/PeerHub.cpp
@@ -77,25 +77,25 @@
 {
     for (auto &it : peers) {
         auto &dial = m_dials[it.name];
+        if (dial.address.host != it.host || dial.address.port != it.port) {
+            dial.nextAt = {};
+            dial.failures = 0;
+        }
         dial.address = std::move(it);
     }
 }
 
-void PeerHub::dialOnly(PeerAddress peer)
+void PeerHub::forgetPeer(const std::string &peer)
 {
-    for (auto it = m_dials.begin(); it != m_dials.end();) {
-        if (it->first == peer.name && it->second.address.host == peer.host && it->second.address.port == peer.port) {
-            ++it;
-            continue;
-        }
-        auto *socket = it->second.socket;
-        it = m_dials.erase(it);
-        if (socket != nullptr) {
-            socket->abort();
-        }
+    const auto it = m_dials.find(peer);
+    if (it == m_dials.end()) {
+        return;
     }
-    if (!m_dials.contains(peer.name)) {
-        m_dials[peer.name].address = std::move(peer);
+    auto *socket = it->second.socket;
+    m_dials.erase(it);
+    if (socket != nullptr && !m_links.contains(socket)) {
+        socket->abort();
+        socket->deleteLater();
     }
 }
 
@@ -154,10 +154,10 @@
     for (auto &[name, it] : m_dials) {
         if (m_byName.contains(name)) {
             it.failures = 0;
-            it.nextAt = now + (m_self.name < name || !it.address.dialsBack ? Millis(0) : LeaveFirstDial);
+            it.nextAt = now + (m_self.name < name ? Millis(0) : LeaveFirstDial);
             continue;
         }
-        if (it.nextAt == TimePoint {} && m_self.name > name && it.address.dialsBack) {
+        if (it.nextAt == TimePoint {} && m_self.name > name) {
             it.nextAt = now + LeaveFirstDial;
         }
         if (now < it.nextAt) {
