--- a/include/marjoramhaven/fleet/AdviceBook.h
+++ b/include/marjoramhaven/fleet/AdviceBook.h
@@ -49,10 +49,8 @@
     double allowedShare(const std::string &queue) const;
 
     /// Chooses a process for a call; nothing when all that may take it are busy.
-    std::optional<AdviceOrder> order(const std::string &step,
-                                     const QueuePolicy &queue,
-                                     const std::vector<std::pair<std::string, std::int64_t>> &workersWithBirth,
-                                     TimePoint now);
+    std::optional<AdviceOrder>
+    order(const std::string &step, const QueuePolicy &queue, const std::vector<std::pair<std::string, std::int64_t>> &workersWithBirth, TimePoint now);
     /// Takes the answer to an order.
     void answered(const std::string &helper, const std::string &step, const AdviceAnswer &answer, TimePoint now);
     /// A worker refused the ticket.
--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "marjoramhaven/base/EnumNames.h"
@@ -104,11 +104,15 @@
     int step = 0;
     int index = 0;
 
-    auto operator<=>(const FleetTaskId &) const = default;
+    bool operator==(const FleetTaskId &other) const { return fields() == other.fields(); }
+    bool operator<(const FleetTaskId &other) const { return fields() < other.fields(); }
     /// Renders "JOB.OCCURRENCE.STEP.INDEX".
     std::string toString() const;
     /// Reads that form; nothing, with a last reason, when it is not that.
     static std::optional<FleetTaskId> parse(const std::string &text);
+
+private:
+    std::tuple<const std::string &, int, int, int> fields() const { return {job, occurrence, step, index}; }
 };
 
 /// What callers are told of a job.
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -45,7 +45,8 @@
     FleetTaskId task;
     std::int64_t attempt = 0;
 
-    auto operator<=>(const RunKey &) const = default;
+    bool operator==(const RunKey &other) const { return task == other.task && attempt == other.attempt; }
+    bool operator<(const RunKey &other) const { return std::tie(task, attempt) < std::tie(other.task, other.attempt); }
 };
 
 /// One worker as the planner believes it to be.
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -30,7 +30,9 @@
 };
 
 /// One process of the fleet scheduler: answers callers, asks the advisor for the planner, and plans when the log says that it leads.
-class FleetNode : public QObject, public FleetDesk
+class FleetNode
+    : public QObject
+    , public FleetDesk
 {
     Q_OBJECT
 
@@ -73,7 +75,7 @@
     void answerQuery(const std::string &from, const FleetQueryMessage &query);
     void answerAdvice(const std::string &from, const FleetAdviceAskMessage &ask);
     void answerStore(const std::string &from, const FleetStoreAskMessage &ask);
-    void ask(std::shared_ptr<Question> question);
+    void ask(const std::shared_ptr<Question> &question);
     void askAgain(TimePoint now);
     void routeAdvice(const AdviceOrder &order, std::function<void(const AdviceAnswer &)> done);
     // Stores through the planner, whose appends carry the records of all processes together; directly when it can't be asked or does not answer.
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -33,7 +33,9 @@
 std::string cancellationKey(const std::string &job);
 
 /// Runs the planner of the fleet while this process leads: loads what is stored, follows jobs and workers, stores progress and carries orders out.
-class PlannerHost : public QObject, private FleetPort
+class PlannerHost
+    : public QObject
+    , private FleetPort
 {
     Q_OBJECT
 
--- a/src/fleet/AdviceBook.cpp
+++ b/src/fleet/AdviceBook.cpp
@@ -93,10 +93,8 @@
     return &it->second;
 }
 
-std::optional<AdviceOrder> AdviceBook::order(const std::string &step,
-                                             const QueuePolicy &queue,
-                                             const std::vector<std::pair<std::string, std::int64_t>> &workersWithBirth,
-                                             TimePoint now)
+std::optional<AdviceOrder>
+AdviceBook::order(const std::string &step, const QueuePolicy &queue, const std::vector<std::pair<std::string, std::int64_t>> &workersWithBirth, TimePoint now)
 {
     if (workersWithBirth.empty() || isBusy(step, now)) {
         return std::nullopt;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -130,8 +130,7 @@
             worker.vacate(key);
             continue;
         }
-        m_events.write("run_lost",
-                       {{"task", key.task.toString()}, {"attempt", key.attempt}, {"worker", worker.report.id}, {"reason", std::string(reason)}});
+        m_events.write("run_lost", {{"task", key.task.toString()}, {"attempt", key.attempt}, {"worker", worker.report.id}, {"reason", std::string(reason)}});
         const auto checkpoint = run->checkpoint;
         endRun(key, RunEnd::Lapsed, checkpoint, worker.report.id, now);
     }
@@ -400,8 +399,7 @@
     for (const auto &task : step.tasks) {
         const bool isAtWork = std::any_of(task.activeAttempts.begin(), task.activeAttempts.end(), [&](std::int64_t attempt) {
             const auto it = m_runs.find({task.id, attempt});
-            return it != m_runs.end() && it->second.state == RunState::Running && it->second.percent >= FullPace
-                && it->second.stopReason == StopReason::None;
+            return it != m_runs.end() && it->second.state == RunState::Running && it->second.percent >= FullPace && it->second.stopReason == StopReason::None;
         });
         out += isAtWork ? 0 : 1;
     }
--- a/src/fleet/FleetRecords.cpp
+++ b/src/fleet/FleetRecords.cpp
@@ -8,121 +8,121 @@
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
 {
-namespace adaptor {
-
-// The order of fields on the wire of one stored type; readers take a shorter array from an older writer.
-template<typename T>
-struct FieldOrder;
-
-template<>
-struct FieldOrder<marjoramhaven::TaskNeeds> {
-    static auto of(auto &it) { return std::tie(it.cpuMilli, it.memoryMb, it.gpus); }
-};
-
-template<>
-struct FieldOrder<marjoramhaven::StepSpec> {
-    static auto of(auto &it)
-    {
-        return std::tie(it.taskCount,
-                        it.needs,
-                        it.estimateMs,
-                        it.after,
-                        it.checkpoints,
-                        it.isGang,
-                        it.isRackLocal,
-                        it.allowsCopies,
-                        it.isLasting,
-                        it.isFiller,
-                        it.requiredLabel,
-                        it.preferredRack,
-                        it.maxPerWorker,
-                        it.image,
-                        it.targetMs,
-                        it.maxUnavailable);
-    }
-};
-
-template<>
-struct FieldOrder<marjoramhaven::QueuePolicy> {
-    static auto of(auto &it)
-    {
-        return std::tie(it.name,
-                        it.host,
-                        it.prefix,
-                        it.service,
-                        it.priority,
-                        it.maxAttempts,
-                        it.slackFactor,
-                        it.objectiveMs,
-                        it.needsAdvice,
-                        it.adviceBaseMs,
-                        it.advicePerWorkerMs,
-                        it.ticketValidityMs);
-    }
-};
-
-template<>
-struct FieldOrder<marjoramhaven::FleetJobRequest> {
-    static auto of(auto &it)
-    {
-        return std::tie(it.id, it.queue, it.payload, it.steps, it.firstDueUnixMs, it.repeatIntervalMs, it.repeatCount, it.acceptedUnixMs);
-    }
-};
+    namespace adaptor {
+
+    // The order of fields on the wire of one stored type; readers take a shorter array from an older writer.
+    template<typename T>
+    struct FieldOrder;
+
+    template<>
+    struct FieldOrder<marjoramhaven::TaskNeeds> {
+        static auto of(auto &it) { return std::tie(it.cpuMilli, it.memoryMb, it.gpus); }
+    };
+
+    template<>
+    struct FieldOrder<marjoramhaven::StepSpec> {
+        static auto of(auto &it)
+        {
+            return std::tie(it.taskCount,
+                            it.needs,
+                            it.estimateMs,
+                            it.after,
+                            it.checkpoints,
+                            it.isGang,
+                            it.isRackLocal,
+                            it.allowsCopies,
+                            it.isLasting,
+                            it.isFiller,
+                            it.requiredLabel,
+                            it.preferredRack,
+                            it.maxPerWorker,
+                            it.image,
+                            it.targetMs,
+                            it.maxUnavailable);
+        }
+    };
+
+    template<>
+    struct FieldOrder<marjoramhaven::QueuePolicy> {
+        static auto of(auto &it)
+        {
+            return std::tie(it.name,
+                            it.host,
+                            it.prefix,
+                            it.service,
+                            it.priority,
+                            it.maxAttempts,
+                            it.slackFactor,
+                            it.objectiveMs,
+                            it.needsAdvice,
+                            it.adviceBaseMs,
+                            it.advicePerWorkerMs,
+                            it.ticketValidityMs);
+        }
+    };
 
-template<>
-struct FieldOrder<marjoramhaven::RunRecord> {
-    static auto of(auto &it) { return std::tie(it.attempt, it.worker, it.workerBornMs); }
-};
+    template<>
+    struct FieldOrder<marjoramhaven::FleetJobRequest> {
+        static auto of(auto &it)
+        {
+            return std::tie(it.id, it.queue, it.payload, it.steps, it.firstDueUnixMs, it.repeatIntervalMs, it.repeatCount, it.acceptedUnixMs);
+        }
+    };
 
-template<>
-struct FieldOrder<marjoramhaven::TaskRecord> {
-    static auto of(auto &it)
-    {
-        return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failedAttempts, it.isDone, it.checkpoint, it.runs);
-    }
-};
+    template<>
+    struct FieldOrder<marjoramhaven::RunRecord> {
+        static auto of(auto &it) { return std::tie(it.attempt, it.worker, it.workerBornMs); }
+    };
 
-template<>
-struct FieldOrder<marjoramhaven::JobRecord> {
-    static auto of(auto &it) { return std::tie(it.job, it.state, it.tasks); }
-};
+    template<>
+    struct FieldOrder<marjoramhaven::TaskRecord> {
+        static auto of(auto &it) { return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failedAttempts, it.isDone, it.checkpoint, it.runs); }
+    };
 
-template<typename T>
-concept HasFieldOrder = requires(T &it) { FieldOrder<T>::of(it); };
+    template<>
+    struct FieldOrder<marjoramhaven::JobRecord> {
+        static auto of(auto &it) { return std::tie(it.job, it.state, it.tasks); }
+    };
 
-template<HasFieldOrder T>
-struct pack<T> {
-    template<typename Stream>
-    packer<Stream> &operator()(packer<Stream> &out, const T &value) const
+    template<typename T>
+    concept HasFieldOrder = requires(T &it)
     {
-        std::apply(
-            [&](const auto &...field) {
-                out.pack_array(sizeof...(field));
-                (out.pack(field), ...);
-            },
-            FieldOrder<T>::of(value));
-        return out;
-    }
-};
-
-template<HasFieldOrder T>
-struct convert<T> {
-    const msgpack::object &operator()(const msgpack::object &from, T &value) const
-    {
-        if (from.type != type::ARRAY) {
-            throw type_error();
+        FieldOrder<T>::of(it);
+    };
+
+    template<HasFieldOrder T>
+    struct pack<T> {
+        template<typename Stream>
+        packer<Stream> &operator()(packer<Stream> &out, const T &value) const
+        {
+            std::apply(
+                [&](const auto &...field) {
+                    out.pack_array(sizeof...(field));
+                    (out.pack(field), ...);
+                },
+                FieldOrder<T>::of(value));
+            return out;
         }
-        std::apply(
-            [&](auto &...field) {
-                std::uint32_t i = 0;
-                ((i < from.via.array.size ? (from.via.array.ptr[i].convert(field), ++i) : i), ...);
-            },
-            FieldOrder<T>::of(value));
-        return from;
-    }
-};
+    };
+
+    template<HasFieldOrder T>
+    struct convert<T> {
+        const msgpack::object &operator()(const msgpack::object &from, T &value) const
+        {
+            if (from.type != type::ARRAY) {
+                throw type_error();
+            }
+            std::apply(
+                [&](auto &...field) {
+                    std::uint32_t i = 0;
+                    ((i < from.via.array.size ? (from.via.array.ptr[i].convert(field), ++i) : i), ...);
+                },
+                FieldOrder<T>::of(value));
+            return from;
+        }
+    };
 
-} // namespace adaptor
+    } // namespace adaptor
 }
 } // namespace msgpack
 
--- a/src/fleet/PlannerClaim.cpp
+++ b/src/fleet/PlannerClaim.cpp
@@ -19,8 +19,7 @@
 std::string encodeLeadership(const LeadershipRecord &record)
 {
     msgpack::sbuffer buf;
-    msgpack::pack(buf,
-                  LeadershipTuple {record.node, record.host, record.port, record.incarnation, record.claimOffset, record.beat, record.isLeaving});
+    msgpack::pack(buf, LeadershipTuple {record.node, record.host, record.port, record.incarnation, record.claimOffset, record.beat, record.isLeaving});
     return {buf.data(), buf.size()};
 }
 
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -593,7 +593,7 @@
     }
 }
 
-void FleetNode::ask(std::shared_ptr<Question> question)
+void FleetNode::ask(const std::shared_ptr<Question> &question)
 {
     question->call = m_nextCall++;
     question->message.call = question->call;
@@ -674,7 +674,7 @@
         }
         done(out);
     };
-    ask(std::move(question));
+    ask(question);
 }
 
 void FleetNode::pending(const QueuePolicy &queue, Millis budget, std::function<void(const PendingAnswer &)> done)
@@ -686,7 +686,7 @@
     question->done = [done = std::move(done)](const FleetQueryAnswerMessage *answer) {
         done({answer != nullptr, answer == nullptr ? 0 : answer->pending});
     };
-    ask(std::move(question));
+    ask(question);
 }
 
 void FleetNode::cancel(const std::string &job, Millis budget, std::function<void(const QueryAnswer &)> done)
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -43,11 +43,7 @@
     return CancellationPrefix + job;
 }
 
-PlannerHost::PlannerHost(PlannerServices services,
-                         PlannerLimits limits,
-                         std::int64_t fence,
-                         const FleetConfiguration &configuration,
-                         QObject *parent)
+PlannerHost::PlannerHost(PlannerServices services, PlannerLimits limits, std::int64_t fence, const FleetConfiguration &configuration, QObject *parent)
     : QObject(parent)
     , m_services(std::move(services))
     , m_planner(*this, m_services.events, limits, fence, monotonicNow())
--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -70,7 +70,8 @@
         }
     }
 
-    CallResult call(std::size_t node, const std::string &method, const std::string &path, const std::string &body = {}, const std::string &host = "host.example")
+    CallResult
+    call(std::size_t node, const std::string &method, const std::string &path, const std::string &body = {}, const std::string &host = "host.example")
     {
         std::optional<CallResult> out;
         OutgoingCall call;
--- a/tests/adapter/WireStandIn.cpp
+++ b/tests/adapter/WireStandIn.cpp
@@ -55,10 +55,10 @@
 
 WireStandIn::WireStandIn(int workers)
     : m_store(
-          [this](const HttpRequest &request, HttpRespond respond) {
-              handleStore(request, std::move(respond));
-          },
-          HttpLimits {})
+        [this](const HttpRequest &request, HttpRespond respond) {
+            handleStore(request, std::move(respond));
+        },
+        HttpLimits {})
     , m_advisor(
           [](const HttpRequest &request, const HttpRespond &respond) {
               const auto body = Json::parse(request.body.toStdString());
--- a/tests/adapter/WireTest.cpp
+++ b/tests/adapter/WireTest.cpp
@@ -211,8 +211,15 @@
 
 BOOST_AUTO_TEST_CASE(malformedJobsAreRefusedWithAReason)
 {
-    for (const auto *text : {"", "[]", "{}", R"({"phases":[]})", R"({"phases":[{"count":0}]})", R"({"phases":[{"count":"2"}]})", R"({"phases":[{"count":1,"after":[0]}]})",
-                             R"({"phases":[{"count":1,"cpu":-1}]})", R"({"spec":7,"phases":[{"count":1}]})"}) {
+    for (const auto *text : {"",
+                             "[]",
+                             "{}",
+                             R"({"phases":[]})",
+                             R"({"phases":[{"count":0}]})",
+                             R"({"phases":[{"count":"2"}]})",
+                             R"({"phases":[{"count":1,"after":[0]}]})",
+                             R"({"phases":[{"count":1,"cpu":-1}]})",
+                             R"({"spec":7,"phases":[{"count":1}]})"}) {
         BOOST_TEST(!platform::decodeJob(text), text);
         BOOST_TEST(!lastReason().empty());
     }
@@ -220,8 +227,12 @@
 
 BOOST_AUTO_TEST_CASE(entriesOfOtherWritersNameNoWorker)
 {
-    for (const auto *text : {"", "7", "{}", R"({"service":"s","address":"x","state":"ready","capacity":{}})",
-                             R"({"service":"s","address":"127.0.0.1:1","state":"odd","capacity":{}})", R"({"service":"s","address":"127.0.0.1:1","state":"ready"})",
+    for (const auto *text : {"",
+                             "7",
+                             "{}",
+                             R"({"service":"s","address":"x","state":"ready","capacity":{}})",
+                             R"({"service":"s","address":"127.0.0.1:1","state":"odd","capacity":{}})",
+                             R"({"service":"s","address":"127.0.0.1:1","state":"ready"})",
                              R"({"service":"s","address":"127.0.0.1:1","state":"ready","capacity":{"cpu":"8"}})"}) {
         BOOST_TEST(!platform::decodeWorker("i", text), text);
     }
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -21,7 +21,9 @@
 
 } // namespace
 
-struct FakeFleet::Host : public FleetPort, public std::enable_shared_from_this<Host> {
+struct FakeFleet::Host
+    : public FleetPort
+    , public std::enable_shared_from_this<Host> {
     FakeFleet &fleet;
     std::unique_ptr<FleetPlanner> planner;
     bool isFrozen = false;
@@ -418,12 +420,9 @@
     const std::pair run(event.worker, event.attempt);
     if (event.kind == RunEvent::Kind::Ended) {
         running.erase(run);
-        m_eventLog.write("ended",
-                         {{"task", name},
-                          {"attempt", event.attempt},
-                          {"worker", event.worker},
-                          {"end", std::string(nameOf(event.end))},
-                          {"now", millisOf(event.at)}});
+        m_eventLog.write(
+            "ended",
+            {{"task", name}, {"attempt", event.attempt}, {"worker", event.worker}, {"end", std::string(nameOf(event.end))}, {"now", millisOf(event.at)}});
         m_ends.push_back(event);
         if (event.end == RunEnd::Done) {
             m_done.emplace(event.task, std::pair(event.worker, event.at));
@@ -470,7 +469,7 @@
     return out;
 }
 
-void FakeFleet::submit(FleetJobRequest request)
+void FakeFleet::submit(const FleetJobRequest &request)
 {
     m_requests[request.id] = request;
     if (m_planner) {
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -45,7 +45,7 @@
     std::function<void(const FleetTaskId &, TaskBehaviour &)> behave;
 
     FleetJobRequest jobWith(const std::string &id, std::vector<StepSpec> steps) const;
-    void submit(FleetJobRequest request);
+    void submit(const FleetJobRequest &request);
     void cancel(const std::string &job);
     std::optional<FleetJobState> stateOf(const std::string &job) const;
 
