Planning by batches of events, larger VMs plan, acceptances wait for a slow log

Ruled out: the number of workers alone (a plan needs under 1 ms once workers are filtered once). Change: at most one plan in 8 ms, workers filtered once a plan; a process stores directly only when its link to the planner is lost or 1.1 s are left; two appends in flight; larger VMs claim first; links on which nobody plans beat once a second.

--- a/include/marjoramhaven/fleet/FleetNodeSettings.h
+++ b/include/marjoramhaven/fleet/FleetNodeSettings.h
@@ -38,6 +38,8 @@
     Address advisor;
     Address cloud;
     FleetBounds bounds;
+    /// Share of a processor core that this VM has; 0 when it is not known.
+    double processorCores = 0;
     /// Duties on machines of the cloud are refused to holders with an older token.
     bool isFencingEnforced = false;
 };
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -230,8 +230,8 @@
     int awayCount(const FleetJob &job, const FleetStep &step) const;
     // FleetPlannerPlacement.cpp: who goes where
     std::vector<OpenStep> openSteps(TimePoint now);
-    bool isUsable(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec, TimePoint now) const;
-    void placeStep(OpenStep &open, TimePoint now);
+    static bool isUsable(const FleetWorker &worker, TimePoint now);
+    void placeStep(OpenStep &open, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     FleetWorker *choose(const OpenStep &open, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
--- a/include/marjoramhaven/fleet/PlannerClaim.h
+++ b/include/marjoramhaven/fleet/PlannerClaim.h
@@ -41,6 +41,9 @@
     Millis longestReadGap {1300};
     /// Upper bound of the delay that lets processes near the log claim first.
     Millis longestHeadStart {400};
+    /// VMs with at least this many cores claim without a pause; smaller ones wait longer the smaller they are.
+    double largeVmCores = 0.5;
+    Millis smallVmPause {100};
 };
 
 /// An append to the leadership stream that takes effect only at the stream's end as this process knows it.
@@ -62,6 +65,8 @@
     void recordsRead(const std::vector<std::pair<std::int64_t, LeadershipRecord>> &records, std::int64_t end, TimePoint now);
     /// A call to the log took this long; slower processes claim later.
     void observeDelay(Millis delay);
+    /// Lets larger VMs claim first; the share is in cores.
+    void setProcessorShare(double cores);
     /// Another process tells of a planner; followed when its token is higher. The record's claim offset must be set.
     void learnLeader(const LeadershipRecord &record, TimePoint now);
     /// The link to the planner was lost or is there again; a planner that says that it can't reach the log counts as lost.
@@ -101,6 +106,7 @@
     std::optional<TimePoint> m_lastReadAt;
     std::optional<TimePoint> m_linkLostAt;
     Millis m_headStart {0};
+    Millis m_smallVmPause {0};
     TimePoint m_nextBeatAt {};
     std::int64_t m_beat = 0;
     bool m_isAppending = false;
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -81,6 +81,8 @@
     // Stores through the planner, whose appends carry the records of all processes together; directly when it can't be asked or does not answer.
     void storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done);
     void storeDirectly(const std::shared_ptr<StoreCall> &call);
+    void storeDirectlyInsteadOf(const std::string &peer);
+    bool isFastLink(const std::string &peer) const;
     void takeStoreAnswer(const FleetStoreAnswerMessage &answer);
     void checkStoreCalls(TimePoint now);
     bool isLinkedToLeader() const;
@@ -105,6 +107,7 @@
     std::string m_followed;
     std::map<std::string, TimePoint> m_heardAt;
     TimePoint m_nextBeatAt {};
+    int m_beats = 0;
     std::uint64_t m_nextCall = 1;
     std::map<std::uint64_t, std::shared_ptr<Question>> m_questions;
     std::map<std::uint64_t, std::shared_ptr<AdviceCall>> m_adviceCalls;
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <tuple>
 
@@ -86,33 +87,39 @@
     std::sort(open.begin(), open.end(), [&](const OpenStep &a, const OpenStep &b) {
         return rank(a) < rank(b);
     });
+    std::vector<FleetWorker *> usable;
+    for (auto &[id, worker] : m_workers) {
+        if (isUsable(worker, now)) {
+            usable.push_back(&worker);
+        }
+    }
     for (auto &it : open) {
-        placeStep(it, now);
+        placeStep(it, usable, now);
     }
 }
 
-bool FleetPlanner::isUsable(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec, TimePoint now) const
+bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now)
 {
     const bool isListed = worker.isListed || (worker.unlistedSince != TimePoint {} && now - worker.unlistedSince < UseUnlistedFor);
     return isListed && worker.isInventoried && worker.failedHolds == 0 && !worker.report.isDraining && worker.avoidUntil <= now
-        && worker.bornMs == worker.report.bornMs && worker.report.service == queueOf(job).service
-        && (spec.requiredLabel.empty() || worker.hasLabel(spec.requiredLabel));
+        && worker.bornMs == worker.report.bornMs;
 }
 
-void FleetPlanner::placeStep(OpenStep &open, TimePoint now)
+void FleetPlanner::placeStep(OpenStep &open, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const auto needs = countedNeeds(*open.spec);
-    std::vector<FleetWorker *> usable;
+    const auto &queue = queueOf(*open.job);
+    const auto isFitting = [&](const FleetWorker *it) {
+        return it->report.service == queue.service && (open.spec->requiredLabel.empty() || it->hasLabel(open.spec->requiredLabel));
+    };
     std::vector<FleetWorker *> withRoom;
-    for (auto &[id, worker] : m_workers) {
-        if (isUsable(worker, *open.job, *open.spec, now)) {
-            usable.push_back(&worker);
-            if (worker.hasRoomFor(needs)) {
-                withRoom.push_back(&worker);
-            }
-        }
+    std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
+        return it->hasRoomFor(needs) && isFitting(it);
+    });
+    const bool isPreempting = mayPreempt(open, now);
+    if (withRoom.empty() && !isPreempting) {
+        return;
     }
-    const auto &queue = queueOf(*open.job);
     const auto name = open.name();
     const auto isAllowed = [&](const FleetWorker *it) {
         return !queue.needsAdvice || m_advice.verdict(name, it->report.id, it->bornMs, now) == AdviceBook::Verdict::Allowed;
@@ -129,12 +136,14 @@
     if (open.waiting.empty()) {
         return;
     }
-    if (mayPreempt(open, now)) {
+    if (isPreempting) {
+        std::vector<FleetWorker *> usable;
+        std::copy_if(workers.begin(), workers.end(), std::back_inserter(usable), isFitting);
         makeRoom(open, usable, now);
         std::erase_if(usable, [&](const FleetWorker *it) {
             return !it->hasRoomFor(needs) && !canBeFreed(*it, open, nullptr);
         });
-        withRoom = usable;
+        withRoom = std::move(usable);
     }
     if (queue.needsAdvice && !withRoom.empty()) {
         seekAdvice(open, withRoom, open.waiting.size(), now);
@@ -166,7 +175,7 @@
         if (!it->hasRoomFor(needs) || (spec.maxPerWorker > 0 && perWorker[it->report.id] >= spec.maxPerWorker)) {
             continue;
         }
-        const bool hasFailed = task.failedOn.contains(it->report.id);
+        const bool hasFailed = !task.failedOn.empty() && task.failedOn.contains(it->report.id);
         const bool isFar = !spec.preferredRack.empty() && !it->hasLabel(spec.preferredRack);
         const auto left = it->report.capacity.cpuMilli - it->used.cpuMilli - needs.cpuMilli;
         // The tightest fit keeps large gaps for large tasks; fillers go where most is left over.
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -333,19 +333,12 @@
         ++it;
         checkWorker(worker, now);
     }
-    std::vector<RunKey> keys;
-    for (const auto &[key, run] : m_runs) {
-        keys.push_back(key);
-    }
-    for (const auto &key : keys) {
-        auto *run = findRun(key);
-        if (run == nullptr) {
-            continue;
-        }
-        if (run->stopReason != StopReason::None) {
-            trySendStop(*run, now);
-        } else {
-            checkStuck(*run, now);
+    // Neither call removes a run that was sent, and only those are looked at.
+    for (auto &[key, run] : m_runs) {
+        if (run.stopReason != StopReason::None) {
+            trySendStop(run, now);
+        } else if (run.state == RunState::Running) {
+            checkStuck(run, now);
         }
     }
 }
--- a/src/fleet/PlannerClaim.cpp
+++ b/src/fleet/PlannerClaim.cpp
@@ -89,6 +89,14 @@
     m_headStart = std::min(m_times.longestHeadStart, delay * HeadStartDelays);
 }
 
+void PlannerClaim::setProcessorShare(double cores)
+{
+    if (cores > 0 && cores < m_times.largeVmCores) {
+        const auto factor = std::min(m_times.largeVmCores / cores - 1, 3.0);
+        m_smallVmPause = Millis(static_cast<std::int64_t>(factor * static_cast<double>(m_times.smallVmPause.count())));
+    }
+}
+
 void PlannerClaim::setPlannerLinked(bool isLinked, TimePoint now)
 {
     if (isLinked) {
@@ -115,11 +123,11 @@
         return false;
     }
     if (!m_leader || m_leader->isLeaving || (m_leader->node == m_self.node && m_leader->incarnation != m_self.incarnation)) {
-        return now - m_readingSince >= m_headStart;
+        return now - m_readingSince >= m_headStart + m_smallVmPause;
     }
     const auto silence = m_linkLostAt ? m_times.silenceAfterLinkLoss : m_times.silence;
     const auto quietSince = std::max(m_leaderSeenAt, m_readingSince);
-    return now - quietSince >= silence + m_headStart;
+    return now - quietSince >= silence + m_headStart + m_smallVmPause;
 }
 
 std::optional<ClaimAppend> PlannerClaim::nextAppend(TimePoint now)
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -13,14 +13,16 @@
 constexpr Millis FollowWait {1000};
 constexpr Millis BeatEvery {200};
 constexpr Millis LinkSilence {700};
+// Links on which neither end plans beat this many times more slowly.
+constexpr int SlowBeats = 5;
 // A question that was sent is sent again after this time, as its planner may have gone.
 constexpr Millis AskAgainAfter {600};
 constexpr Millis AnswerMargin {150};
 constexpr char NodeKeyPrefix[] = "node/";
 constexpr Millis RegisterTimeout {1500};
 constexpr Millis RegisterAgainAfter {300};
-// The planner has this long to store a record for another process before that process does it itself.
-constexpr Millis PlannerStoresWithin {1300};
+// While its link to the planner lives, a process stores a record itself only when this much of its time is left.
+constexpr Millis DirectStoreNeeds {1100};
 
 std::string freshIncarnation(const std::string &name)
 {
@@ -72,6 +74,8 @@
     /// True while the planner may have stored it, or may still do so.
     bool mayBeStored = false;
     bool isDirect = false;
+    /// The planner that was asked.
+    std::string peer;
 };
 
 FleetNode::FleetNode(FleetNodeSettings settings, FleetPlatform platform, EventLog &events, Metrics &metrics, QObject *parent)
@@ -122,6 +126,7 @@
         if (m_planner) {
             m_planner->helperLeft(name);
         }
+        storeDirectlyInsteadOf(name);
         m_events.write("peer_lost", {{"peer", name}});
     });
     m_ticker.setTimerType(Qt::PreciseTimer);
@@ -146,6 +151,7 @@
     if (m_hub.listenOn(m_settings.peers.host, m_settings.peers.port) == 0) {
         return false;
     }
+    m_claim.setProcessorShare(m_settings.processorCores);
     registerSelf();
     m_leadership.start();
     m_operator.start();
@@ -188,7 +194,7 @@
         sendBeats();
     }
     for (const auto &it : m_hub.linked()) {
-        if (now - m_heardAt[it.name] > LinkSilence) {
+        if (now - m_heardAt[it.name] > (isFastLink(it.name) ? LinkSilence : LinkSilence * SlowBeats)) {
             m_events.write("peer_silent", {{"peer", it.name}, {"silent_ms", (now - m_heardAt[it.name]).count()}});
             m_hub.closeLink(it.name);
         }
@@ -238,11 +244,19 @@
     }
     beat.isPlannerBlind = m_planner && !m_canReadLog;
     beat.configurationVersion = m_configuration ? m_configuration->version : -1;
+    ++m_beats;
     for (const auto &it : m_hub.linked()) {
-        m_hub.send(it.name, beat);
+        if (m_beats % SlowBeats == 0 || isFastLink(it.name)) {
+            m_hub.send(it.name, beat);
+        }
     }
 }
 
+bool FleetNode::isFastLink(const std::string &peer) const
+{
+    return m_planner || (m_claim.leader() && m_claim.leader()->node == peer);
+}
+
 void FleetNode::takeBeat(const std::string &from, const FleetBeatMessage &beat)
 {
     const auto now = monotonicNow();
@@ -256,6 +270,9 @@
         followLeader();
     }
     if (m_claim.leader() && m_claim.leader()->node == from && !m_planner) {
+        if (beat.isPlannerBlind && !m_isLeaderBlind) {
+            storeDirectlyInsteadOf(from);
+        }
         m_isLeaderBlind = beat.isPlannerBlind;
         m_claim.setPlannerLinked(!m_isLeaderBlind, now);
     }
@@ -348,6 +365,7 @@
     }
     if (shouldPlan && !m_planner) {
         beginPlanning();
+        sendBeats();
     }
     const auto &leader = m_claim.leader();
     if (!leader || leader->node == m_settings.name) {
@@ -515,8 +533,8 @@
 {
     const auto now = monotonicNow();
     const auto deadline = now + budget - AnswerMargin;
-    const auto patience = std::min(PlannerStoresWithin, budget / 2);
-    auto call = std::make_shared<StoreCall>(StoreCall {std::move(record), deadline, now + patience, std::move(done), false, false, false});
+    const auto patience = std::max(budget - DirectStoreNeeds, budget / 2);
+    auto call = std::make_shared<StoreCall>(StoreCall {std::move(record), deadline, now + patience, std::move(done), false, false, false, {}});
     if (m_planner || m_isLeaderBlind || !isLinkedToLeader()) {
         storeDirectly(call);
         return;
@@ -525,6 +543,7 @@
     const FleetStoreAskMessage ask {number, call->record.key, call->record.value.value_or(""), (deadline - now - AnswerMargin).count()};
     if (m_hub.send(m_claim.leader()->node, ask)) {
         call->mayBeStored = true;
+        call->peer = m_claim.leader()->node;
         m_storeCalls[number] = call;
     } else {
         storeDirectly(call);
@@ -549,6 +568,15 @@
     });
 }
 
+void FleetNode::storeDirectlyInsteadOf(const std::string &peer)
+{
+    for (const auto &[number, call] : m_storeCalls) {
+        if (call->peer == peer) {
+            storeDirectly(call);
+        }
+    }
+}
+
 void FleetNode::takeStoreAnswer(const FleetStoreAnswerMessage &answer)
 {
     const auto it = m_storeCalls.find(answer.call);
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Millis TickEvery {20};
+constexpr Millis PlanGap {8};
 constexpr Millis FollowWait {1000};
 constexpr Millis LoadTimeout {2000};
 // Workers write all the time; what they say is read together.
@@ -263,7 +264,9 @@
     }
     m_isPlanScheduled = true;
     const std::weak_ptr<bool> alive = m_alive;
-    QTimer::singleShot(0, this, [this, alive]() {
+    // Under load events come faster than it pays to plan; the first after a pause is served at once.
+    const auto pause = std::max(Millis(0), m_plannedAt + PlanGap - monotonicNow());
+    QTimer::singleShot(static_cast<int>(pause.count()), Qt::PreciseTimer, this, [this, alive]() {
         if (!alive.expired()) {
             planNow();
         }
@@ -276,7 +279,8 @@
     if (m_isRetired) {
         return;
     }
-    m_planner.plan(monotonicNow());
+    m_plannedAt = monotonicNow();
+    m_planner.plan(m_plannedAt);
     storeNext();
 }
 
--- a/src/fleetnode/RecordWriter.cpp
+++ b/src/fleetnode/RecordWriter.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr int MostAppends = 3;
+// The log takes the appends of one stream one at a time; more would only wait there.
+constexpr int MostAppends = 2;
 constexpr Millis ShortestAppend {100};
 constexpr Millis RetryAfter {120};
 constexpr Millis ComeBackAfter {1000};
