--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -66,6 +66,8 @@
     void takeBeat(const std::string &from, const FleetBeatMessage &beat);
     void sendBeats();
     void registerSelf();
+    void forgetNode(const std::string &node);
+    void dropLostNodes(TimePoint now);
     void takeLeadership(const std::vector<KeyedRecord> &records);
     void claimWhenDue(TimePoint now);
     void followLeader();
@@ -99,8 +101,8 @@
     QTimer m_ticker;
     std::optional<FleetConfiguration> m_configuration;
     std::string m_configurationText;
-    /// Other processes and where they listen, by name.
-    std::map<std::string, PeerAddress> m_nodes;
+    /// Other registered processes, and when each was linked last.
+    std::map<std::string, TimePoint> m_unlinkedSince;
     bool m_isLeaderBlind = false;
     bool m_canReadLog = false;
     std::unique_ptr<PlannerHost> m_planner;
--- a/include/marjoramhaven/telemetry/EventLog.h
+++ b/include/marjoramhaven/telemetry/EventLog.h
@@ -25,7 +25,7 @@
 /// Bounds on what an event log writes and holds.
 struct EventLimits {
     /// Lines of one kind in one second; further ones are counted and told, not written.
-    int linesPerKindPerSecond = 150;
+    int linesPerKindPerSecond = 250;
     /// Lines that wait for a slow reader of standard output; further ones are counted and told.
     std::size_t waitingLines = 4000;
 };
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "CommandLine.h"
+#include "ExplainCommand.h"
 #include "PolicyCommands.h"
 #include "ServeCommands.h"
 #include "WorkCommands.h"
@@ -45,6 +46,7 @@
     static const std::vector<Command> all {
         {"serve", "Run an entry process", "serve --settings entry.yaml", runServe},
         {"node", "Run one process on the users' platform", "node", runNode},
+        {"explain", "Tell a job's story from event logs", "explain 5c0e7a21d94b36f8 entry-a.log entry-b.log", runExplain},
         {"check", "Check a settings, configuration, patch or job file", "check --kind patch policy.yaml", runCheck},
         {"submit", "Submit a job or a short request", "submit sweep.yaml --id sweep-17", runSubmit},
         {"get", "Show a job", "get sweep-17", runGet},
--- /dev/null
+++ b/src/cli/ExplainCommand.cpp
@@ -0,0 +1,149 @@
+#include "ExplainCommand.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+#include "CommandLine.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr double MillisPerSecond = 1000;
+// Members that every event has, and that the story shows in its own columns.
+const std::set<std::string> CommonMembers {"at", "up", "node", "event"};
+// Events of the whole fleet that decide what happens to every request.
+const std::set<std::string> FleetEvents {"planner_open", "planner_end", "planner_ready", "store_lost", "store_regained"};
+
+struct Event {
+    std::int64_t at = 0;
+    Json body;
+};
+
+bool concerns(const Json &body, const std::string &job)
+{
+    for (const auto *key : {"id", "task", "step"}) {
+        const auto it = body.find(key);
+        if (it != body.end() && it->is_string()) {
+            const auto text = it->get<std::string>();
+            if (text == job || text.starts_with(job + ".")) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+std::vector<Event> readEvents(const std::vector<std::string> &lines)
+{
+    std::vector<Event> out;
+    for (const auto &line : lines) {
+        const auto at = line.find('{');
+        auto body = at == std::string::npos ? Json() : Json::parse(line.substr(at), nullptr, false);
+        if (body.is_object() && body.contains("at") && body["at"].is_number() && body.contains("event") && body["event"].is_string()) {
+            const auto when = body["at"].get<std::int64_t>();
+            out.push_back({when, std::move(body)});
+        }
+    }
+    std::stable_sort(out.begin(), out.end(), [](const Event &a, const Event &b) {
+        return a.at < b.at;
+    });
+    return out;
+}
+
+std::string render(const Event &event, std::int64_t begin)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(3) << std::setw(9) << static_cast<double>(event.at - begin) / MillisPerSecond << " s  "
+        << event.body.value("node", "?") << "  " << event.body["event"].get<std::string>();
+    for (const auto &[key, value] : event.body.items()) {
+        if (!CommonMembers.contains(key)) {
+            out << "  " << key << "=" << (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+    }
+    return out.str();
+}
+
+// What a whole story has; told when it is missing.
+std::vector<std::string> missingOf(const std::map<std::string, int> &counts)
+{
+    const std::pair<const char *, const char *> expected[] = {
+        {"submit", "no process answered its submission (its log is missing, or the caller never reached one)"},
+        {"job_known", "no planner learnt of it (not stored, or the planner's log is missing)"},
+        {"run_placed", "no task was ever placed: look at the advice above, and at what else was placed meanwhile"},
+        {"job_ended", "it has not ended"},
+    };
+    std::vector<std::string> out;
+    for (const auto &[event, text] : expected) {
+        if (!counts.contains(event)) {
+            out.push_back(std::string("missing: ") + text);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+std::vector<std::string> explainJob(const std::string &job, const std::vector<std::string> &logLines)
+{
+    const auto events = readEvents(logLines);
+    std::vector<std::string> out;
+    std::map<std::string, int> counts;
+    std::int64_t begin = 0;
+    std::int64_t end = 0;
+    for (const auto &it : events) {
+        if (concerns(it.body, job)) {
+            begin = begin == 0 ? it.at : begin;
+            end = it.at;
+            ++counts[it.body["event"].get<std::string>()];
+        }
+    }
+    if (counts.empty()) {
+        return {"no line of these logs names " + job};
+    }
+    for (const auto &it : events) {
+        const bool isFleet = it.at >= begin && it.at <= end && FleetEvents.contains(it.body["event"].get<std::string>());
+        if (isFleet || concerns(it.body, job)) {
+            out.push_back(render(it, begin));
+        }
+    }
+    for (auto &it : missingOf(counts)) {
+        out.push_back(std::move(it));
+    }
+    return out;
+}
+
+ExitCode runExplain(std::vector<std::string> arguments)
+{
+    TCLAP::CmdLine line("Tells a job's story from the event logs of all processes.", ' ', MARJORAMHAVEN_VERSION);
+    line.setExceptionHandling(false);
+    TCLAP::UnlabeledValueArg<std::string> job("id", "The job's id", true, "", "ID", line);
+    TCLAP::UnlabeledMultiArg<std::string> files("files", "Event logs", true, "FILE", line);
+    line.parse(arguments);
+    std::vector<std::string> lines;
+    for (const auto &it : files.getValue()) {
+        std::ifstream in(it);
+        if (!in) {
+            printError("can't read " + it);
+            return ExitCode::Failed;
+        }
+        for (std::string text; std::getline(in, text);) {
+            lines.push_back(std::move(text));
+        }
+    }
+    for (const auto &it : explainJob(job.getValue(), lines)) {
+        std::cout << it << "\n";
+    }
+    std::cout.flush();
+    return ExitCode::Ok;
+}
+
+} // namespace marjoramhaven
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -41,6 +41,14 @@
         job.state = FleetJobState::Running;
     }
     markDirty(job);
+    m_events.write("run_placed",
+                   {{"task", task.id.toString()},
+                    {"attempt", attempt},
+                    {"worker", run.worker},
+                    {"answer_age_ms", (now - worker.lastAnswerAt).count()},
+                    {"cpu_left", worker.report.capacity.cpuMilli - worker.used.cpuMilli},
+                    {"job_age_ms", (now - job.acceptedAt()).count()},
+                    {"resumes", static_cast<std::int64_t>(!run.checkpoint.empty())}});
     return m_runs.emplace(run.key, std::move(run)).first->second;
 }
 
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -21,6 +21,8 @@
 constexpr char NodeKeyPrefix[] = "node/";
 constexpr Millis RegisterTimeout {1500};
 constexpr Millis RegisterAgainAfter {300};
+// A process that no planner could link with for this long is taken off the list; it registers again if it returns.
+constexpr Millis DropNodeAfter {120'000};
 // While its link to the planner lives, a process stores a record itself only when this much of its time is left.
 constexpr Millis DirectStoreNeeds {1100};
 
@@ -200,6 +202,7 @@
         }
     }
     m_hub.tick(now);
+    dropLostNodes(now);
     askAgain(now);
     checkStoreCalls(now);
     std::vector<std::shared_ptr<AdviceCall>> late;
@@ -315,6 +318,9 @@
     const auto now = monotonicNow();
     std::vector<std::pair<std::int64_t, LeadershipRecord>> read;
     for (const auto &it : records) {
+        if (!it.value && it.key.starts_with(NodeKeyPrefix)) {
+            forgetNode(it.key.substr(sizeof(NodeKeyPrefix) - 1));
+        }
         const auto record = it.value ? decodeLeadership(*it.value) : std::nullopt;
         if (!record) {
             continue;
@@ -322,8 +328,8 @@
         if (!it.key.starts_with(NodeKeyPrefix)) {
             read.emplace_back(it.offset, *record);
         } else if (record->node != m_settings.name) {
-            m_nodes[record->node] = {record->node, record->host, record->port};
-            m_hub.setPeers({m_nodes[record->node]});
+            m_unlinkedSince[record->node] = now;
+            m_hub.setPeers({{record->node, record->host, record->port}});
         }
     }
     m_canReadLog = true;
@@ -333,6 +339,37 @@
     claimWhenDue(now);
 }
 
+void FleetNode::forgetNode(const std::string &node)
+{
+    m_unlinkedSince.erase(node);
+    m_hub.forgetPeer(node);
+}
+
+void FleetNode::dropLostNodes(TimePoint now)
+{
+    for (const auto &it : m_hub.linked()) {
+        m_unlinkedSince[it.name] = now;
+    }
+    if (!m_planner || !m_canReadLog) {
+        return;
+    }
+    AppendRequest request;
+    request.topic = StateTopic::Leadership;
+    request.timeout = RegisterTimeout;
+    for (auto &[node, since] : m_unlinkedSince) {
+        if (now - since > DropNodeAfter) {
+            request.records.push_back({NodeKeyPrefix + node, std::nullopt, 0});
+            since = now;
+        }
+    }
+    if (request.records.empty()) {
+        return;
+    }
+    m_platform.log.append(std::move(request), [this](const AppendResult &result) {
+        m_events.write("lost_nodes_dropped", {{"outcome", std::string(nameOf(result.outcome))}, {"reason", result.reason}});
+    });
+}
+
 void FleetNode::claimWhenDue(TimePoint now)
 {
     const auto append = m_claim.nextAppend(now);
--- a/tests/cli/CommandsTest.cpp
+++ b/tests/cli/CommandsTest.cpp
@@ -89,4 +89,22 @@
     BOOST_TEST(run({QLatin1String("check"), folder + QLatin1String("entry.yaml")}).code == 0);
 }
 
+BOOST_AUTO_TEST_CASE(explainTellsAJobsStoryInOrderAndWhatIsMissing)
+{
+    const File file("noise {not json\n"
+                    "{\"at\":2000,\"node\":\"b\",\"event\":\"run_placed\",\"task\":\"00000000000000a1.0.0.0\"}\n"
+                    "   1.2 edge {\"at\":1000,\"node\":\"a\",\"event\":\"submit\",\"id\":\"00000000000000a1\"}\n"
+                    "{\"at\":1500,\"node\":\"a\",\"event\":\"submit\",\"id\":\"00000000000000b2\"}\n");
+    const auto result = run({QLatin1String("explain"), QLatin1String("00000000000000a1"), file.path()});
+    BOOST_TEST(result.code == 0);
+    const auto submit = result.out.find("a  submit");
+    const auto placed = result.out.find("1.000 s  b  run_placed");
+    BOOST_TEST(submit != std::string::npos);
+    BOOST_TEST(placed != std::string::npos);
+    BOOST_TEST(submit < placed);
+    BOOST_TEST(result.out.find("b2") == std::string::npos);
+    BOOST_TEST(result.out.find("missing: it has not ended") != std::string::npos);
+    BOOST_TEST(run({QLatin1String("explain"), QLatin1String("x"), QLatin1String("/nowhere")}).code == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -112,6 +112,7 @@
             order.worker.id,
             timeout,
             [this, order](FleetWorkerModel &it) {
+                fleet.m_startingOn[order.task] = static_cast<int>(indexOf(it.report().id));
                 return it.start(order, fleet.m_now);
             },
             [this, order](const OrderAnswer &answer) {
@@ -604,6 +605,12 @@
     }));
 }
 
+int FakeFleet::planned(const FleetTaskId &task) const
+{
+    const auto it = m_startingOn.find(task);
+    return it == m_startingOn.end() ? -1 : it->second;
+}
+
 int FakeFleet::workerOf(const std::string &task) const
 {
     for (auto it = m_begins.rbegin(); it != m_begins.rend(); ++it) {
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -75,6 +75,8 @@
     int adviceCalls() const { return m_adviceCalls; }
     FleetWorkerModel &worker(int number) { return *m_workers[static_cast<std::size_t>(number)]; }
     int workerOf(const std::string &task) const;
+    /// The worker that is asked to start a task right now; for the behaviour of tasks that depends on where they run.
+    int planned(const FleetTaskId &task) const;
 
 private:
     // One planner with its token, and its port to the fake network.
@@ -117,6 +119,7 @@
     double m_lateOrders = 0;
     double m_lostAnswers = 0;
     int m_adviceCalls = 0;
+    std::map<FleetTaskId, int> m_startingOn;
     std::vector<RunEvent> m_begins;
     std::vector<RunEvent> m_ends;
     std::map<FleetTaskId, std::set<std::pair<std::string, std::int64_t>>> m_runningNow;
--- /dev/null
+++ b/tests/fleet/LoadTest.cpp
@@ -0,0 +1,129 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "FakeFleet.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+StepSpec step(int count, std::int64_t cpu, std::int64_t ms)
+{
+    StepSpec out;
+    out.taskCount = count;
+    out.needs = {cpu, 500, 0};
+    out.estimateMs = ms;
+    return out;
+}
+
+FleetJobRequest withPriority(FleetJobRequest request, int priority)
+{
+    request.queue.priority = priority;
+    request.queue.prefix = "/q" + std::to_string(priority) + "/";
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Load)
+
+// Load: the fleet is full of long checkpointed sweeps when urgent checks arrive.
+BOOST_AUTO_TEST_CASE(urgentWorkDoesNotWaitForSweepsToEnd)
+{
+    FakeFleet fleet({});
+    auto sweep = step(16, 3000, 20000);
+    sweep.checkpoints = true;
+    fleet.submit(withPriority(fleet.jobWith("sweep", {sweep}), 2));
+    fleet.run(Millis(2000));
+    const auto at = fleet.now();
+    fleet.submit(withPriority(fleet.jobWith("check", {step(4, 2500, 500)}), 0));
+    fleet.run(Millis(1500));
+    for (int i = 0; i < 4; ++i) {
+        const auto begun = fleet.firstBegin("check.0.0." + std::to_string(i));
+        BOOST_REQUIRE(begun);
+        BOOST_TEST((*begun - at).count() < 600);
+    }
+    BOOST_TEST(fleet.broken().empty());
+}
+
+// Load: the same, but the sweeps can't resume: nothing of theirs is thrown away.
+BOOST_AUTO_TEST_CASE(workThatCannotResumeIsNeverStoppedForOthers)
+{
+    FakeFleet fleet({});
+    fleet.submit(withPriority(fleet.jobWith("sweep", {step(12, 4000, 3000)}), 2));
+    fleet.run(Millis(500));
+    fleet.submit(withPriority(fleet.jobWith("check", {step(2, 2500, 500)}), 0));
+    fleet.run(Millis(8000));
+    for (int i = 0; i < 12; ++i) {
+        BOOST_TEST(fleet.beginsOf("sweep.0.0." + std::to_string(i)) == 1);
+    }
+    BOOST_TEST((fleet.stateOf("check") == FleetJobState::Completed));
+}
+
+// Load: a flood of urgent work fills the fleet while a lasting task has lost its worker.
+BOOST_AUTO_TEST_CASE(aLastingTaskIsBackAtWorkInAFlood)
+{
+    FakeFleet fleet({});
+    auto watch = step(2, 1000, 400);
+    watch.isLasting = true;
+    fleet.submit(withPriority(fleet.jobWith("watch", {watch}), 1));
+    fleet.run(Millis(1000));
+    for (int i = 0; i < 40; ++i) {
+        fleet.submit(withPriority(fleet.jobWith("check" + std::to_string(i), {step(6, 2500, 900)}), 0));
+    }
+    fleet.run(Millis(700));
+    fleet.restartWorker(fleet.workerOf("watch.0.0.0"));
+    fleet.run(Millis(3000));
+    BOOST_TEST(fleet.beginsOf("watch.0.0.0") + fleet.beginsOf("watch.0.0.1") >= 3);
+    int running = 0;
+    for (int i = 0; i < 6; ++i) {
+        for (const auto &[task, attempt] : fleet.worker(i).runs()) {
+            running += task.job == "watch" ? 1 : 0;
+        }
+    }
+    BOOST_TEST(running == 2);
+    BOOST_TEST(fleet.broken().empty());
+}
+
+// Load: one worker fails everything it starts, at once, and so looks idle.
+BOOST_AUTO_TEST_CASE(aWorkerThatFailsEverythingDoesNotDrawTheWork)
+{
+    FakeFleet fleet({});
+    fleet.behave = [&fleet](const FleetTaskId &task, TaskBehaviour &out) {
+        if (fleet.planned(task) == 0) {
+            out.fails = true;
+            out.duration = Millis(30);
+        }
+    };
+    int done = 0;
+    for (int i = 0; i < 40; ++i) {
+        fleet.submit(fleet.jobWith("j" + std::to_string(i), {step(4, 1500, 400)}));
+        fleet.run(Millis(150));
+    }
+    fleet.run(Millis(12000));
+    for (int i = 0; i < 40; ++i) {
+        done += fleet.stateOf("j" + std::to_string(i)) == FleetJobState::Completed ? 1 : 0;
+    }
+    BOOST_TEST(done >= 38);
+}
+
+// Load: the store answers slowly for a while; work that was accepted is served, in order and once.
+BOOST_AUTO_TEST_CASE(aSlowStoreDelaysButLosesNothing)
+{
+    FleetSetting setting;
+    setting.storeDelay = Millis(620);
+    FakeFleet fleet(setting);
+    for (int i = 0; i < 10; ++i) {
+        fleet.submit(fleet.jobWith("j" + std::to_string(i), {step(3, 1000, 300)}));
+    }
+    fleet.run(Millis(6000));
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST((fleet.stateOf("j" + std::to_string(i)) == FleetJobState::Completed));
+    }
+    BOOST_TEST(fleet.begins() == 30);
+    BOOST_TEST(fleet.broken().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/telemetry/TelemetryTest.cpp
+++ b/tests/telemetry/TelemetryTest.cpp
@@ -1,7 +1,11 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <unistd.h>
+
 #include <QJsonArray>
 
+#include "marjoramhaven/telemetry/EventLog.h"
 #include "marjoramhaven/telemetry/Metrics.h"
 #include "marjoramhaven/telemetry/Trace.h"
 
@@ -57,4 +61,48 @@
     BOOST_TEST(tracer.dropped() == 1000);
 }
 
+BOOST_AUTO_TEST_CASE(aReaderThatStandsStillCostsLinesNotTime)
+{
+    int ends[2];
+    BOOST_REQUIRE(pipe(ends) == 0);
+    EventLimits limits;
+    limits.linesPerKindPerSecond = 1'000'000;
+    limits.waitingLines = 100;
+    const auto begin = monotonicNow();
+    std::int64_t dropped = 0;
+    {
+        EventLog log("n", ends[1], limits);
+        for (int i = 0; i < 5000; ++i) {
+            log.write("decision", {{"id", std::string(200, 'x')}, {"n", std::int64_t(i)}});
+        }
+        dropped = log.dropped();
+    }
+    BOOST_TEST(dropped > 1000);
+    BOOST_TEST((monotonicNow() - begin).count() < 2000);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+BOOST_AUTO_TEST_CASE(eachKindOfEventHasItsOwnBoundAndDropsAreTold)
+{
+    int ends[2];
+    BOOST_REQUIRE(pipe(ends) == 0);
+    EventLimits limits;
+    limits.linesPerKindPerSecond = 3;
+    {
+        EventLog log("n", ends[1], limits);
+        for (int i = 0; i < 20; ++i) {
+            log.write("flood", {{"n", std::int64_t(i)}});
+        }
+        log.write("rare", {{"text", std::string("a\"b")}});
+        BOOST_TEST(log.dropped() >= 14);
+    }
+    close(ends[1]);
+    std::string text(100'000, '\0');
+    text.resize(static_cast<std::size_t>(std::max<ssize_t>(0, read(ends[0], text.data(), text.size()))));
+    close(ends[0]);
+    BOOST_TEST(text.find(R"("event":"rare","text":"a\"b")") != std::string::npos);
+    BOOST_TEST(std::count(text.begin(), text.end(), '\n') <= 7);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
