Preemption and ordering without lookups; planning takes a quarter of the time at most

Change: a worker keeps what each run takes and whether it may give way; ranks are computed once a step; four preempting steps a plan; a plan that takes long makes the next one wait three times as long.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "marjoramhaven/base/EnumNames.h"
@@ -187,6 +188,8 @@
     std::size_t runCount() const { return m_runs.size(); }
 
 private:
+    /// Orders steps that wait: worthless ones last, then urgency, late ones behind, and the earliest to be due first.
+    using OpenStepRank = std::tuple<bool, int, int, TimePoint, const FleetJob *>;
     struct OpenStep;
     struct Batch;
 
@@ -230,6 +233,7 @@
     int awayCount(const FleetJob &job, const FleetStep &step) const;
     // FleetPlannerPlacement.cpp: who goes where
     std::vector<OpenStep> openSteps(TimePoint now);
+    OpenStepRank rankOf(const OpenStep &open, TimePoint now) const;
     static bool isUsable(const FleetWorker &worker, TimePoint now);
     void placeStep(OpenStep &open, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
@@ -237,11 +241,12 @@
     FleetWorker *choose(const OpenStep &open, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
     // FleetPlannerPreemption.cpp: room for what is more urgent
     bool mayPreempt(const OpenStep &open, TimePoint now) const;
-    bool canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims);
+    bool canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims) const;
     void makeRoom(OpenStep &open, const std::vector<FleetWorker *> &candidates, TimePoint now);
     std::map<std::string, int> runsPerWorker(const FleetStep &step) const;
     void seekAdvice(OpenStep &open, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
     static TaskNeeds countedNeeds(const StepSpec &spec);
+    Occupant occupantOf(const FleetJob &job, const StepSpec &spec, TimePoint now) const;
     const QueuePolicy &queueOf(const FleetJob &job) const;
 
     FleetPort &m_port;
@@ -263,6 +268,8 @@
     std::int64_t m_batchNumber = 0;
     std::unique_ptr<Batch> m_batch;
     bool m_hasUnstoredEnds = false;
+    /// Steps that may still make others give way in this plan.
+    int m_preemptionsLeft = 0;
 };
 
 } // namespace marjoramhaven
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -49,6 +49,19 @@
     bool operator<(const RunKey &other) const { return std::tie(task, attempt) < std::tie(other.task, other.attempt); }
 };
 
+/// What one run takes of its worker, and whether it may have to give way.
+struct Occupant {
+    TaskNeeds needs;
+    /// Of its queue; 0 is the most urgent.
+    int priority = 0;
+    /// It resumes elsewhere from where it was stopped.
+    bool mayGiveWay = false;
+    /// A stop was ordered; its room comes free soon.
+    bool isStopping = false;
+    /// When it was placed.
+    TimePoint since {};
+};
+
 /// One worker as the planner believes it to be.
 struct FleetWorker {
     WorkerReport report;
@@ -69,8 +82,8 @@
     std::int64_t acknowledged = 0;
     /// Ends up to this number are taken note of.
     std::int64_t seen = 0;
-    /// Runs that may occupy the worker, with what each needs.
-    std::map<RunKey, TaskNeeds> occupied;
+    /// Runs that may stand on the worker.
+    std::map<RunKey, Occupant> occupied;
     TaskNeeds used;
     /// No starts before this instant, since the worker refused or failed.
     TimePoint avoidUntil {};
@@ -83,8 +96,8 @@
     WorkerTarget target() const { return {report.id, report.host, report.port}; }
     /// True when needs fit beside what stands on the worker.
     bool hasRoomFor(const TaskNeeds &needs) const;
-    /// Adds and removes a run's needs; fillers leave their processors out.
-    void occupy(const RunKey &key, const TaskNeeds &needs, bool isFiller);
+    /// Adds and removes a run; nothing happens when it is there, or is not there, already.
+    void occupy(const RunKey &key, const Occupant &occupant);
     void vacate(const RunKey &key);
     /// True when the worker carries a label; racks are labels too.
     bool hasLabel(const std::string &label) const;
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -98,7 +98,7 @@
     TimePoint m_nextStoreAt {};
     bool m_isStoreScheduled = false;
     TimePoint m_startedAt {};
-    TimePoint m_plannedAt {};
+    TimePoint m_nextPlanAt {};
     bool m_isProgressLoaded = false;
     bool m_isOpen = false;
     bool m_isRetired = false;
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -52,7 +52,7 @@
             run.since = now;
             auto &worker = workerNamed(it.worker);
             const auto &spec = job->spec(row.step);
-            worker.occupy(run.key, spec.needs, spec.isFiller);
+            worker.occupy(run.key, occupantOf(*job, spec, now));
             m_runs.emplace(run.key, std::move(run));
         }
     }
--- a/src/fleet/FleetPlannerBatch.h
+++ b/src/fleet/FleetPlannerBatch.h
@@ -30,6 +30,7 @@
     FleetStep *step = nullptr;
     const StepSpec *spec = nullptr;
     std::vector<FleetTask *> waiting;
+    OpenStepRank rank {};
 
     /// The step's name towards the advisor.
     std::string name() const { return job->id() + "." + std::to_string(occurrence) + "." + std::to_string(number); }
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -18,6 +18,8 @@
 constexpr double SlowAdvicePerWorkerMs = 2;
 constexpr double AskBeyondNeed = 1.3;
 constexpr std::size_t AskAtLeast = 4;
+// Bounds the work of one plan; the next steps follow in the next plan.
+constexpr int MostPreemptingSteps = 4;
 
 // Jobs that can still be on time come before those that can only be late, and those before jobs that earn nothing more.
 int lateness(const FleetJob &job, TimePoint now)
@@ -31,6 +33,17 @@
 
 } // namespace
 
+FleetPlanner::OpenStepRank FleetPlanner::rankOf(const OpenStep &open, TimePoint now) const
+{
+    const auto onTimeUntil = open.job->onTimeUntil();
+    // Lasting tasks are few, serve others all the time and never end by themselves.
+    if (open.spec->isLasting) {
+        return {false, -1, 0, onTimeUntil, open.job};
+    }
+    const auto late = lateness(*open.job, now);
+    return {late == 2, queueOf(*open.job).priority, late, onTimeUntil, open.job};
+}
+
 std::vector<FleetPlanner::OpenStep> FleetPlanner::openSteps(TimePoint now)
 {
     std::vector<OpenStep> out;
@@ -46,7 +59,7 @@
                 if (step.isDone() || !occurrence.isReady(spec)) {
                     continue;
                 }
-                OpenStep open {&job, number, static_cast<int>(i), &step, &spec, {}};
+                OpenStep open {&job, number, static_cast<int>(i), &step, &spec, {}, {}};
                 for (auto &task : step.tasks) {
                     if (task.isWaiting(now)) {
                         open.waiting.push_back(&task);
@@ -75,18 +88,13 @@
     }
     releaseEnded();
     auto open = openSteps(now);
-    const auto rank = [now](const OpenStep &it) {
-        // Lasting tasks are few, serve others all the time and never end by themselves.
-        if (it.spec->isLasting) {
-            return std::tuple(false, -1, 0, it.job->onTimeUntil(), it.job->id());
-        }
-        const auto late = lateness(*it.job, now);
-        const auto priority = it.job->request().queue.priority;
-        return std::tuple(late == 2, priority, late, it.job->onTimeUntil(), it.job->id());
-    };
-    std::sort(open.begin(), open.end(), [&](const OpenStep &a, const OpenStep &b) {
-        return rank(a) < rank(b);
+    for (auto &it : open) {
+        it.rank = rankOf(it, now);
+    }
+    std::sort(open.begin(), open.end(), [](const OpenStep &a, const OpenStep &b) {
+        return a.rank < b.rank;
     });
+    m_preemptionsLeft = MostPreemptingSteps;
     std::vector<FleetWorker *> usable;
     for (auto &[id, worker] : m_workers) {
         if (isUsable(worker, now)) {
@@ -116,7 +124,7 @@
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
         return it->hasRoomFor(needs) && isFitting(it);
     });
-    const bool isPreempting = mayPreempt(open, now);
+    const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(open, now);
     if (withRoom.empty() && !isPreempting) {
         return;
     }
@@ -137,6 +145,7 @@
         return;
     }
     if (isPreempting) {
+        --m_preemptionsLeft;
         std::vector<FleetWorker *> usable;
         std::copy_if(workers.begin(), workers.end(), std::back_inserter(usable), isFitting);
         makeRoom(open, usable, now);
@@ -222,7 +231,7 @@
             break;
         }
         placed.emplace_back(RunKey {task->id, attempt}, worker);
-        worker->occupy(placed.back().first, open.spec->needs, open.spec->isFiller);
+        worker->occupy(placed.back().first, occupantOf(*open.job, *open.spec, now));
         ++perWorker[worker->report.id];
     }
     for (const auto &[key, worker] : placed) {
--- a/src/fleet/FleetPlannerPreemption.cpp
+++ b/src/fleet/FleetPlannerPreemption.cpp
@@ -35,6 +35,11 @@
     return out;
 }
 
+Occupant FleetPlanner::occupantOf(const FleetJob &job, const StepSpec &spec, TimePoint now) const
+{
+    return {countedNeeds(spec), queueOf(job).priority, spec.checkpoints && !spec.isGang && !spec.isLasting, false, now};
+}
+
 bool FleetPlanner::mayPreempt(const OpenStep &open, TimePoint now) const
 {
     const bool isUrgent = open.spec->isLasting || queueOf(*open.job).priority == 0;
@@ -43,40 +48,31 @@
 
 // True when the worker has room for a task of the step once runs of less urgent queues, which resume from where they were stopped, have given way.
 // Runs that are being stopped already count as gone.
-bool FleetPlanner::canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims)
+bool FleetPlanner::canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims) const
 {
     const auto needs = countedNeeds(*open.spec);
     const auto &capacity = worker.report.capacity;
     TaskNeeds room {capacity.cpuMilli - worker.used.cpuMilli, capacity.memoryMb - worker.used.memoryMb, capacity.gpus - worker.used.gpus};
-    std::vector<std::pair<const FleetRun *, TaskNeeds>> candidates;
+    std::vector<std::pair<const RunKey *, const Occupant *>> candidates;
     const int priority = open.spec->isLasting ? 0 : queueOf(*open.job).priority;
-    for (const auto &[key, occupied] : worker.occupied) {
-        const auto *run = findRun(key);
-        const auto *job = findJob(key.task.job);
-        if (run == nullptr || job == nullptr) {
-            continue;
-        }
-        if (run->stopReason != StopReason::None) {
-            add(room, occupied);
-            continue;
-        }
-        const auto &spec = job->spec(key.task.step);
-        const bool resumes = spec.checkpoints && !spec.isGang && !spec.isLasting;
-        if (resumes && run->state == RunState::Running && queueOf(*job).priority > priority) {
-            candidates.emplace_back(run, occupied);
+    for (const auto &[key, it] : worker.occupied) {
+        if (it.isStopping) {
+            add(room, it.needs);
+        } else if (it.mayGiveWay && it.priority > priority) {
+            candidates.emplace_back(&key, &it);
         }
     }
-    // What has run shortest gives way first.
+    // What was placed last gives way first.
     std::sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
-        return a.first->since > b.first->since;
+        return a.second->since > b.second->since;
     });
-    for (const auto &[run, occupied] : candidates) {
+    for (const auto &[key, occupant] : candidates) {
         if (fits(needs, room)) {
             break;
         }
-        add(room, occupied);
+        add(room, occupant->needs);
         if (victims != nullptr) {
-            victims->push_back(run->key);
+            victims->push_back(*key);
         }
     }
     return fits(needs, room);
@@ -112,7 +108,8 @@
             return;
         }
         for (const auto &key : victims) {
-            if (auto *run = findRun(key)) {
+            auto *run = findRun(key);
+            if (run != nullptr && run->state == RunState::Running) {
                 requestStop(*run, StopReason::Preempted, now);
             }
         }
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -36,7 +36,7 @@
     task.lastAttempt = attempt;
     task.activeAttempts.push_back(attempt);
     const auto &spec = job.spec(task.id.step);
-    worker.occupy(run.key, spec.needs, spec.isFiller);
+    worker.occupy(run.key, occupantOf(job, spec, now));
     if (job.state == FleetJobState::Queued) {
         job.state = FleetJobState::Running;
     }
@@ -177,6 +177,10 @@
 {
     if (run.stopReason == StopReason::None) {
         run.stopReason = reason;
+        auto &occupied = workerNamed(run.worker).occupied;
+        if (const auto it = occupied.find(run.key); it != occupied.end()) {
+            it->second.isStopping = true;
+        }
         m_events.write("run_stop",
                        {{"task", run.key.task.toString()},
                         {"attempt", run.key.attempt},
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -257,8 +257,8 @@
         foreign.state = RunState::Running;
         foreign.since = now;
         const bool isKnownStep = job != nullptr && row.task.step >= 0 && row.task.step < static_cast<int>(job->request().steps.size());
-        const auto needs = isKnownStep ? job->spec(row.task.step).needs : worker.report.capacity;
-        worker.occupy(key, needs, isKnownStep && job->spec(row.task.step).isFiller);
+        const Occupant unknown {worker.report.capacity, 0, false, false, now};
+        worker.occupy(key, isKnownStep ? occupantOf(*job, job->spec(row.task.step), now) : unknown);
         run = &m_runs.emplace(key, std::move(foreign)).first->second;
         if (task != nullptr) {
             task->activeAttempts.push_back(row.attempt);
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -61,19 +61,14 @@
         && used.gpus + needs.gpus <= report.capacity.gpus;
 }
 
-void FleetWorker::occupy(const RunKey &key, const TaskNeeds &needs, bool isFiller)
+void FleetWorker::occupy(const RunKey &key, const Occupant &occupant)
 {
-    if (occupied.contains(key)) {
+    if (!occupied.emplace(key, occupant).second) {
         return;
     }
-    TaskNeeds counted = needs;
-    if (isFiller) {
-        counted.cpuMilli = 0;
-    }
-    occupied.emplace(key, counted);
-    used.cpuMilli += counted.cpuMilli;
-    used.memoryMb += counted.memoryMb;
-    used.gpus += counted.gpus;
+    used.cpuMilli += occupant.needs.cpuMilli;
+    used.memoryMb += occupant.needs.memoryMb;
+    used.gpus += occupant.needs.gpus;
 }
 
 void FleetWorker::vacate(const RunKey &key)
@@ -82,9 +77,10 @@
     if (it == occupied.end()) {
         return;
     }
-    used.cpuMilli -= it->second.cpuMilli;
-    used.memoryMb -= it->second.memoryMb;
-    used.gpus -= it->second.gpus;
+    const auto &needs = it->second.needs;
+    used.cpuMilli -= needs.cpuMilli;
+    used.memoryMb -= needs.memoryMb;
+    used.gpus -= needs.gpus;
     occupied.erase(it);
 }
 
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -10,6 +10,8 @@
 
 constexpr Millis TickEvery {20};
 constexpr Millis PlanGap {8};
+// Planning takes at most one part in this many of the time, so that answers are never left waiting.
+constexpr int PlanShare = 4;
 constexpr Millis FollowWait {1000};
 constexpr Millis LoadTimeout {2000};
 // Workers write all the time; what they say is read together.
@@ -265,7 +267,7 @@
     m_isPlanScheduled = true;
     const std::weak_ptr<bool> alive = m_alive;
     // Under load events come faster than it pays to plan; the first after a pause is served at once.
-    const auto pause = std::max(Millis(0), m_plannedAt + PlanGap - monotonicNow());
+    const auto pause = std::max(Millis(0), m_nextPlanAt - monotonicNow());
     QTimer::singleShot(static_cast<int>(pause.count()), Qt::PreciseTimer, this, [this, alive]() {
         if (!alive.expired()) {
             planNow();
@@ -279,8 +281,11 @@
     if (m_isRetired) {
         return;
     }
-    m_plannedAt = monotonicNow();
-    m_planner.plan(m_plannedAt);
+    const auto begin = monotonicNow();
+    m_planner.plan(begin);
+    const auto took = monotonicNow() - begin;
+    m_nextPlanAt = begin + std::max(PlanGap, took * PlanShare);
+    m_services.metrics.observeMillis("plan_ms", static_cast<double>(took.count()));
     storeNext();
 }
 
