--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -82,6 +82,8 @@
     void routeAdvice(const AdviceOrder &order, std::function<void(const AdviceAnswer &)> done);
     // Stores through the planner, whose appends carry the records of all processes together; directly when it can't be asked or does not answer.
     void storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done);
+    // A submission that comes again finds its job known to the planner of this process, and so stored.
+    bool isStoredAlready(const std::string &key) const;
     void storeDirectly(const std::shared_ptr<StoreCall> &call);
     void storeDirectlyInsteadOf(const std::string &peer);
     bool isFastLink(const std::string &peer) const;
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -60,6 +60,8 @@
     bool isOpen() const { return m_isOpen; }
     /// Gives a job's state; reads the stream once more before it says that there is no such job.
     void query(const std::string &job, std::function<void(const std::optional<FleetJobState> &, bool isSure)> done);
+    /// True when the planner has read the job's acceptance from the log.
+    bool knows(const std::string &job) const { return m_planner.jobState(job).has_value(); }
     std::int64_t pendingOf(const std::string &host, const std::string &prefix) const { return m_planner.pendingOf(host, prefix); }
     const FleetPlanner &planner() const { return m_planner; }
 
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -558,8 +558,18 @@
     });
 }
 
+bool FleetNode::isStoredAlready(const std::string &key) const
+{
+    const std::string prefix = acceptanceKey({});
+    return m_planner && m_planner->isOpen() && key.starts_with(prefix) && m_planner->knows(key.substr(prefix.size()));
+}
+
 void FleetNode::answerStore(const std::string &from, const FleetStoreAskMessage &ask)
 {
+    if (isStoredAlready(ask.key)) {
+        m_hub.send(from, FleetStoreAnswerMessage {ask.call, std::string(nameOf(SubmitVerdict::Accepted)), {}});
+        return;
+    }
     const auto deadline = monotonicNow() + Millis(ask.budgetMs);
     m_writer.store({ask.key, ask.value, 0}, deadline, [this, from, call = ask.call](const SubmitAnswer &answer) {
         m_hub.send(from, FleetStoreAnswerMessage {call, std::string(nameOf(answer.verdict)), answer.reason});
@@ -568,6 +578,10 @@
 
 void FleetNode::storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done)
 {
+    if (isStoredAlready(record.key)) {
+        done({SubmitVerdict::Accepted, Millis(0), {}});
+        return;
+    }
     const auto now = monotonicNow();
     const auto deadline = now + budget - AnswerMargin;
     const auto patience = std::max(budget - DirectStoreNeeds, budget / 2);
