A copy of a task whose worker is silent, where its step allows copies

Cause: an urgent task on a silent worker waited for the lease to lapse, 5 s and more, though its step allows a second run. Change: such a task is placed again at once; the first good end counts, the other run is stopped.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -233,6 +233,7 @@
     int awayCount(const FleetJob &job, const FleetStep &step) const;
     // FleetPlannerPlacement.cpp: who goes where
     std::vector<OpenStep> openSteps(TimePoint now);
+    bool needsCopy(const FleetTask &task) const;
     OpenStepRank rankOf(const OpenStep &open, TimePoint now) const;
     static bool isUsable(const FleetWorker &worker, TimePoint now);
     void placeStep(OpenStep &open, const std::vector<FleetWorker *> &workers, TimePoint now);
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -33,6 +33,17 @@
 
 } // namespace
 
+// True when the task's only run stands on a worker that does not answer.
+bool FleetPlanner::needsCopy(const FleetTask &task) const
+{
+    if (task.isDone || task.activeAttempts.size() != 1) {
+        return false;
+    }
+    const auto run = m_runs.find({task.id, task.activeAttempts.front()});
+    const auto worker = run == m_runs.end() ? m_workers.end() : m_workers.find(run->second.worker);
+    return worker != m_workers.end() && worker->second.failedHolds > 0 && run->second.state == RunState::Running;
+}
+
 FleetPlanner::OpenStepRank FleetPlanner::rankOf(const OpenStep &open, TimePoint now) const
 {
     const auto onTimeUntil = open.job->onTimeUntil();
@@ -61,7 +72,7 @@
                 }
                 OpenStep open {&job, number, static_cast<int>(i), &step, &spec, {}, {}};
                 for (auto &task : step.tasks) {
-                    if (task.isWaiting(now)) {
+                    if (task.isWaiting(now) || (spec.allowsCopies && needsCopy(task))) {
                         open.waiting.push_back(&task);
                     }
                 }
--- a/tests/fleet/LoadTest.cpp
+++ b/tests/fleet/LoadTest.cpp
@@ -109,6 +109,34 @@
     BOOST_TEST(done >= 38);
 }
 
+// Load: a worker goes silent under urgent tasks, some of which allow a second copy.
+BOOST_AUTO_TEST_CASE(aTaskThatAllowsCopiesDoesNotWaitForTheLeaseOfASilentWorker)
+{
+    FakeFleet fleet({});
+    auto urgent = step(1, 1000, 4000);
+    urgent.allowsCopies = true;
+    fleet.submit(fleet.jobWith("copied", {urgent}));
+    fleet.run(Millis(300));
+    const int lost = fleet.workerOf("copied.0.0.0");
+    fleet.setSilent(lost, true);
+    const auto at = fleet.now();
+    BOOST_TEST(fleet.runUntil(
+        [&]() {
+            return fleet.beginsOf("copied.0.0.0") == 2;
+        },
+        Millis(3000)));
+    BOOST_TEST((fleet.now() - at).count() < 2200);
+    BOOST_TEST(fleet.workerOf("copied.0.0.0") != lost);
+    fleet.setSilent(lost, false);
+    fleet.run(Millis(6000));
+    BOOST_TEST((fleet.stateOf("copied") == FleetJobState::Completed));
+    int left = 0;
+    for (int i = 0; i < 6; ++i) {
+        left += static_cast<int>(fleet.worker(i).runningCount());
+    }
+    BOOST_TEST(left == 0);
+}
+
 // Load: the store answers slowly for a while; work that was accepted is served, in order and once.
 BOOST_AUTO_TEST_CASE(aSlowStoreDelaysButLosesNothing)
 {
