Split the node, the planner's host, the care of workers and the fake fleet along their jobs

Change: FleetNode (life, leadership), FleetNodePeers (links, advice), FleetNodeDesk (callers); PlannerHost and PlannerHostStore; FleetPlannerWorkers and FleetPlannerCare; FakeFleetHost. No behaviour changed.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -225,12 +225,13 @@
     void noteRunning(FleetWorker &worker, const RunningRow &row, TimePoint now);
     void noteAbsent(FleetWorker &worker, FleetRun &run, TimePoint sentAt, TimePoint now);
     void sendHoldIfDue(FleetWorker &worker, TimePoint now);
+    // FleetPlannerCare.cpp: what is looked after all the time
     void checkWorker(FleetWorker &worker, TimePoint now);
     void evacuate(FleetWorker &worker, TimePoint now);
     void checkStuck(FleetRun &run, TimePoint now);
     void paceFillers(FleetWorker &worker, TimePoint now);
     void orderPace(FleetRun &run, int percent, TimePoint now);
-    int awayCount(const FleetJob &job, const FleetStep &step) const;
+    int awayCount(const FleetStep &step) const;
     // FleetPlannerPlacement.cpp: who goes where
     std::vector<OpenStep> openSteps(TimePoint now);
     bool needsCopy(const FleetTask &task) const;
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -66,6 +66,9 @@
     const FleetPlanner &planner() const { return m_planner; }
 
 private:
+    /// Its record raises the writer's epoch before anything is read; no job has this name.
+    static constexpr char FenceKey[] = "!fence";
+
     void sendStart(const StartOrder &order, Millis timeout) override;
     void sendStop(const StopOrder &order, Millis timeout) override;
     void sendPace(const PaceOrder &order, Millis timeout) override;
--- /dev/null
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -0,0 +1,235 @@
+#include <algorithm>
+#include <random>
+
+#include "FleetNodeCalls.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis RegisterTimeout {1500};
+constexpr Millis RegisterAgainAfter {300};
+// A process that no planner could link with for this long is taken off the list; it registers again if it returns.
+constexpr Millis DropNodeAfter {120'000};
+
+std::string freshIncarnation(const std::string &name)
+{
+    std::random_device random;
+    return name + "/" + std::to_string(random()) + std::to_string(random());
+}
+
+} // namespace
+
+LeadershipRecord leadershipSelfOf(const FleetNodeSettings &settings)
+{
+    LeadershipRecord out;
+    out.node = settings.name;
+    out.host = settings.peers.host;
+    out.port = settings.peers.port;
+    out.incarnation = freshIncarnation(settings.name);
+    return out;
+}
+
+void FleetNode::takeMessage(const std::string &from, const PeerMessage &message)
+{
+    if (const auto *beat = std::get_if<FleetBeatMessage>(&message)) {
+        takeBeat(from, *beat);
+    } else if (const auto *configuration = std::get_if<FleetConfigurationMessage>(&message)) {
+        applyConfiguration(configuration->text, from);
+    } else if (const auto *query = std::get_if<FleetQueryMessage>(&message)) {
+        answerQuery(from, *query);
+    } else if (const auto *answer = std::get_if<FleetQueryAnswerMessage>(&message)) {
+        const auto it = m_questions.find(answer->call);
+        if (it != m_questions.end() && answer->isLeading) {
+            const auto question = it->second;
+            m_questions.erase(it);
+            question->done(answer);
+        }
+    } else if (const auto *ask = std::get_if<FleetAdviceAskMessage>(&message)) {
+        answerAdvice(from, *ask);
+    } else if (const auto *store = std::get_if<FleetStoreAskMessage>(&message)) {
+        answerStore(from, *store);
+    } else if (const auto *stored = std::get_if<FleetStoreAnswerMessage>(&message)) {
+        takeStoreAnswer(*stored);
+    } else if (const auto *advice = std::get_if<FleetAdviceAnswerMessage>(&message)) {
+        const auto it = m_adviceCalls.find(advice->call);
+        if (it == m_adviceCalls.end()) {
+            return;
+        }
+        const auto call = it->second;
+        m_adviceCalls.erase(it);
+        AdviceAnswer out {advice->isAnswered, advice->isBusy, {}, advice->reason};
+        for (std::size_t i = 0; i < std::min(advice->workers.size(), advice->tickets.size()); ++i) {
+            out.allowed.push_back({advice->workers[i], advice->tickets[i]});
+        }
+        call->done(out);
+    }
+}
+
+void FleetNode::takeBeat(const std::string &from, const FleetBeatMessage &beat)
+{
+    const auto now = monotonicNow();
+    if (beat.fence > m_claim.leaderFence() && !beat.planner.empty()) {
+        LeadershipRecord record;
+        record.node = beat.planner;
+        record.host = beat.plannerHost;
+        record.port = beat.plannerPort;
+        record.claimOffset = beat.fence - 1;
+        m_claim.learnLeader(record, now);
+        followLeader();
+    }
+    if (m_claim.leader() && m_claim.leader()->node == from && !m_planner) {
+        if (beat.isPlannerBlind && !m_isLeaderBlind) {
+            storeDirectlyInsteadOf(from);
+        }
+        m_isLeaderBlind = beat.isPlannerBlind;
+        m_claim.setPlannerLinked(!m_isLeaderBlind, now);
+    }
+    const auto ownVersion = m_configuration ? m_configuration->version : -1;
+    if (beat.configurationVersion < ownVersion) {
+        m_hub.send(from, FleetConfigurationMessage {m_configurationText});
+    }
+}
+
+void FleetNode::sendBeats()
+{
+    FleetBeatMessage beat;
+    const auto &leader = m_claim.leader();
+    if (leader) {
+        beat.fence = m_claim.leaderFence();
+        beat.planner = leader->node;
+        beat.plannerHost = leader->host;
+        beat.plannerPort = leader->port;
+    }
+    beat.isPlannerBlind = m_planner && !m_canReadLog;
+    beat.configurationVersion = m_configuration ? m_configuration->version : -1;
+    ++m_beats;
+    for (const auto &it : m_hub.linked()) {
+        if (m_beats % SlowBeats == 0 || isFastLink(it.name)) {
+            m_hub.send(it.name, beat);
+        }
+    }
+}
+
+bool FleetNode::isFastLink(const std::string &peer) const
+{
+    return m_planner || (m_claim.leader() && m_claim.leader()->node == peer);
+}
+
+void FleetNode::answerQuery(const std::string &from, const FleetQueryMessage &query)
+{
+    FleetQueryAnswerMessage out;
+    out.call = query.call;
+    if (!m_planner || !m_planner->isOpen()) {
+        return;
+    }
+    out.isLeading = true;
+    if (query.job.empty()) {
+        out.isKnown = true;
+        out.pending = m_planner->pendingOf(query.host, query.prefix);
+        m_hub.send(from, out);
+        return;
+    }
+    m_planner->query(query.job, [this, from, out](const std::optional<FleetJobState> &state, bool isSure) mutable {
+        out.isKnown = state.has_value();
+        out.state = state ? std::string(nameOf(*state)) : "";
+        if (state || isSure) {
+            m_hub.send(from, out);
+        }
+    });
+}
+
+void FleetNode::answerAdvice(const std::string &from, const FleetAdviceAskMessage &ask)
+{
+    m_platform.advisor.ask(ask.step, ask.workers, Millis(ask.timeoutMs), [this, from, call = ask.call](const AdviceAnswer &answer) {
+        FleetAdviceAnswerMessage out;
+        out.call = call;
+        out.isAnswered = answer.isAnswered;
+        out.isBusy = answer.isBusy;
+        out.reason = answer.reason;
+        for (const auto &it : answer.allowed) {
+            out.workers.push_back(it.worker);
+            out.tickets.push_back(it.ticket);
+        }
+        m_hub.send(from, out);
+    });
+}
+
+void FleetNode::answerStore(const std::string &from, const FleetStoreAskMessage &ask)
+{
+    if (isStoredAlready(ask.key)) {
+        m_hub.send(from, FleetStoreAnswerMessage {ask.call, std::string(nameOf(SubmitVerdict::Accepted)), {}});
+        return;
+    }
+    const auto deadline = monotonicNow() + Millis(ask.budgetMs);
+    m_writer.store({ask.key, ask.value, 0}, deadline, [this, from, call = ask.call](const SubmitAnswer &answer) {
+        m_hub.send(from, FleetStoreAnswerMessage {call, std::string(nameOf(answer.verdict)), answer.reason});
+    });
+}
+
+void FleetNode::routeAdvice(const AdviceOrder &order, std::function<void(const AdviceAnswer &)> done)
+{
+    if (order.helper == m_settings.name) {
+        m_platform.advisor.ask(order.step, order.workers, order.timeout, std::move(done));
+        return;
+    }
+    const auto call = m_nextCall++;
+    m_adviceCalls[call] = std::make_shared<AdviceCall>(AdviceCall {order.helper, monotonicNow() + order.timeout, std::move(done)});
+    m_hub.send(order.helper, FleetAdviceAskMessage {call, order.step, order.workers, order.timeout.count()});
+}
+
+void FleetNode::registerSelf()
+{
+    AppendRequest request;
+    request.topic = StateTopic::Leadership;
+    request.records.push_back({NodeKeyPrefix + m_settings.name, encodeLeadership(leadershipSelfOf(m_settings)), 0});
+    request.timeout = RegisterTimeout;
+    m_platform.log.append(std::move(request), [this](const AppendResult &result) {
+        if (result.outcome != AppendOutcome::Stored && !m_isStopping) {
+            QTimer::singleShot(static_cast<int>(RegisterAgainAfter.count()), this, [this]() {
+                registerSelf();
+            });
+        }
+    });
+}
+
+void FleetNode::forgetNode(const std::string &node)
+{
+    m_unlinkedSince.erase(node);
+    m_hub.forgetPeer(node);
+}
+
+void FleetNode::dropLostNodes(TimePoint now)
+{
+    for (const auto &it : m_hub.linked()) {
+        m_unlinkedSince[it.name] = now;
+    }
+    if (!m_planner || !m_canReadLog) {
+        return;
+    }
+    AppendRequest request;
+    request.topic = StateTopic::Leadership;
+    request.timeout = RegisterTimeout;
+    for (auto &[node, since] : m_unlinkedSince) {
+        if (now - since > DropNodeAfter) {
+            request.records.push_back({NodeKeyPrefix + node, std::nullopt, 0});
+            since = now;
+        }
+    }
+    if (request.records.empty()) {
+        return;
+    }
+    m_platform.log.append(std::move(request), [this](const AppendResult &result) {
+        m_events.write("lost_nodes_dropped", {{"outcome", std::string(nameOf(result.outcome))}, {"reason", result.reason}});
+    });
+}
+
+bool FleetNode::isLinkedToLeader() const
+{
+    const auto linked = m_hub.linked();
+    return m_claim.leader() && std::any_of(linked.begin(), linked.end(), [this](const PeerInfo &it) {
+               return it.name == m_claim.leader()->node;
+           });
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -0,0 +1,193 @@
+#include <algorithm>
+
+#include "marjoramhaven/fleetnode/PlannerHost.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis LoadTimeout {2000};
+// Decisions that come close together are stored together.
+constexpr Millis StoreGap {12};
+constexpr Millis StoreTimeout {1200};
+constexpr Millis RetryAfter {60};
+constexpr Millis DropTimeout {3000};
+// At most this many jobs are dropped from the log at once.
+constexpr std::size_t DropTogether = 200;
+constexpr char WriterName[] = "planner";
+
+} // namespace
+
+void PlannerHost::fenceProgress()
+{
+    AppendRequest request;
+    request.topic = StateTopic::Progress;
+    request.timeout = StoreTimeout;
+    request.records.push_back({FenceKey, std::to_string(m_fence), 0});
+    request.writer = WriterEpoch {WriterName, m_fence, 1};
+    const std::weak_ptr<bool> alive = m_alive;
+    m_services.log.append(std::move(request), [this, alive](const AppendResult &result) {
+        if (alive.expired()) {
+            return;
+        }
+        if (result.outcome == AppendOutcome::Stored) {
+            m_sequence = 1;
+            loadProgress({});
+        } else if (result.outcome == AppendOutcome::Fenced) {
+            supersede("the stream of progress has a newer writer");
+        } else {
+            QTimer::singleShot(static_cast<int>(RetryAfter.count()), this, [this, alive]() {
+                if (!alive.expired()) {
+                    fenceProgress();
+                }
+            });
+        }
+    });
+}
+
+void PlannerHost::loadProgress(const std::string &afterKey)
+{
+    const std::weak_ptr<bool> alive = m_alive;
+    m_services.log.newest(StateTopic::Progress, afterKey, LoadTimeout, [this, alive, afterKey](const NewestResult &result) {
+        if (alive.expired()) {
+            return;
+        }
+        if (!result.isAnswered) {
+            QTimer::singleShot(static_cast<int>(RetryAfter.count()), this, [this, alive, afterKey]() {
+                if (!alive.expired()) {
+                    loadProgress(afterKey);
+                }
+            });
+            return;
+        }
+        m_progress.insert(m_progress.end(), result.records.begin(), result.records.end());
+        if (result.hasMore && !result.records.empty()) {
+            loadProgress(result.records.back().key);
+            return;
+        }
+        // Jobs are read after progress, so that no job is missing whose progress was read.
+        m_isProgressLoaded = true;
+        m_jobs.start();
+    });
+}
+
+void PlannerHost::storeNext()
+{
+    if (m_isStoring || !m_planner.hasNews()) {
+        return;
+    }
+    const auto now = monotonicNow();
+    if (now < m_nextStoreAt) {
+        storeLater(m_nextStoreAt - now);
+        return;
+    }
+    m_nextStoreAt = now + StoreGap;
+    const auto batch = m_planner.takeBatch(monotonicNow());
+    if (batch.isEmpty()) {
+        return;
+    }
+    std::vector<KeyedRecord> records;
+    for (const auto &it : batch.records) {
+        records.push_back({it.job, encodeJobRecord(it), 0});
+    }
+    for (const auto &it : batch.dropped) {
+        records.push_back({it, std::nullopt, 0});
+    }
+    m_isStoring = true;
+    ++m_sequence;
+    appendProgress(std::move(records), batch.number);
+}
+
+void PlannerHost::storeLater(Millis pause)
+{
+    if (m_isStoreScheduled) {
+        return;
+    }
+    m_isStoreScheduled = true;
+    const std::weak_ptr<bool> alive = m_alive;
+    QTimer::singleShot(static_cast<int>(pause.count()), Qt::PreciseTimer, this, [this, alive]() {
+        if (!alive.expired()) {
+            m_isStoreScheduled = false;
+            storeNext();
+        }
+    });
+}
+
+void PlannerHost::appendProgress(std::vector<KeyedRecord> records, std::int64_t batch)
+{
+    AppendRequest request;
+    request.topic = StateTopic::Progress;
+    request.timeout = m_storeTimes.timeout();
+    request.records = records;
+    request.writer = WriterEpoch {WriterName, m_fence, m_sequence};
+    const std::weak_ptr<bool> alive = m_alive;
+    const auto sentAt = monotonicNow();
+    m_services.log.append(std::move(request), [this, alive, batch, sentAt, records = std::move(records)](const AppendResult &result) mutable {
+        if (alive.expired()) {
+            return;
+        }
+        if (result.outcome == AppendOutcome::Unknown) {
+            m_storeTimes.failed();
+        } else {
+            m_storeTimes.answered(monotonicNow() - sentAt);
+        }
+        m_services.metrics.count("progress_appends_total{outcome=\"" + std::string(nameOf(result.outcome)) + "\"}");
+        if (result.outcome == AppendOutcome::Stored) {
+            m_isStoring = false;
+            if (!m_isRetired) {
+                m_planner.batchStored(batch, monotonicNow());
+                schedulePlan();
+            }
+            return;
+        }
+        m_services.events.write("progress_not_stored", {{"outcome", std::string(nameOf(result.outcome))}, {"reason", result.reason}});
+        if (result.outcome == AppendOutcome::Fenced) {
+            supersede("the stream of progress has a newer writer");
+            return;
+        }
+        QTimer::singleShot(static_cast<int>(RetryAfter.count()), this, [this, alive, batch, records = std::move(records)]() mutable {
+            if (!alive.expired()) {
+                appendProgress(std::move(records), batch);
+            }
+        });
+    });
+}
+
+void PlannerHost::dropExpired()
+{
+    if (m_isDropping) {
+        return;
+    }
+    for (auto &it : m_planner.takeExpiredJobs(monotonicNow())) {
+        m_expired.push_back(std::move(it));
+    }
+    if (m_expired.empty()) {
+        return;
+    }
+    const auto n = std::min(DropTogether, m_expired.size());
+    const std::vector<std::string> jobs(m_expired.begin(), m_expired.begin() + static_cast<std::ptrdiff_t>(n));
+    AppendRequest request;
+    request.topic = StateTopic::Jobs;
+    request.timeout = DropTimeout;
+    for (const auto &it : jobs) {
+        request.records.push_back({acceptanceKey(it), std::nullopt, 0});
+        request.records.push_back({cancellationKey(it), std::nullopt, 0});
+    }
+    m_isDropping = true;
+    const std::weak_ptr<bool> alive = m_alive;
+    m_services.log.append(std::move(request), [this, alive, jobs](const AppendResult &result) {
+        if (alive.expired()) {
+            return;
+        }
+        m_isDropping = false;
+        if (result.outcome != AppendOutcome::Stored) {
+            return;
+        }
+        m_expired.erase(m_expired.begin(), m_expired.begin() + static_cast<std::ptrdiff_t>(jobs.size()));
+        for (const auto &it : jobs) {
+            m_planner.jobDropped(it);
+        }
+    });
+}
+
+} // namespace marjoramhaven
