Counters of every decision and gauges of beliefs on the metrics address

Cause: the users ask for counters and latency histograms; only submissions, starts and plans had them. Change: the event log counts each kind, written or not; the process tells what it believes when it is asked.

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -48,6 +48,8 @@
     void beginStop();
     /// True when nothing waits here any more.
     bool isIdle() const;
+    /// Sets the gauges that tell what this process believes now.
+    void observe();
 
     const FleetConfiguration *configuration() const override;
     void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitAnswer &)> done) override;
--- a/include/marjoramhaven/telemetry/EventLog.h
+++ b/include/marjoramhaven/telemetry/EventLog.h
@@ -42,6 +42,8 @@
 
     /// Queues one line. Safe from several threads.
     void write(std::string_view kind, std::initializer_list<EventField> fields);
+    /// Events of each kind since the start, written or not.
+    std::map<std::string, std::int64_t> counts() const;
     /// Lines that were not written, since the start.
     std::int64_t dropped() const;
 
@@ -51,6 +53,7 @@
         std::int64_t second = 0;
         int lines = 0;
         std::int64_t dropped = 0;
+        std::int64_t total = 0;
     };
 
     bool admit(std::string_view kind, std::int64_t second, std::int64_t &droppedBefore);
--- a/include/marjoramhaven/telemetry/Metrics.h
+++ b/include/marjoramhaven/telemetry/Metrics.h
@@ -15,6 +15,8 @@
 
     /// Adds to a counter. A name may carry labels in the Prometheus form, such as `answers_total{answer="done"}`.
     void count(const std::string &name, double n = 1);
+    /// Sets a counter that is counted elsewhere.
+    void setCounter(const std::string &name, double total);
     /// Sets a gauge.
     void gauge(const std::string &name, double value);
     /// Adds a duration in milliseconds to a histogram.
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -128,6 +128,20 @@
     return m_questions.empty() && m_storeCalls.empty() && m_writer.waiting() == 0 && m_claim.isRetired();
 }
 
+void FleetNode::observe()
+{
+    const auto now = monotonicNow();
+    m_metrics.gauge("leading", m_claim.isLeading() ? 1 : 0);
+    m_metrics.gauge("planner_fence", static_cast<double>(m_claim.leaderFence()));
+    m_metrics.gauge("configuration_version", m_configuration ? static_cast<double>(m_configuration->version) : -1);
+    m_metrics.gauge("log_answer_age_ms", static_cast<double>((now - m_leadership.lastAnswerAt()).count()));
+    m_metrics.gauge("peers_linked", static_cast<double>(m_hub.linked().size()));
+    m_metrics.gauge("questions_waiting", static_cast<double>(m_questions.size()));
+    m_metrics.gauge("records_waiting", static_cast<double>(m_writer.waiting() + m_storeCalls.size()));
+    m_metrics.gauge("runs", m_planner ? static_cast<double>(m_planner->planner().runCount()) : 0);
+    m_metrics.gauge("workers", m_planner ? static_cast<double>(m_planner->planner().workers().size()) : 0);
+}
+
 void FleetNode::tick()
 {
     const auto now = monotonicNow();
--- a/src/telemetry/EventLog.cpp
+++ b/src/telemetry/EventLog.cpp
@@ -47,6 +47,7 @@
         it = m_kinds.emplace(std::string(kind), KindCount {}).first;
     }
     auto &count = it->second;
+    ++count.total;
     if (count.second != second) {
         count.second = second;
         count.lines = 0;
@@ -97,6 +98,16 @@
     m_wake.notify_one();
 }
 
+std::map<std::string, std::int64_t> EventLog::counts() const
+{
+    const std::lock_guard<std::mutex> lock(m_lock);
+    std::map<std::string, std::int64_t> out;
+    for (const auto &[kind, count] : m_kinds) {
+        out.emplace(kind, count.total);
+    }
+    return out;
+}
+
 std::int64_t EventLog::dropped() const
 {
     const std::lock_guard<std::mutex> lock(m_lock);
--- a/src/telemetry/Metrics.cpp
+++ b/src/telemetry/Metrics.cpp
@@ -76,6 +76,13 @@
     shard.counters[name] += n;
 }
 
+void Metrics::setCounter(const std::string &name, double total)
+{
+    auto &shard = shardOf(name);
+    const std::lock_guard guard(shard.lock);
+    shard.counters[name] = total;
+}
+
 void Metrics::gauge(const std::string &name, double value)
 {
     auto &shard = shardOf(name);
--- a/tests/telemetry/TelemetryTest.cpp
+++ b/tests/telemetry/TelemetryTest.cpp
@@ -96,6 +96,8 @@
         }
         log.write("rare", {{"text", std::string("a\"b")}});
         BOOST_TEST(log.dropped() >= 14);
+        // What was not written is counted all the same.
+        BOOST_TEST(log.counts().at("flood") == 20);
     }
     close(ends[1]);
     std::string text(100'000, '\0');
