A call that may have arrived is never told as unsent

Cause, found by reading the path of a refusal: a call whose kept-alive connection closed is sent once more; when that connection could not be made the result said that nothing had been sent, though the first try may have been carried out. A submission could then be refused falsely, and a start counted as never sent. Ruled out: the first connection (connecting is known to have failed there). Change: a call counts as unsent only when no byte of it left on any connection. Test: Http/aCallThatMayHaveArrivedIsNeverToldAsUnsent failed before, passes now; test_http 5 of 5.

--- a/src/http/HttpCaller.cpp
+++ b/src/http/HttpCaller.cpp
@@ -112,6 +112,7 @@
         m_job = std::move(job);
         m_isReused = m_isConnected;
         m_hasAnswerBytes = false;
+        m_mayHaveArrived = false;
         armTimer();
         prepare();
         if (m_isConnected) {
@@ -178,6 +179,7 @@
 
     void send()
     {
+        m_mayHaveArrived = true;
         http::async_write(m_socket, m_request, [self = this->shared_from_this(), job = m_job](const boost::system::error_code &ec, std::size_t) {
             if (self->m_job != job) {
                 return;
@@ -235,7 +237,7 @@
     void fail(const std::string &why)
     {
         CallResult result;
-        result.isUnsent = !m_isConnected;
+        result.isUnsent = !m_mayHaveArrived;
         result.error = why;
         finish(std::move(result), false);
     }
@@ -264,6 +266,8 @@
     bool m_isConnected = false;
     bool m_isReused = false;
     bool m_hasAnswerBytes = false;
+    // True once any byte of the call was sent, on this or an earlier connection.
+    bool m_mayHaveArrived = false;
 };
 
 void HttpCaller::Loop::dispatch(const std::shared_ptr<Job> &job)
--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -1,11 +1,14 @@
 #include <boost/test/unit_test.hpp>
 
+#include <QEventLoop>
+
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
 
+#include "marjoramhaven/http/HttpCaller.h"
 #include "marjoramhaven/http/HttpClient.h"
 #include "marjoramhaven/http/HttpServer.h"
 
@@ -157,4 +160,50 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(aCallThatMayHaveArrivedIsNeverToldAsUnsent)
+{
+    // Answers the first request, takes the second without an answer, and is gone when the call is sent once more.
+    QTcpServer server;
+    BOOST_REQUIRE(server.listen(QHostAddress::LocalHost));
+    int requests = 0;
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [&]() {
+        auto *socket = server.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [&, socket]() {
+            socket->readAll();
+            if (++requests == 1) {
+                socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+            } else {
+                server.close();
+                socket->abort();
+            }
+        });
+    });
+    QObject context;
+    HttpCaller caller(context, 2);
+    OutgoingCall call;
+    call.method = "POST";
+    call.host = "127.0.0.1";
+    call.port = server.serverPort();
+    call.target = "/x";
+    call.body = "{}";
+    call.timeout = Millis(2000);
+    std::vector<CallResult> results;
+    const auto callAndWait = [&]() {
+        QEventLoop loop;
+        caller.call(call, [&](const CallResult &result) {
+            results.push_back(result);
+            loop.quit();
+        });
+        loop.exec();
+    };
+    callAndWait();
+    callAndWait();
+    BOOST_TEST(results[0].isAnswered);
+    BOOST_TEST(!results[1].isAnswered);
+    BOOST_TEST(!results[1].isUnsent);
+    // Now nobody listens at all.
+    callAndWait();
+    BOOST_TEST(results[2].isUnsent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
