The event log writes no more than a ready pipe takes

Cause, by reading: a pipe that polls as ready takes PIPE_BUF bytes; a larger block on a blocking pipe waits for its reader, and so would a stop. Found while tracing one ctest run beside load in which 12 of 13 programs ended within 32 s and one had not after 100 s. Ruled out: nothing; which program hung is not known, and 40 runs of the telemetry case on the code before did not hang. Change: writes of at most PIPE_BUF bytes after each poll. Measured: 60 runs of the case pass, test_telemetry passes. Conclusion: kept; the hang counts as open.

--- a/src/telemetry/EventLog.cpp
+++ b/src/telemetry/EventLog.cpp
@@ -1,6 +1,8 @@
 #include "marjoramhaven/telemetry/EventLog.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <climits>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <unistd.h>
@@ -119,14 +121,16 @@
     std::size_t at = 0;
     while (at < lines.size()) {
         pollfd ready {m_descriptor, POLLOUT, 0};
-        const int n = poll(&ready, 1, LookForStopMs);
-        if (n == 0 && m_isStopping) {
+        const int isReady = poll(&ready, 1, LookForStopMs);
+        if (isReady == 0 && m_isStopping) {
             return;
         }
-        if (n <= 0) {
+        if (isReady <= 0) {
             continue;
         }
-        const auto written = ::write(m_descriptor, lines.data() + at, lines.size() - at);
+        // A pipe that is ready takes this much without waiting for its reader.
+        const auto n = std::min<std::size_t>(lines.size() - at, PIPE_BUF);
+        const auto written = ::write(m_descriptor, lines.data() + at, n);
         if (written < 0 && errno != EINTR && errno != EAGAIN) {
             return;
         }
