A hand-over goes to a large VM near the log

Cause: after a planner's last heartbeat every process claimed at once, since the pauses that let large VMs and those near the log go first counted from the begin of reading, long past. Ruled out: the size of what is loaded; the large VM loads the same. Change: the pauses count from the last heartbeat that was read. Measured: Claim/aHandOverGoesToALargeVm failed before.

--- a/src/fleet/PlannerClaim.cpp
+++ b/src/fleet/PlannerClaim.cpp
@@ -122,12 +122,15 @@
     if (m_isRetired || m_mustRead || !m_end || !m_lastReadAt || now - *m_lastReadAt > m_times.longestReadGap) {
         return false;
     }
-    if (!m_leader || m_leader->isLeaving || (m_leader->node == m_self.node && m_leader->incarnation != m_self.incarnation)) {
-        return now - m_readingSince >= m_headStart + m_smallVmPause;
+    const auto pause = m_headStart + m_smallVmPause;
+    if (!m_leader || (m_leader->node == m_self.node && m_leader->incarnation != m_self.incarnation)) {
+        return now - m_readingSince >= pause;
     }
-    const auto silence = m_linkLostAt ? m_times.silenceAfterLinkLoss : m_times.silence;
     const auto quietSince = std::max(m_leaderSeenAt, m_readingSince);
-    return now - quietSince >= silence + m_headStart + m_smallVmPause;
+    if (m_leader->isLeaving) {
+        return now - quietSince >= pause;
+    }
+    return now - quietSince >= pause + (m_linkLostAt ? m_times.silenceAfterLinkLoss : m_times.silence);
 }
 
 std::optional<ClaimAppend> PlannerClaim::nextAppend(TimePoint now)
--- a/tests/fleet/ClaimTest.cpp
+++ b/tests/fleet/ClaimTest.cpp
@@ -198,4 +198,36 @@
     BOOST_TEST(stream.step(small, read));
 }
 
+// Load: a rolling restart on a fleet of unlike VMs; each hand-over must find a VM that carries the planner's work.
+BOOST_AUTO_TEST_CASE(aHandOverGoesToALargeVm)
+{
+    Stream stream;
+    PlannerClaim leaving(recordOf("leaving"), {});
+    PlannerClaim small(recordOf("small"), {});
+    PlannerClaim large(recordOf("large"), {});
+    small.setProcessorShare(0.12);
+    large.setProcessorShare(0.5);
+    large.observeDelay(Millis(6));
+    std::int64_t readLeaving = 0;
+    std::int64_t readSmall = 0;
+    std::int64_t readLarge = 0;
+    stream.step(leaving, readLeaving);
+    for (int i = 0; i < 20; ++i) {
+        stream.now += Millis(50);
+        stream.step(leaving, readLeaving);
+        stream.step(small, readSmall);
+        stream.step(large, readLarge);
+    }
+    leaving.retire();
+    stream.step(leaving, readLeaving);
+    const auto leftAt = stream.now;
+    while (!small.isLeading() && !large.isLeading() && stream.now - leftAt < Millis(2000)) {
+        stream.step(small, readSmall);
+        stream.step(large, readLarge);
+        stream.now += Millis(10);
+    }
+    BOOST_TEST(large.isLeading());
+    BOOST_TEST((stream.now - leftAt).count() <= 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
