Advice ahead of the next step, through near processes; queues are found by prefix

Ruled out: the read-back of accepted jobs (12 ms before the answer to the caller, median). Measured: Load/adviceForTheNextStepIsThereWhenTheStepBeforeItEnds (840 ms before, bound 700), Advice/shortCallsGoThroughNearProcesses..., both fail before; Configuration/lookupsAgreeWithAPlainSearch.

--- a/include/marjoramhaven/fleet/AdviceBook.h
+++ b/include/marjoramhaven/fleet/AdviceBook.h
@@ -21,7 +21,8 @@
 /// What is known of the workers that may run each step, and which process asks next.
 ///
 /// The advisor handles one call at a time for each calling machine, so that calls are spread over the processes of the system. Long calls leave some
-/// processes to the short ones, so that urgent steps never wait behind them.
+/// processes to the short ones, so that urgent steps never wait behind them. Short calls go through the processes nearest to the advisor, long ones, for
+/// which the way counts little, through the others.
 class AdviceBook
 {
 public:
@@ -80,6 +81,11 @@
         bool isAsking = false;
         std::string step;
         TimePoint busyUntil {};
+        TimePoint askedAt {};
+        /// What the advisor itself takes for the call that is on its way, in milliseconds.
+        double expectedMs = 0;
+        /// How much longer its calls take than that, smoothed; 0 before its first answer.
+        double wayMs = 0;
     };
 
     struct Learnt {
--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -72,15 +73,23 @@
     std::int64_t ticketValidityMs = 0;
 };
 
-/// One accepted configuration.
-struct FleetConfiguration {
+/// One accepted configuration. Found by host and prefix in the logarithm of the number of queues, since operators may have thousands.
+class FleetConfiguration
+{
+public:
     std::int64_t version = 0;
-    std::vector<QueuePolicy> queues;
 
+    /// Adds a queue; a second one with the same host and prefix replaces the first.
+    void add(QueuePolicy queue);
     /// The queue with the longest prefix of the path on a host, or none.
     const QueuePolicy *route(const std::string &host, const std::string &path) const;
     /// The queue with exactly this host and prefix, or none.
     const QueuePolicy *find(const std::string &host, const std::string &prefix) const;
+    std::size_t queueCount() const;
+
+private:
+    /// By host, then by prefix.
+    std::map<std::string, std::map<std::string, QueuePolicy>> m_queues;
 };
 
 /// A job as its caller submitted it, with the policy of its queue at that time.
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -39,6 +39,8 @@
     TimePoint readySince {};
     /// Room is made for it again no sooner than this.
     TimePoint nextPreemptAt {};
+    /// Advice was asked for before the step could begin.
+    bool isAskedAhead = false;
 
     bool isDone() const { return doneCount == static_cast<int>(tasks.size()); }
 };
@@ -92,6 +94,8 @@
     /// The state that is stored and may be told to callers.
     FleetJobState shownState = FleetJobState::Queued;
     bool isCancelRequested = false;
+    /// The policy of its queue in the configuration in force, which must outlive the job's use of it; none while no configuration has the queue.
+    const QueuePolicy *currentQueue = nullptr;
     /// True when there is something new to store.
     bool isDirty = false;
     TimePoint endedAt {};
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -235,21 +235,26 @@
     // FleetPlannerPlacement.cpp: who goes where
     std::vector<OpenStep> openSteps(TimePoint now);
     bool needsCopy(const FleetTask &task) const;
-    OpenStepRank rankOf(const OpenStep &open, TimePoint now) const;
+    static OpenStepRank rankOf(const OpenStep &open, TimePoint now);
     static bool isUsable(const FleetWorker &worker, TimePoint now);
+    static bool isFitting(const FleetWorker &worker, const OpenStep &open);
     void placeStep(OpenStep &open, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     FleetWorker *choose(const OpenStep &open, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
     // FleetPlannerPreemption.cpp: room for what is more urgent
-    bool mayPreempt(const OpenStep &open, TimePoint now) const;
-    bool canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims) const;
+    static bool mayPreempt(const OpenStep &open, TimePoint now);
+    static bool canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims);
     void makeRoom(OpenStep &open, const std::vector<FleetWorker *> &candidates, TimePoint now);
     std::map<std::string, int> runsPerWorker(const FleetStep &step) const;
-    void seekAdvice(OpenStep &open, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
+    // FleetPlannerAdvice.cpp: which workers may run a step, asked when it is open or shortly before
+    bool seekAdvice(OpenStep &open, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
+    void seekAdviceAhead(const std::vector<FleetWorker *> &workers, TimePoint now);
+    static bool isNextSoon(const FleetJob &job, const FleetOccurrence &occurrence, const StepSpec &spec);
     static TaskNeeds countedNeeds(const StepSpec &spec);
-    Occupant occupantOf(const FleetJob &job, const StepSpec &spec, TimePoint now) const;
-    const QueuePolicy &queueOf(const FleetJob &job) const;
+    static Occupant occupantOf(const FleetJob &job, const StepSpec &spec, TimePoint now);
+    void findQueue(FleetJob &job) const;
+    static const QueuePolicy &queueOf(const FleetJob &job);
 
     FleetPort &m_port;
     EventLog &m_events;
--- a/src/fleet/AdviceBook.cpp
+++ b/src/fleet/AdviceBook.cpp
@@ -18,6 +18,8 @@
 // Weight of what is assumed of a queue before anything was asked, in workers.
 constexpr double PriorWorkers = 10;
 constexpr double PriorAllowedShare = 0.5;
+// Weight of the newest answer in what is believed of a process's way to the advisor.
+constexpr double WaySmoothing = 0.3;
 
 } // namespace
 
@@ -88,9 +90,18 @@
     if (free <= reserved) {
         return nullptr;
     }
-    const auto it = std::find_if(m_helpers.begin(), m_helpers.end(), isFree);
-    name = it->first;
-    return &it->second;
+    Helper *best = nullptr;
+    for (auto &it : m_helpers) {
+        if (!isFree(it)) {
+            continue;
+        }
+        const bool isBetter = best == nullptr || (isLong ? it.second.wayMs > best->wayMs : it.second.wayMs < best->wayMs);
+        if (isBetter) {
+            best = &it.second;
+            name = it.first;
+        }
+    }
+    return best;
 }
 
 std::optional<AdviceOrder>
@@ -107,6 +118,8 @@
     }
     helper->isAsking = true;
     helper->step = step;
+    helper->askedAt = now;
+    helper->expectedMs = expectedMs;
     auto &advice = m_steps[step];
     advice.queue = queue.name;
     advice.validity = Millis(queue.ticketValidityMs);
@@ -128,8 +141,11 @@
 {
     const auto asked = m_helpers.find(helper);
     if (asked != m_helpers.end() && asked->second.step == step) {
-        asked->second.isAsking = false;
-        asked->second.busyUntil = answer.isBusy ? now + PauseAfterBusy : now;
+        auto &it = asked->second;
+        it.isAsking = false;
+        it.busyUntil = answer.isBusy ? now + PauseAfterBusy : now;
+        const auto way = std::max(0.0, static_cast<double>((now - it.askedAt).count()) - it.expectedMs);
+        it.wayMs = it.wayMs == 0 ? way : it.wayMs + WaySmoothing * (way - it.wayMs);
     }
     const auto it = m_steps.find(step);
     if (it == m_steps.end()) {
--- a/src/fleet/FleetJob.cpp
+++ b/src/fleet/FleetJob.cpp
@@ -1,31 +1,56 @@
 #include "marjoramhaven/fleet/FleetJob.h"
 
+#include <algorithm>
 #include <charconv>
+#include <numeric>
 
 #include "marjoramhaven/base/LastReason.h"
 
 namespace marjoramhaven {
 
+void FleetConfiguration::add(QueuePolicy queue)
+{
+    auto &place = m_queues[queue.host][queue.prefix];
+    place = std::move(queue);
+}
+
 const QueuePolicy *FleetConfiguration::route(const std::string &host, const std::string &path) const
 {
-    const QueuePolicy *best = nullptr;
-    for (const auto &it : queues) {
-        const bool matches = it.host == host && path.starts_with(it.prefix);
-        if (matches && (best == nullptr || it.prefix.size() > best->prefix.size())) {
-            best = &it;
+    const auto queues = m_queues.find(host);
+    if (queues == m_queues.end()) {
+        return nullptr;
+    }
+    // The last prefix that does not sort behind the path is the longest match, or shows how much of the path a match can cover.
+    std::string rest = path;
+    while (true) {
+        auto it = queues->second.upper_bound(rest);
+        if (it == queues->second.begin()) {
+            return nullptr;
+        }
+        --it;
+        if (rest.starts_with(it->first)) {
+            return &it->second;
         }
+        const auto common = std::mismatch(rest.begin(), rest.end(), it->first.begin(), it->first.end());
+        rest.erase(common.first, rest.end());
     }
-    return best;
 }
 
 const QueuePolicy *FleetConfiguration::find(const std::string &host, const std::string &prefix) const
 {
-    for (const auto &it : queues) {
-        if (it.host == host && it.prefix == prefix) {
-            return &it;
-        }
+    const auto queues = m_queues.find(host);
+    if (queues == m_queues.end()) {
+        return nullptr;
     }
-    return nullptr;
+    const auto it = queues->second.find(prefix);
+    return it == queues->second.end() ? nullptr : &it->second;
+}
+
+std::size_t FleetConfiguration::queueCount() const
+{
+    return std::accumulate(m_queues.begin(), m_queues.end(), std::size_t(0), [](std::size_t sum, const auto &it) {
+        return sum + it.second.size();
+    });
 }
 
 std::string FleetTaskId::toString() const
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -29,7 +29,7 @@
     const auto age = std::clamp<std::int64_t>(nowUnixMs - request.acceptedUnixMs, 0, m_limits.statusRetention.count());
     const auto id = request.id;
     if (!m_jobs.contains(id)) {
-        m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now - Millis(age)));
+        findQueue(*m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now - Millis(age))).first->second);
     }
 }
 
@@ -109,6 +109,7 @@
     }
     m_events.write("job_known", {{"id", id}, {"queue", request.queue.name}, {"steps", static_cast<std::int64_t>(request.steps.size())}});
     auto &job = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now)).first->second;
+    findQueue(job);
     m_activeJobs.insert(id);
     if (m_cancelledUnknown.erase(id) > 0) {
         jobCancelled(id, now);
@@ -211,13 +212,20 @@
 void FleetPlanner::configurationChanged(const FleetConfiguration &configuration)
 {
     m_configuration = configuration;
+    for (auto &[id, job] : m_jobs) {
+        findQueue(*job);
+    }
 }
 
-const QueuePolicy &FleetPlanner::queueOf(const FleetJob &job) const
+void FleetPlanner::findQueue(FleetJob &job) const
 {
     const auto &own = job.request().queue;
-    const auto *current = m_configuration.find(own.host, own.prefix);
-    return current == nullptr ? own : *current;
+    job.currentQueue = m_configuration.find(own.host, own.prefix);
+}
+
+const QueuePolicy &FleetPlanner::queueOf(const FleetJob &job)
+{
+    return job.currentQueue == nullptr ? job.request().queue : *job.currentQueue;
 }
 
 void FleetPlanner::helperJoined(const std::string &helper)
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <limits>
 #include <tuple>
@@ -13,11 +12,6 @@
 // Late completion still earns a part of the worth within this multiple of the time allowed.
 constexpr int LateFactor = 3;
 constexpr Millis UseUnlistedFor {2500};
-constexpr std::size_t MostAdvisedWorkers = 48;
-constexpr std::size_t MostAdvisedWhenSlow = 32;
-constexpr double SlowAdvicePerWorkerMs = 2;
-constexpr double AskBeyondNeed = 1.3;
-constexpr std::size_t AskAtLeast = 4;
 // Bounds the work of one plan; the next steps follow in the next plan.
 constexpr int MostPreemptingSteps = 4;
 
@@ -44,7 +38,7 @@
     return worker != m_workers.end() && worker->second.failedHolds > 0 && run->second.state == RunState::Running;
 }
 
-FleetPlanner::OpenStepRank FleetPlanner::rankOf(const OpenStep &open, TimePoint now) const
+FleetPlanner::OpenStepRank FleetPlanner::rankOf(const OpenStep &open, TimePoint now)
 {
     const auto onTimeUntil = open.job->onTimeUntil();
     // Lasting tasks are few, serve others all the time and never end by themselves.
@@ -115,6 +109,7 @@
     for (auto &it : open) {
         placeStep(it, usable, now);
     }
+    seekAdviceAhead(usable, now);
 }
 
 bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now)
@@ -124,16 +119,19 @@
         && worker.bornMs == worker.report.bornMs;
 }
 
+bool FleetPlanner::isFitting(const FleetWorker &worker, const OpenStep &open)
+{
+    const auto &label = open.spec->requiredLabel;
+    return worker.report.service == queueOf(*open.job).service && (label.empty() || worker.hasLabel(label));
+}
+
 void FleetPlanner::placeStep(OpenStep &open, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const auto needs = countedNeeds(*open.spec);
     const auto &queue = queueOf(*open.job);
-    const auto isFitting = [&](const FleetWorker *it) {
-        return it->report.service == queue.service && (open.spec->requiredLabel.empty() || it->hasLabel(open.spec->requiredLabel));
-    };
     std::vector<FleetWorker *> withRoom;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
-        return it->hasRoomFor(needs) && isFitting(it);
+        return it->hasRoomFor(needs) && isFitting(*it, open);
     });
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(open, now);
     if (withRoom.empty() && !isPreempting) {
@@ -158,7 +156,9 @@
     if (isPreempting) {
         --m_preemptionsLeft;
         std::vector<FleetWorker *> usable;
-        std::copy_if(workers.begin(), workers.end(), std::back_inserter(usable), isFitting);
+        std::copy_if(workers.begin(), workers.end(), std::back_inserter(usable), [&](const FleetWorker *it) {
+            return isFitting(*it, open);
+        });
         makeRoom(open, usable, now);
         std::erase_if(usable, [&](const FleetWorker *it) {
             return !it->hasRoomFor(needs) && !canBeFreed(*it, open, nullptr);
@@ -259,61 +259,4 @@
     open.waiting.clear();
 }
 
-void FleetPlanner::seekAdvice(OpenStep &open, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now)
-{
-    const auto name = open.name();
-    if (m_advice.isBusy(name, now)) {
-        return;
-    }
-    const auto &queue = queueOf(*open.job);
-    const auto perWorker = runsPerWorker(*open.step);
-    std::vector<FleetWorker *> expired;
-    std::vector<FleetWorker *> unknown;
-    for (auto *it : candidates) {
-        const auto count = perWorker.find(it->report.id);
-        if (open.spec->maxPerWorker > 0 && count != perWorker.end() && count->second >= open.spec->maxPerWorker) {
-            continue;
-        }
-        const auto verdict = m_advice.verdict(name, it->report.id, it->bornMs, now);
-        if (verdict == AdviceBook::Verdict::Expired) {
-            expired.push_back(it);
-        } else if (verdict == AdviceBook::Verdict::Unknown) {
-            unknown.push_back(it);
-        }
-    }
-    const auto roomFirst = [](const FleetWorker *a, const FleetWorker *b) {
-        return a->report.capacity.cpuMilli - a->used.cpuMilli > b->report.capacity.cpuMilli - b->used.cpuMilli;
-    };
-    std::sort(expired.begin(), expired.end(), roomFirst);
-    std::sort(unknown.begin(), unknown.end(), roomFirst);
-    const auto most = queue.advicePerWorkerMs > SlowAdvicePerWorkerMs ? MostAdvisedWhenSlow : MostAdvisedWorkers;
-    const auto share = m_advice.allowedShare(queue.name);
-    const auto need = static_cast<double>(wanted) * AskBeyondNeed;
-    const auto known = static_cast<double>(expired.size());
-    const auto more = need > known ? static_cast<std::size_t>(std::ceil((need - known) / share)) + AskAtLeast : 0;
-    std::vector<std::pair<std::string, std::int64_t>> ask;
-    for (std::size_t i = 0; i < expired.size() && ask.size() < std::min(most, static_cast<std::size_t>(std::ceil(need))); ++i) {
-        ask.emplace_back(expired[i]->report.id, expired[i]->bornMs);
-    }
-    for (std::size_t i = 0; i < unknown.size() && i < more && ask.size() < most; ++i) {
-        ask.emplace_back(unknown[i]->report.id, unknown[i]->bornMs);
-    }
-    const auto order = m_advice.order(name, queue, ask, now);
-    if (order) {
-        m_port.askAdvice(*order);
-    }
-}
-
-void FleetPlanner::adviceAnswered(const AdviceOrder &order, const AdviceAnswer &answer, TimePoint now)
-{
-    m_events.write("advice",
-                   {{"step", order.step},
-                    {"helper", order.helper},
-                    {"asked", static_cast<std::int64_t>(order.workers.size())},
-                    {"allowed", static_cast<std::int64_t>(answer.allowed.size())},
-                    {"answered", static_cast<std::int64_t>(answer.isAnswered)},
-                    {"reason", answer.reason}});
-    m_advice.answered(order.helper, order.step, answer, now);
-}
-
 } // namespace marjoramhaven
--- a/src/fleet/FleetPlannerPreemption.cpp
+++ b/src/fleet/FleetPlannerPreemption.cpp
@@ -35,12 +35,12 @@
     return out;
 }
 
-Occupant FleetPlanner::occupantOf(const FleetJob &job, const StepSpec &spec, TimePoint now) const
+Occupant FleetPlanner::occupantOf(const FleetJob &job, const StepSpec &spec, TimePoint now)
 {
     return {countedNeeds(spec), queueOf(job).priority, spec.checkpoints && !spec.isGang && !spec.isLasting, false, now};
 }
 
-bool FleetPlanner::mayPreempt(const OpenStep &open, TimePoint now) const
+bool FleetPlanner::mayPreempt(const OpenStep &open, TimePoint now)
 {
     const bool isUrgent = open.spec->isLasting || queueOf(*open.job).priority == 0;
     return isUrgent && !open.spec->isGang && now - open.step->readySince >= WaitBeforePreempting && now >= open.step->nextPreemptAt;
@@ -48,7 +48,7 @@
 
 // True when the worker has room for a task of the step once runs of less urgent queues, which resume from where they were stopped, have given way.
 // Runs that are being stopped already count as gone.
-bool FleetPlanner::canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims) const
+bool FleetPlanner::canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims)
 {
     const auto needs = countedNeeds(*open.spec);
     const auto &capacity = worker.report.capacity;
--- a/tests/fleet/AdviceBookTest.cpp
+++ b/tests/fleet/AdviceBookTest.cpp
@@ -53,6 +53,31 @@
     BOOST_TEST(book.order("check", queueWith("urgent", 30, 0.5), Workers, now).has_value());
 }
 
+// Load: processes in three regions, of which one stands near the advisor.
+BOOST_AUTO_TEST_CASE(shortCallsGoThroughNearProcessesAndLongOnesThroughOthers)
+{
+    AdviceBook book;
+    const auto urgent = queueWith("urgent", 30, 0);
+    const auto slow = queueWith("slow", 420, 6);
+    book.addHelper("far");
+    book.addHelper("near");
+    book.addHelper("other");
+    AdviceAnswer answer;
+    answer.isAnswered = true;
+    auto now = atMillis(0);
+    for (int i = 0; i < 6; ++i) {
+        const auto step = "s" + std::to_string(i);
+        const auto order = book.order(step, urgent, Workers, now);
+        BOOST_REQUIRE(order);
+        now += Millis(order->helper == "near" ? 35 : 110);
+        book.answered(order->helper, step, answer, now);
+        if (i >= 3) {
+            BOOST_TEST(order->helper == "near");
+        }
+    }
+    BOOST_TEST(book.order("sweep", slow, Workers, now)->helper != "near");
+}
+
 BOOST_AUTO_TEST_CASE(ticketsExpireAndRefusalsStay)
 {
     AdviceBook book;
--- /dev/null
+++ b/tests/fleet/ConfigurationTest.cpp
@@ -0,0 +1,87 @@
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+#include "marjoramhaven/fleet/FleetJob.h"
+
+using namespace marjoramhaven;
+
+namespace {
+
+QueuePolicy queueAt(const std::string &host, const std::string &prefix)
+{
+    QueuePolicy out;
+    out.name = host + prefix;
+    out.host = host;
+    out.prefix = prefix;
+    return out;
+}
+
+// The plainest way to find the longest prefix, to compare with.
+std::string longestMatch(const std::vector<QueuePolicy> &queues, const std::string &host, const std::string &path)
+{
+    std::string name;
+    std::size_t length = 0;
+    for (const auto &it : queues) {
+        if (it.host == host && path.starts_with(it.prefix) && it.prefix.size() >= length) {
+            name = it.name;
+            length = it.prefix.size();
+        }
+    }
+    return name;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Configuration)
+
+BOOST_AUTO_TEST_CASE(theLongestPrefixWinsOnItsHostOnly)
+{
+    FleetConfiguration configuration;
+    configuration.add(queueAt("a", "/x/"));
+    configuration.add(queueAt("a", "/x/y/"));
+    configuration.add(queueAt("b", "/x/y/z/"));
+    BOOST_TEST(configuration.route("a", "/x/y/z/1")->prefix == "/x/y/");
+    BOOST_TEST(configuration.route("a", "/x/zz")->prefix == "/x/");
+    BOOST_TEST((configuration.route("a", "/other") == nullptr));
+    BOOST_TEST((configuration.route("c", "/x/") == nullptr));
+    BOOST_TEST(configuration.find("a", "/x/")->name == "a/x/");
+    BOOST_TEST((configuration.find("a", "/x") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(aQueueThatIsAddedAgainReplacesTheFirst)
+{
+    FleetConfiguration configuration;
+    auto queue = queueAt("a", "/x/");
+    configuration.add(queue);
+    queue.maxAttempts = 7;
+    configuration.add(queue);
+    BOOST_TEST(configuration.queueCount() == 1U);
+    BOOST_TEST(configuration.find("a", "/x/")->maxAttempts == 7);
+}
+
+BOOST_AUTO_TEST_CASE(lookupsAgreeWithAPlainSearch)
+{
+    std::mt19937 random(7);
+    const auto word = [&random]() {
+        std::string out;
+        for (unsigned i = 0; i < 1 + random() % 4; ++i) {
+            out += static_cast<char>('a' + random() % 3);
+        }
+        return out;
+    };
+    FleetConfiguration configuration;
+    std::vector<QueuePolicy> plain;
+    for (int i = 0; i < 300; ++i) {
+        const auto queue = queueAt(random() % 2 == 0 ? "h" : "g", "/" + word() + (random() % 2 == 0 ? "/" + word() : ""));
+        configuration.add(queue);
+        plain.push_back(queue);
+    }
+    for (int i = 0; i < 3000; ++i) {
+        const auto path = "/" + word() + "/" + word() + "/" + word();
+        const auto *found = configuration.route("h", path);
+        BOOST_TEST((found == nullptr ? "" : found->name) == longestMatch(plain, "h", path));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -23,6 +23,8 @@
     Millis delay {5};
     /// Until an append is stored.
     Millis storeDelay {8};
+    /// What the advisor takes for a call, besides what it takes for each worker.
+    Millis adviceDelay {0};
     std::uint64_t seed = 1;
 };
 
--- a/tests/fleet/FakeFleetHost.h
+++ b/tests/fleet/FakeFleetHost.h
@@ -190,7 +190,7 @@
     {
         ++fleet.m_adviceCalls;
         const auto host = self();
-        fleet.after(AdvicePerWorker * static_cast<int>(order.workers.size()), [this, host, order]() {
+        fleet.after(fleet.m_setting.adviceDelay + AdvicePerWorker * static_cast<int>(order.workers.size()), [this, host, order]() {
             AdviceAnswer answer;
             answer.isAnswered = true;
             for (const auto &it : order.workers) {
--- a/tests/fleet/LoadTest.cpp
+++ b/tests/fleet/LoadTest.cpp
@@ -137,6 +137,29 @@
     BOOST_TEST(left == 0);
 }
 
+// Load: urgent jobs of several short steps, each of which only some workers may run.
+BOOST_AUTO_TEST_CASE(adviceForTheNextStepIsThereWhenTheStepBeforeItEnds)
+{
+    FleetSetting setting;
+    setting.adviceDelay = Millis(200);
+    FakeFleet fleet(setting);
+    fleet.queue.needsAdvice = true;
+    fleet.queue.adviceBaseMs = 200;
+    fleet.queue.advicePerWorkerMs = 1;
+    fleet.queue.ticketValidityMs = 2500;
+    auto second = step(3, 1000, 400);
+    second.after = {0};
+    fleet.submit(fleet.jobWith("check", {step(3, 1000, 600), second}));
+    fleet.run(Millis(3000));
+    const auto first = fleet.firstBegin("check.0.0.0");
+    const auto next = fleet.firstBegin("check.0.1.0");
+    BOOST_REQUIRE((first && next));
+    BOOST_TEST((*next - *first).count() < 600 + 100);
+    BOOST_TEST(fleet.adviceCalls() == 2);
+    BOOST_TEST((fleet.stateOf("check") == FleetJobState::Completed));
+    BOOST_TEST(fleet.broken().empty());
+}
+
 // Load: the store answers slowly for a while; work that was accepted is served, in order and once.
 BOOST_AUTO_TEST_CASE(aSlowStoreDelaysButLosesNothing)
 {
