A process that lost the planner reads stored progress; stored jobs are planned at once

Ruled out: the submission itself, which a cut-off process stores directly. Change: ProgressReader follows the stream of progress after 0.6 s without a planner; what is stored is what may be told. Records that the planner's process has stored itself go to its planner without a read. Measured: tests/fleetnode, a new test program with a log in memory; both cases fail before (Unavailable; start after 1.5 s). Whole ctest passes in 45 s. A first form of the test waited inside a condition that was itself waited for and never ended on the broken code; it was rewritten without nesting.

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -11,6 +11,7 @@
 #include "marjoramhaven/fleet/FleetNodeSettings.h"
 #include "marjoramhaven/fleet/PlannerClaim.h"
 #include "marjoramhaven/fleetnode/PlannerHost.h"
+#include "marjoramhaven/fleetnode/ProgressReader.h"
 #include "marjoramhaven/fleetnode/RecordWriter.h"
 #include "marjoramhaven/fleetnode/TopicFollower.h"
 #include "marjoramhaven/telemetry/Metrics.h"
@@ -92,6 +93,12 @@
     void takeStoreAnswer(const FleetStoreAnswerMessage &answer);
     void checkStoreCalls(TimePoint now);
     bool isLinkedToLeader() const;
+    // A process that has lost the planner answers questions from what is stored.
+    void readAloneWhenDue(TimePoint now);
+    std::optional<FleetJobState> stateReadAlone(const std::string &job) const;
+    void noteAccepted(const std::string &job, TimePoint now);
+    // The planner of this process learns of a stored record without waiting for its next read.
+    void noteStored(const KeyedRecord &record);
 
     const FleetNodeSettings m_settings;
     FleetPlatform m_platform;
@@ -107,6 +114,12 @@
     std::string m_configurationText;
     /// Other registered processes, and when each was linked last.
     std::map<std::string, TimePoint> m_unlinkedSince;
+    std::unique_ptr<ProgressReader> m_reader;
+    /// When this process last planned or was linked to the planner, and when it last was neither.
+    TimePoint m_linkedAt {};
+    TimePoint m_aloneAt {};
+    /// Jobs that this process accepted, and when; for as long as they may have no stored progress.
+    std::map<std::string, TimePoint> m_acceptedHere;
     bool m_isLeaderBlind = false;
     bool m_canReadLog = false;
     std::unique_ptr<PlannerHost> m_planner;
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -56,6 +56,9 @@
     void helperJoined(const std::string &helper);
     void helperLeft(const std::string &helper);
 
+    /// A record was stored in the stream of jobs; it will be read too, but perhaps much later when the log is slow.
+    void recordStored(const KeyedRecord &record);
+
     /// True once questions can be answered.
     bool isOpen() const { return m_isOpen; }
     /// Gives a job's state; reads the stream once more before it says that there is no such job.
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -95,6 +95,7 @@
         return false;
     }
     m_claim.setProcessorShare(m_settings.processorCores);
+    m_linkedAt = monotonicNow();
     registerSelf();
     m_leadership.start();
     m_operator.start();
@@ -158,6 +159,7 @@
     }
     m_hub.tick(now);
     dropLostNodes(now);
+    readAloneWhenDue(now);
     askAgain(now);
     checkStoreCalls(now);
     std::vector<std::shared_ptr<AdviceCall>> late;
@@ -186,6 +188,9 @@
 
 void FleetNode::applyConfiguration(const std::string &text, const std::string &source)
 {
+    if (text == m_configurationText) {
+        return;
+    }
     auto configuration = m_platform.readConfiguration(text);
     if (!configuration) {
         m_events.write("configuration_unreadable", {{"source", source}, {"reason", lastReason()}});
@@ -197,7 +202,7 @@
     m_configuration = std::move(configuration);
     m_configurationText = text;
     m_events.write("configuration_in_force",
-                   {{"version", m_configuration->version}, {"queues", static_cast<std::int64_t>(m_configuration->queues.size())}, {"source", source}});
+                   {{"version", m_configuration->version}, {"queues", static_cast<std::int64_t>(m_configuration->queueCount())}, {"source", source}});
     if (m_planner) {
         m_planner->configurationChanged(*m_configuration);
     }
--- a/src/fleetnode/FleetNodeDesk.cpp
+++ b/src/fleetnode/FleetNodeDesk.cpp
@@ -11,6 +11,11 @@
 constexpr Millis AnswerMargin {150};
 // While its link to the planner lives, a process stores a record itself only when this much of its time is left.
 constexpr Millis DirectStoreNeeds {1100};
+// A takeover is over within about this time; whoever has no planner for longer reads by itself, and goes on for a while once it is linked again.
+constexpr Millis ReadAloneAfter {600};
+constexpr Millis ReadAloneAtLeast {4000};
+// An accepted job has stored progress, or is known to its planner, within this time.
+constexpr Millis RememberAccepted {60'000};
 
 } // namespace
 
@@ -31,6 +36,9 @@
                         {"took_ms", took}});
         m_metrics.count("submits_total{verdict=\"" + std::string(nameOf(answer.verdict)) + "\"}");
         m_metrics.observeMillis("submit_ms", static_cast<double>(took));
+        if (answer.verdict == SubmitVerdict::Accepted) {
+            noteAccepted(id, monotonicNow());
+        }
         done(answer);
     });
 }
@@ -87,9 +95,13 @@
 {
     std::vector<std::shared_ptr<Question>> late;
     std::vector<std::shared_ptr<Question>> local;
+    std::vector<std::pair<std::shared_ptr<Question>, FleetJobState>> readAlone;
     for (const auto &[call, it] : m_questions) {
+        const auto state = stateReadAlone(it->message.job);
         if (it->deadline <= now) {
             late.push_back(it);
+        } else if (state) {
+            readAlone.emplace_back(it, *state);
         } else if (it->askAgainAt <= now && m_planner && m_planner->isOpen()) {
             local.push_back(it);
         } else if (it->askAgainAt <= now && isLinkedToLeader() && m_hub.send(m_claim.leader()->node, it->message)) {
@@ -100,6 +112,15 @@
         m_questions.erase(it->call);
         it->done(nullptr);
     }
+    for (const auto &[it, state] : readAlone) {
+        FleetQueryAnswerMessage out;
+        out.call = it->call;
+        out.isLeading = true;
+        out.isKnown = true;
+        out.state = std::string(nameOf(state));
+        m_metrics.count("questions_answered_alone_total");
+        takeMessage(m_settings.name, out);
+    }
     for (const auto &it : local) {
         it->askAgainAt = now + AskAgainAfter;
         FleetQueryAnswerMessage out;
@@ -121,6 +142,52 @@
     }
 }
 
+void FleetNode::readAloneWhenDue(TimePoint now)
+{
+    if (m_planner || isLinkedToLeader()) {
+        m_linkedAt = now;
+        if (m_reader && now - m_aloneAt > ReadAloneAtLeast) {
+            m_reader.reset();
+        }
+        return;
+    }
+    m_aloneAt = now;
+    if (!m_reader && now - m_linkedAt > ReadAloneAfter && !m_isStopping) {
+        m_events.write("reading_alone", {{"planner", m_claim.leader() ? m_claim.leader()->node : ""}, {"alone_ms", (now - m_linkedAt).count()}});
+        m_reader = std::make_unique<ProgressReader>(m_platform.log);
+        m_reader->onNews = [this]() {
+            askAgain(monotonicNow());
+        };
+        m_reader->start();
+    }
+}
+
+std::optional<FleetJobState> FleetNode::stateReadAlone(const std::string &job) const
+{
+    if (!m_reader || job.empty() || m_planner || isLinkedToLeader()) {
+        return std::nullopt;
+    }
+    if (const auto state = m_reader->stateOf(job)) {
+        return state;
+    }
+    return m_acceptedHere.contains(job) ? std::optional(FleetJobState::Queued) : std::nullopt;
+}
+
+void FleetNode::noteAccepted(const std::string &job, TimePoint now)
+{
+    std::erase_if(m_acceptedHere, [now](const auto &it) {
+        return now - it.second > RememberAccepted;
+    });
+    m_acceptedHere[job] = now;
+}
+
+void FleetNode::noteStored(const KeyedRecord &record)
+{
+    if (m_planner) {
+        m_planner->recordStored(record);
+    }
+}
+
 void FleetNode::storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done)
 {
     if (isStoredAlready(record.key)) {
@@ -152,7 +219,10 @@
         return;
     }
     call->isDirect = true;
-    m_writer.store(call->record, call->deadline, [call](SubmitAnswer answer) {
+    m_writer.store(call->record, call->deadline, [this, call](SubmitAnswer answer) {
+        if (answer.verdict == SubmitVerdict::Accepted) {
+            noteStored(call->record);
+        }
         if (call->isAnswered) {
             return;
         }
--- a/src/fleetnode/FleetNodePeers.cpp
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -162,7 +162,11 @@
         return;
     }
     const auto deadline = monotonicNow() + Millis(ask.budgetMs);
-    m_writer.store({ask.key, ask.value, 0}, deadline, [this, from, call = ask.call](const SubmitAnswer &answer) {
+    const KeyedRecord record {ask.key, ask.value, 0};
+    m_writer.store(record, deadline, [this, from, record, call = ask.call](const SubmitAnswer &answer) {
+        if (answer.verdict == SubmitVerdict::Accepted) {
+            noteStored(record);
+        }
         m_hub.send(from, FleetStoreAnswerMessage {call, std::string(nameOf(answer.verdict)), answer.reason});
     });
 }
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -94,6 +94,9 @@
             m_planner.jobCancelled(it.key.substr(sizeof(CancellationPrefix) - 1), now);
             continue;
         }
+        if (m_isOpen && knows(it.key.substr(std::min(it.key.size(), sizeof(AcceptancePrefix) - 1)))) {
+            continue;
+        }
         auto request = decodeJobRequest(*it.value);
         if (!request) {
             m_services.events.write("record_unreadable", {{"key", it.key}, {"reason", lastReason()}});
@@ -110,6 +113,13 @@
     }
 }
 
+void PlannerHost::recordStored(const KeyedRecord &record)
+{
+    if (m_isOpen) {
+        takeJobs({record});
+    }
+}
+
 void PlannerHost::takeWorkers(const std::vector<KeyedRecord> &records)
 {
     const auto now = monotonicNow();
--- /dev/null
+++ b/src/fleetnode/ProgressReader.cpp
@@ -0,0 +1,52 @@
+#include "marjoramhaven/fleetnode/ProgressReader.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis FollowWait {1000};
+// Records that come close together are read together.
+constexpr Millis ReadGap {100};
+
+} // namespace
+
+ProgressReader::ProgressReader(StateLog &log)
+    : m_follower(log, StateTopic::Progress, FollowWait, ReadGap)
+{
+    m_follower.onRecords = [this](const std::vector<KeyedRecord> &records) {
+        take(records);
+    };
+}
+
+ProgressReader::~ProgressReader()
+{
+    m_follower.stop();
+}
+
+void ProgressReader::start()
+{
+    m_follower.start();
+}
+
+std::optional<FleetJobState> ProgressReader::stateOf(const std::string &job) const
+{
+    const auto it = m_states.find(job);
+    return it == m_states.end() ? std::nullopt : std::optional(it->second);
+}
+
+void ProgressReader::take(const std::vector<KeyedRecord> &records)
+{
+    for (const auto &it : records) {
+        if (!it.value) {
+            m_states.erase(it.key);
+        } else if (const auto record = decodeJobRecord(*it.value)) {
+            // The record that fences the stream is no job's, and can't be read as one.
+            m_states[record->job] = record->state;
+        }
+    }
+    if (!records.empty() && onNews) {
+        onNews();
+    }
+}
+
+} // namespace marjoramhaven
--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -1,7 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include "ClientFront.h"
-#include "Events.h"
 #include "HttpStateLog.h"
 #include "HttpWorkerCalls.h"
 #include "WireDocuments.h"
@@ -9,6 +8,7 @@
 #include "WireStandIn.h"
 #include "marjoramhaven/fleetnode/FleetNode.h"
 #include "marjoramhaven/standin/FreePort.h"
+#include "support/Events.h"
 
 using namespace marjoramhaven;
 using namespace marjoramhaven::test;
--- a/tests/adapter/WireTest.cpp
+++ b/tests/adapter/WireTest.cpp
@@ -1,11 +1,11 @@
 #include <boost/test/unit_test.hpp>
 
-#include "Events.h"
 #include "HttpStateLog.h"
 #include "HttpWorkerCalls.h"
 #include "WireDocuments.h"
 #include "WireStandIn.h"
 #include "marjoramhaven/base/LastReason.h"
+#include "support/Events.h"
 
 using namespace marjoramhaven;
 using namespace marjoramhaven::test;
--- /dev/null
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -0,0 +1,254 @@
+#include <boost/test/unit_test.hpp>
+
+#include "MemoryLog.h"
+#include "marjoramhaven/fleetnode/FleetNode.h"
+#include "marjoramhaven/standin/FreePort.h"
+#include "support/Events.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+constexpr char ConfigurationKey[] = "config";
+constexpr Millis Budget {3000};
+
+// Workers that confirm every start at once and never end a run.
+class AgreeingWorkers : public WorkerCalls
+{
+public:
+    void start(const StartOrder &order, Millis /*timeout*/, std::function<void(const OrderAnswer &)> done) override
+    {
+        started.push_back(order);
+        done({OrderOutcome::Done, 1000, {}});
+    }
+    void stop(const StopOrder & /*order*/, Millis /*timeout*/, std::function<void(const OrderAnswer &)> done) override { done({OrderOutcome::Done, 1000, {}}); }
+    void pace(const PaceOrder & /*order*/, Millis /*timeout*/, std::function<void(const OrderAnswer &)> done) override { done({OrderOutcome::Done, 1000, {}}); }
+    void hold(const HoldOrder &order, Millis /*timeout*/, std::function<void(const HoldAnswer &)> done) override
+    {
+        QTimer::singleShot(static_cast<int>(order.wait.count()), &m_context, [this, done = std::move(done)]() {
+            HoldAnswer out;
+            out.outcome = OrderOutcome::Done;
+            out.workerClockMs = 1000;
+            out.bornMs = 1;
+            for (const auto &it : started) {
+                out.running.push_back({it.task, it.attempt, {}, 1, 0});
+            }
+            done(out);
+        });
+    }
+
+    std::vector<StartOrder> started;
+
+private:
+    QObject m_context;
+};
+
+class NoAdvisor : public AdvisorCalls
+{
+public:
+    void
+    ask(const std::string & /*step*/, const std::vector<std::string> & /*workers*/, Millis /*timeout*/, std::function<void(const AdviceAnswer &)> done) override
+    {
+        done({});
+    }
+};
+
+FleetConfiguration configurationOne()
+{
+    FleetConfiguration out;
+    out.version = 1;
+    QueuePolicy queue;
+    queue.name = "q";
+    queue.host = "h";
+    queue.prefix = "/q/";
+    queue.service = "s";
+    out.add(queue);
+    return out;
+}
+
+std::optional<WorkerReport> workerOne(const std::string &id, const std::string & /*text*/)
+{
+    WorkerReport out;
+    out.id = id;
+    out.service = "s";
+    out.host = "127.0.0.1";
+    out.port = 1;
+    out.capacity = {8000, 16000, 0};
+    out.bornMs = 1;
+    return out;
+}
+
+struct Node {
+    MemoryLog &log;
+    AgreeingWorkers workers;
+    NoAdvisor advisor;
+    EventLog events {"node", -1};
+    Metrics metrics;
+    FleetNodeSettings settings;
+    std::unique_ptr<FleetNode> node;
+
+    explicit Node(MemoryLog &it)
+        : log(it)
+    {
+        settings.name = "node";
+        settings.zone = "z";
+        settings.peers = {"127.0.0.1", freePort()};
+        const FleetPlatform platform {log,
+                                      workers,
+                                      advisor,
+                                      workerOne,
+                                      [](const std::string & /*text*/) {
+                                          return std::optional(configurationOne());
+                                      },
+                                      ConfigurationKey};
+        node = std::make_unique<FleetNode>(settings, platform, events, metrics);
+        BOOST_REQUIRE(node->start());
+    }
+
+    FleetJobRequest job(const std::string &id) const
+    {
+        FleetJobRequest out;
+        out.id = id;
+        out.queue = *configurationOne().find("h", "/q/");
+        StepSpec step;
+        step.taskCount = 1;
+        step.needs = {1000, 100, 0};
+        step.estimateMs = 1000;
+        out.steps.push_back(step);
+        return out;
+    }
+
+    // Not to be called from a condition that is waited for: event loops don't nest here.
+    QueryAnswer ask(const std::string &job)
+    {
+        std::optional<QueryAnswer> out;
+        node->query(job, Budget, [&out](const QueryAnswer &answer) {
+            out = answer;
+        });
+        waitFor(
+            [&out]() {
+                return out.has_value();
+            },
+            static_cast<int>(Budget.count()) + 1000);
+        return out.value_or(QueryAnswer {});
+    }
+};
+
+// A planner that beats in the log but can't be linked with, as behind a partition.
+struct DistantPlanner {
+    MemoryLog &log;
+    QTimer timer;
+    std::int64_t claim = -1;
+    std::int64_t beat = 0;
+
+    explicit DistantPlanner(MemoryLog &it)
+        : log(it)
+    {
+        claim = log.put(StateTopic::Leadership, "planner", encodeLeadership(record()));
+        QObject::connect(&timer, &QTimer::timeout, &timer, [this]() {
+            log.put(StateTopic::Leadership, "planner", encodeLeadership(record()));
+        });
+        timer.start(200);
+    }
+
+    LeadershipRecord record()
+    {
+        LeadershipRecord out;
+        out.node = "distant";
+        out.host = "127.0.0.1";
+        out.port = 1;
+        out.incarnation = "distant/1";
+        out.claimOffset = claim;
+        out.beat = ++beat;
+        return out;
+    }
+};
+
+JobRecord storedJob(const std::string &id, FleetJobState state)
+{
+    JobRecord out;
+    out.job = id;
+    out.state = state;
+    return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetNodes)
+
+// Fault: a process is cut off from the planner and the others, but not from the log.
+BOOST_AUTO_TEST_CASE(aProcessThatHasLostThePlannerAnswersFromStoredProgress)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    log.put(StateTopic::Progress, "done", encodeJobRecord(storedJob("done", FleetJobState::Completed)));
+    DistantPlanner planner(log);
+    Node it(log);
+    waitFor(
+        [&it]() {
+            return it.node->configuration() != nullptr;
+        },
+        1000);
+    const auto done = it.ask("done");
+    BOOST_TEST((done.verdict == QueryVerdict::Known));
+    BOOST_TEST((done.state == FleetJobState::Completed));
+
+    // What the planner stores later is seen too, and what was accepted here is known before anything is stored of it.
+    bool isAccepted = false;
+    it.node->submit(it.job("new"), Budget, [&isAccepted](const SubmitAnswer &answer) {
+        isAccepted = answer.verdict == SubmitVerdict::Accepted;
+    });
+    waitFor(
+        [&isAccepted]() {
+            return isAccepted;
+        },
+        2000);
+    BOOST_TEST(isAccepted);
+    BOOST_TEST((it.ask("new").state == FleetJobState::Queued));
+    log.put(StateTopic::Progress, "new", encodeJobRecord(storedJob("new", FleetJobState::Running)));
+    waitFor(
+        []() {
+            return false;
+        },
+        500);
+    BOOST_TEST((it.ask("new").state == FleetJobState::Running));
+    // Of a job that nobody has stored anything of it can't be sure.
+    BOOST_TEST((it.ask("other").verdict == QueryVerdict::Unavailable));
+}
+
+// Load: the log answers reads slowly; what this process has stored itself need not be read back before it is planned.
+BOOST_AUTO_TEST_CASE(aJobStoredByThePlannersProcessIsPlannedWithoutReadingItBack)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    log.put(StateTopic::Workers, "w", "1");
+    Node it(log);
+    const auto isPlanning = [&it]() {
+        it.node->observe();
+        return it.node->configuration() != nullptr && it.metrics.render().find("workers 1") != std::string::npos;
+    };
+    BOOST_REQUIRE(waitFor(isPlanning, 5000));
+    waitFor(
+        []() {
+            return false;
+        },
+        200);
+    log.readDelays[StateTopic::Jobs] = Millis(1500);
+    const auto at = monotonicNow();
+    it.node->submit(it.job("job"), Budget, [](const SubmitAnswer & /*answer*/) {});
+    BOOST_TEST(waitFor(
+        [&it]() {
+            return !it.workers.started.empty();
+        },
+        4000));
+    BOOST_TEST((monotonicNow() - at).count() < 700);
+    waitFor(
+        []() {
+            return false;
+        },
+        1800);
+    BOOST_TEST(it.workers.started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -0,0 +1,96 @@
+#include "MemoryLog.h"
+
+#include <QTimer>
+
+namespace marjoramhaven::test {
+
+namespace {
+
+constexpr Millis PollEvery {5};
+constexpr Millis UsualReadDelay {2};
+
+void later(QObject *context, Millis delay, std::function<void()> run)
+{
+    QTimer::singleShot(static_cast<int>(delay.count()), Qt::PreciseTimer, context, std::move(run));
+}
+
+} // namespace
+
+std::int64_t MemoryLog::put(StateTopic topic, const std::string &key, const std::string &value)
+{
+    auto &stream = m_streams[topic];
+    const auto offset = static_cast<std::int64_t>(stream.size());
+    stream.push_back({key, value, offset});
+    return offset;
+}
+
+void MemoryLog::append(AppendRequest request, std::function<void(const AppendResult &)> done)
+{
+    later(&m_context, appendDelay, [this, request = std::move(request), done = std::move(done)]() {
+        auto &stream = m_streams[request.topic];
+        AppendResult out;
+        out.offset = static_cast<std::int64_t>(stream.size());
+        const bool hasMoved = request.expectedEnd && *request.expectedEnd != out.offset;
+        out.outcome = hasMoved ? AppendOutcome::Moved : AppendOutcome::Stored;
+        if (!hasMoved) {
+            for (auto it : request.records) {
+                it.offset = static_cast<std::int64_t>(stream.size());
+                stream.push_back(std::move(it));
+            }
+        }
+        out.end = static_cast<std::int64_t>(stream.size());
+        done(out);
+    });
+}
+
+Millis MemoryLog::readDelay(StateTopic topic) const
+{
+    const auto it = readDelays.find(topic);
+    return it == readDelays.end() ? UsualReadDelay : it->second;
+}
+
+void MemoryLog::read(StateTopic topic, std::int64_t from, Millis wait, Millis /*timeout*/, std::function<void(const ReadResult &)> done)
+{
+    answerRead(topic, from, monotonicNow() + wait, std::move(done));
+}
+
+void MemoryLog::answerRead(StateTopic topic, std::int64_t from, TimePoint until, std::function<void(const ReadResult &)> done)
+{
+    if (from >= end(topic) && monotonicNow() < until) {
+        later(&m_context, PollEvery, [this, topic, from, until, done = std::move(done)]() {
+            answerRead(topic, from, until, done);
+        });
+        return;
+    }
+    ReadResult out;
+    out.isAnswered = true;
+    const auto &stream = m_streams[topic];
+    for (auto i = static_cast<std::size_t>(from); i < stream.size(); ++i) {
+        out.records.push_back(stream[i]);
+    }
+    out.next = static_cast<std::int64_t>(stream.size());
+    later(&m_context, readDelay(topic), [out, done = std::move(done)]() {
+        done(out);
+    });
+}
+
+void MemoryLog::newest(StateTopic topic, const std::string &afterKey, Millis /*timeout*/, std::function<void(const NewestResult &)> done)
+{
+    std::map<std::string, KeyedRecord> byKey;
+    for (const auto &it : m_streams[topic]) {
+        byKey[it.key] = it;
+    }
+    NewestResult out;
+    out.isAnswered = true;
+    out.end = end(topic);
+    for (const auto &[key, record] : byKey) {
+        if (key > afterKey && record.value) {
+            out.records.push_back(record);
+        }
+    }
+    later(&m_context, readDelay(topic), [out, done = std::move(done)]() {
+        done(out);
+    });
+}
+
+} // namespace marjoramhaven::test
