Rack-local steps stay in one rack; a randomized soak of real processes

Ruled out: nothing. Change: a rack-local step goes to the rack in which it has runs, else to the one that holds all its tasks most tightly. tests/soak: four real processes against the stand-in of the platform, which moved to tests/support, through loopback proxies; 17 kinds of faults in series that overlap, from a seed; checks what callers and workers saw (nothing in two places, nothing unasked, order, room, true refusals, no false states, everything accepted completed, no process ends by itself). Links between processes are not proxied; their faults come by signals. Measured: Load/aRackLocalStepStaysInOneRackThatHoldsIt fails before (4 checks).

--- a/include/marjoramhaven/fleet/FleetCalls.h
+++ b/include/marjoramhaven/fleet/FleetCalls.h
@@ -212,6 +212,8 @@
     std::int64_t remainingMs = 0;
     TaskNeeds capacity;
     std::vector<std::string> labels;
+    /// The rack that the worker stands in, which is one of its labels; empty when it is not told.
+    std::string rack;
     std::int64_t clockMs = 0;
     std::int64_t bornMs = 0;
     std::string machine;
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -242,6 +242,7 @@
     void placeTasks(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(OpenStep &open, std::vector<FleetWorker *> &candidates, TimePoint now);
     FleetWorker *choose(const OpenStep &open, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
+    std::vector<FleetWorker *> inOneRack(const OpenStep &open, const std::vector<FleetWorker *> &candidates) const;
     // FleetPlannerPreemption.cpp: room for what is more urgent
     static bool mayPreempt(const OpenStep &open, TimePoint now);
     static bool canBeFreed(const FleetWorker &worker, const OpenStep &open, std::vector<RunKey> *victims);
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -96,6 +96,8 @@
     WorkerTarget target() const { return {report.id, report.host, report.port}; }
     /// True when needs fit beside what stands on the worker.
     bool hasRoomFor(const TaskNeeds &needs) const;
+    /// How many tasks with these needs fit beside what stands on the worker.
+    std::int64_t placesFor(const TaskNeeds &needs) const;
     /// Adds and removes a run; nothing happens when it is there, or is not there, already.
     void occupy(const RunKey &key, const Occupant &occupant);
     void vacate(const RunKey &key);
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -145,6 +145,9 @@
     std::erase_if(ready, [&](const FleetWorker *it) {
         return !isAllowed(it);
     });
+    if (open.spec->isRackLocal) {
+        ready = inOneRack(open, ready);
+    }
     if (open.spec->isGang) {
         placeGang(open, ready, now);
     } else {
@@ -170,6 +173,36 @@
     }
 }
 
+// The candidates of the rack in which the step has runs already, else of the one that holds all waiting tasks most tightly; all candidates when no rack does.
+std::vector<FleetWorker *> FleetPlanner::inOneRack(const OpenStep &open, const std::vector<FleetWorker *> &candidates) const
+{
+    std::string best;
+    for (const auto &[worker, count] : runsPerWorker(*open.step)) {
+        const auto it = m_workers.find(worker);
+        best = it == m_workers.end() ? best : it->second.report.rack;
+    }
+    if (best.empty()) {
+        const auto needs = countedNeeds(*open.spec);
+        std::map<std::string, std::int64_t> places;
+        for (const auto *it : candidates) {
+            const auto fitting = it->placesFor(needs);
+            places[it->report.rack] += open.spec->maxPerWorker > 0 ? std::min<std::int64_t>(fitting, open.spec->maxPerWorker) : fitting;
+        }
+        std::int64_t fewest = std::numeric_limits<std::int64_t>::max();
+        for (const auto &[rack, count] : places) {
+            if (!rack.empty() && count >= static_cast<std::int64_t>(open.waiting.size()) && count < fewest) {
+                best = rack;
+                fewest = count;
+            }
+        }
+    }
+    std::vector<FleetWorker *> out;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(out), [&best](const FleetWorker *it) {
+        return it->report.rack == best;
+    });
+    return best.empty() || out.empty() ? candidates : out;
+}
+
 std::map<std::string, int> FleetPlanner::runsPerWorker(const FleetStep &step) const
 {
     std::map<std::string, int> out;
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -61,6 +61,18 @@
         && used.gpus + needs.gpus <= report.capacity.gpus;
 }
 
+std::int64_t FleetWorker::placesFor(const TaskNeeds &needs) const
+{
+    constexpr std::int64_t Many = 1000;
+    const auto places = [](std::int64_t room, std::int64_t need) {
+        return need <= 0 ? Many : std::max<std::int64_t>(0, room / need);
+    };
+    const auto &capacity = report.capacity;
+    return std::min({places(capacity.cpuMilli - used.cpuMilli, needs.cpuMilli),
+                     places(capacity.memoryMb - used.memoryMb, needs.memoryMb),
+                     places(capacity.gpus - used.gpus, needs.gpus)});
+}
+
 void FleetWorker::occupy(const RunKey &key, const Occupant &occupant)
 {
     if (!occupied.emplace(key, occupant).second) {
--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -5,10 +5,10 @@
 #include "HttpWorkerCalls.h"
 #include "WireDocuments.h"
 #include "WireJson.h"
-#include "WireStandIn.h"
 #include "marjoramhaven/fleetnode/FleetNode.h"
 #include "marjoramhaven/standin/FreePort.h"
 #include "support/Events.h"
+#include "support/WireStandIn.h"
 
 using namespace marjoramhaven;
 using namespace marjoramhaven::test;
--- a/tests/adapter/WireTest.cpp
+++ b/tests/adapter/WireTest.cpp
@@ -3,9 +3,9 @@
 #include "HttpStateLog.h"
 #include "HttpWorkerCalls.h"
 #include "WireDocuments.h"
-#include "WireStandIn.h"
 #include "marjoramhaven/base/LastReason.h"
 #include "support/Events.h"
+#include "support/WireStandIn.h"
 
 using namespace marjoramhaven;
 using namespace marjoramhaven::test;
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int WorkersPerRack = 3;
 constexpr Millis TickEvery {20};
 constexpr Millis ReportEvery {500};
 
@@ -38,6 +39,8 @@
         report.host = "127.0.0.1";
         report.port = 1000 + i;
         report.zone = "z";
+        report.rack = "r" + std::to_string(i / WorkersPerRack);
+        report.labels = {"a", report.rack, "only-" + report.id};
         report.capacity = setting.capacity;
         report.bornMs = 1 + i;
         m_workers.push_back(std::make_unique<FleetWorkerModel>(
--- a/tests/fleet/LoadTest.cpp
+++ b/tests/fleet/LoadTest.cpp
@@ -160,6 +160,31 @@
     BOOST_TEST(fleet.broken().empty());
 }
 
+// Load: a rack is partly taken when a step comes whose tasks slow each other down across racks.
+BOOST_AUTO_TEST_CASE(aRackLocalStepStaysInOneRackThatHoldsIt)
+{
+    FakeFleet fleet({});
+    auto watch = step(1, 4000, 400);
+    watch.isLasting = true;
+    watch.requiredLabel = "only-w1";
+    fleet.submit(fleet.jobWith("watch", {watch}));
+    fleet.run(Millis(500));
+    for (const bool isGang : {false, true}) {
+        auto local = step(3, 5000, 600);
+        local.isRackLocal = true;
+        local.isGang = isGang;
+        const std::string job = isGang ? "gang" : "local";
+        fleet.submit(fleet.jobWith(job, {local}));
+        fleet.run(Millis(400));
+        for (int i = 0; i < 3; ++i) {
+            BOOST_TEST(fleet.workerOf(job + ".0.0." + std::to_string(i)) >= 3);
+        }
+        fleet.run(Millis(2500));
+        BOOST_TEST((fleet.stateOf(job) == FleetJobState::Completed));
+    }
+    BOOST_TEST(fleet.broken().empty());
+}
+
 // Load: the store answers slowly for a while; work that was accepted is served, in order and once.
 BOOST_AUTO_TEST_CASE(aSlowStoreDelaysButLosesNothing)
 {
--- /dev/null
+++ b/tests/soak/Soak.cpp
@@ -0,0 +1,267 @@
+#include "Soak.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include "support/Events.h"
+
+namespace marjoramhaven::test {
+
+namespace {
+
+constexpr char Host[] = "host.example";
+constexpr char Prefix[] = "/q/";
+constexpr std::size_t ShortestFaultMs = 100;
+constexpr std::size_t LongestFaultMs = 3500;
+constexpr std::size_t LongestGapMs = 1200;
+constexpr Millis StoreDelay {250};
+constexpr Millis WorkerDelay {120};
+constexpr Millis WarmUp {1500};
+// Runs of cancelled jobs are gone this long after everything else has settled.
+constexpr Millis StopsWithin {4000};
+constexpr std::size_t TaskMs = 500;
+
+} // namespace
+
+Soak::Soak(SoakSetting setting)
+    : m_setting(setting)
+    , m_random(setting.seed)
+    , m_platform(setting.workers)
+    , m_checker(m_platform)
+{
+    m_platform.onRun = [this](const RunEvent &event) {
+        m_checker.runChanged(event);
+    };
+    m_platform.behave = [](const FleetTaskId &task) {
+        TaskBehaviour out;
+        out.duration = Millis(static_cast<std::int64_t>(50 + std::hash<std::string> {}(task.toString()) % TaskMs));
+        out.needs = {1000, 100, 0};
+        out.checkpoints = true;
+        return out;
+    };
+    m_platform.putConfiguration(m_version, Host, Prefix, true);
+    for (std::size_t i = 0; i < m_platform.workerCount(); ++i) {
+        m_workerProxies.push_back(std::make_unique<FaultProxy>(m_platform.workerPort(i)));
+        m_platform.advertise(i, m_workerProxies.back()->port());
+    }
+    m_advisorProxy = std::make_unique<FaultProxy>(m_platform.advisorPort());
+    std::vector<int> ports;
+    for (int i = 0; i < setting.nodes; ++i) {
+        m_storeProxies.push_back(std::make_unique<FaultProxy>(m_platform.storePort()));
+        m_nodes.push_back(std::make_unique<NodeProcess>(m_folder.path(), "node-" + std::to_string(i), m_storeProxies.back()->port(), m_advisorProxy->port()));
+        ports.push_back(m_nodes.back()->callerPort());
+    }
+    m_callers = std::make_unique<SoakCallers>(m_checker, ports, setting.seed + 1);
+}
+
+Soak::~Soak() = default;
+
+void Soak::wait(Millis time)
+{
+    waitFor(
+        []() {
+            return false;
+        },
+        static_cast<int>(time.count()));
+}
+
+Millis Soak::someTime()
+{
+    return Millis(static_cast<std::int64_t>(ShortestFaultMs + below(LongestFaultMs - ShortestFaultMs)));
+}
+
+void Soak::later(Millis pause, std::function<void()> undo)
+{
+    ++m_openFaults;
+    QTimer::singleShot(static_cast<int>(pause.count()), &m_context, [this, undo = std::move(undo)]() {
+        --m_openFaults;
+        undo();
+    });
+}
+
+void Soak::watchProcesses()
+{
+    for (const auto &it : m_nodes) {
+        if (it->hasEndedByItself()) {
+            m_checker.ended(it->name());
+            it->start();
+        }
+    }
+}
+
+void Soak::endNode(std::size_t node, int signal)
+{
+    auto &it = *m_nodes[node];
+    it.signal(SIGCONT);
+    it.signal(signal);
+    // A terminated process finishes what is in flight; whoever waits for it meanwhile is served by the others.
+    auto check = std::make_shared<std::function<void()>>();
+    *check = [this, &it, check]() {
+        if (it.isRunning()) {
+            later(Millis(100), *check);
+        } else {
+            it.reap();
+            it.start();
+        }
+    };
+    later(someTime(), *check);
+}
+
+void Soak::injectIntoNode(SoakFault fault)
+{
+    const auto node = below(m_nodes.size());
+    auto &it = *m_nodes[node];
+    if (!it.isRunning()) {
+        return;
+    }
+    if (fault == SoakFault::NodeKilled) {
+        endNode(node, SIGKILL);
+    } else if (fault == SoakFault::NodeTerminated) {
+        endNode(node, SIGTERM);
+    } else if (fault == SoakFault::NodeReloaded) {
+        it.signal(SIGHUP);
+    } else if (fault == SoakFault::NodePaused) {
+        it.signal(SIGSTOP);
+        later(someTime(), [&it]() {
+            it.signal(SIGCONT);
+        });
+    } else {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (m_nodes[i]->isRunning()) {
+                endNode(i, SIGKILL);
+            }
+        }
+    }
+}
+
+void Soak::injectIntoStore(SoakFault fault)
+{
+    if (fault == SoakFault::StoreDown) {
+        m_platform.setStoreDown(true);
+        later(someTime(), [this]() {
+            m_platform.setStoreDown(false);
+        });
+        return;
+    }
+    if (fault == SoakFault::StoreSlow) {
+        for (const auto &it : m_storeProxies) {
+            it->setFaults({StoreDelay, false}, {StoreDelay, false});
+        }
+        later(someTime(), [this]() {
+            for (const auto &it : m_storeProxies) {
+                it->heal();
+            }
+        });
+        return;
+    }
+    auto &proxy = *m_storeProxies[below(m_storeProxies.size())];
+    if (fault == SoakFault::StoreReset) {
+        proxy.resetAll();
+        return;
+    }
+    proxy.setFaults({Millis(0), fault == SoakFault::StoreSilentToNode}, {Millis(0), true});
+    later(someTime(), [&proxy]() {
+        proxy.heal();
+    });
+}
+
+void Soak::injectIntoWorker(SoakFault fault)
+{
+    const auto number = below(m_workerProxies.size());
+    auto &proxy = *m_workerProxies[number];
+    if (fault == SoakFault::WorkerReset) {
+        proxy.resetAll();
+        return;
+    }
+    if (fault == SoakFault::WorkerRestarted) {
+        m_checker.workerRestarted(m_platform.worker(number).report().id, monotonicNow());
+        m_platform.restartWorker(number);
+        proxy.resetAll();
+        return;
+    }
+    const bool isSlow = fault == SoakFault::WorkerSlow;
+    const LinkFault slow {isSlow ? WorkerDelay : Millis(0), false};
+    const LinkFault silent {Millis(0), true};
+    proxy.setFaults(fault == SoakFault::WorkerSilent ? silent : slow, isSlow ? slow : silent);
+    later(someTime(), [&proxy]() {
+        proxy.heal();
+    });
+}
+
+void Soak::inject(SoakFault fault)
+{
+    m_injected.push_back(std::to_string((monotonicNow() - m_startedAt).count()) + " ms " + std::string(nameOf(fault)));
+    switch (fault) {
+    case SoakFault::NodeKilled:
+    case SoakFault::NodeTerminated:
+    case SoakFault::NodePaused:
+    case SoakFault::NodeReloaded:
+    case SoakFault::AllNodesKilled:
+        injectIntoNode(fault);
+        return;
+    case SoakFault::StoreDown:
+    case SoakFault::StoreSlow:
+    case SoakFault::StoreSilentToNode:
+    case SoakFault::StoreAnswersLost:
+    case SoakFault::StoreReset:
+        injectIntoStore(fault);
+        return;
+    case SoakFault::WorkerSilent:
+    case SoakFault::WorkerAnswersLost:
+    case SoakFault::WorkerSlow:
+    case SoakFault::WorkerReset:
+    case SoakFault::WorkerRestarted:
+        injectIntoWorker(fault);
+        return;
+    case SoakFault::AdvisorSilent:
+        m_advisorProxy->setFaults({Millis(0), true}, {Millis(0), true});
+        later(someTime(), [this]() {
+            m_advisorProxy->heal();
+        });
+        return;
+    case SoakFault::ConfigurationChanged:
+        m_version += 1 + static_cast<std::int64_t>(below(3));
+        m_platform.putConfiguration(m_version, Host, Prefix, true);
+        return;
+    }
+}
+
+void Soak::injectNext()
+{
+    const auto &rows = EnumTable<SoakFault>::Rows;
+    inject(rows[below(std::size(rows))].value);
+}
+
+std::vector<std::string> Soak::run()
+{
+    m_startedAt = monotonicNow();
+    for (const auto &it : m_nodes) {
+        it->start();
+    }
+    wait(WarmUp);
+    QTimer watch;
+    QObject::connect(&watch, &QTimer::timeout, &m_context, [this]() {
+        watchProcesses();
+    });
+    constexpr int WatchMs = 50;
+    watch.start(WatchMs);
+    m_callers->start();
+    const auto until = monotonicNow() + m_setting.faultsFor;
+    while (monotonicNow() < until) {
+        wait(Millis(static_cast<std::int64_t>(below(LongestGapMs))));
+        injectNext();
+    }
+    m_callers->stopSubmitting();
+    const bool isSettled = waitFor(
+        [this]() {
+            return m_openFaults == 0 && m_callers->isSettled();
+        },
+        static_cast<int>(m_setting.settleWithin.count()));
+    if (isSettled) {
+        wait(StopsWithin);
+    }
+    m_checker.finish();
+    return m_checker.broken();
+}
+
+} // namespace marjoramhaven::test
--- /dev/null
+++ b/tests/soak/SoakCallers.cpp
@@ -0,0 +1,160 @@
+#include "SoakCallers.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace marjoramhaven::test {
+
+namespace {
+
+constexpr int TickMs = 60;
+constexpr Millis Deadline {3000};
+constexpr int MostAttempts = 5;
+constexpr std::uint64_t RetryPauseMs = 400;
+constexpr std::uint64_t LateCopyMs = 4000;
+// One job in this many is cancelled, and one submission in this many comes again.
+constexpr std::uint64_t CancelOneIn = 20;
+constexpr std::uint64_t RepeatOneIn = 10;
+constexpr int AskEvery = 2;
+constexpr std::uint64_t MostTasks = 4;
+constexpr int ConnectionsPerHost = 8;
+
+} // namespace
+
+SoakCallers::SoakCallers(SoakChecker &checker, std::vector<int> ports, std::uint64_t seed)
+    : m_checker(checker)
+    , m_ports(std::move(ports))
+    , m_random(seed)
+    , m_caller(*this, ConnectionsPerHost)
+{
+    connect(&m_ticker, &QTimer::timeout, this, [this]() {
+        tick();
+    });
+}
+
+void SoakCallers::start()
+{
+    m_ticker.start(TickMs);
+}
+
+void SoakCallers::tick()
+{
+    ++m_ticks;
+    if (m_isSubmitting) {
+        submit(newJob(), 1);
+    }
+    if (m_ticks % AskEvery != 0) {
+        return;
+    }
+    std::vector<std::string> open;
+    for (const auto &[id, job] : m_checker.jobs()) {
+        if (job.isAccepted && !job.isSeenCompleted && !job.isCancelSent) {
+            open.push_back(id);
+        }
+    }
+    for (int i = 0; i < 3 && !open.empty(); ++i) {
+        const auto &id = open[below(open.size())];
+        if (below(CancelOneIn * 3) == 0) {
+            cancel(id);
+        } else {
+            ask(id);
+        }
+    }
+}
+
+std::string SoakCallers::newJob()
+{
+    auto id = QString::number(++m_number, 16).rightJustified(16, QLatin1Char('0')).toStdString();
+    JobHistory job;
+    for (std::uint64_t i = 0; i < 1 + below(3); ++i) {
+        job.steps.push_back(static_cast<int>(1 + below(MostTasks)));
+    }
+    m_checker.job(id) = job;
+    return id;
+}
+
+OutgoingCall SoakCallers::callTo(const std::string &method, const std::string &id)
+{
+    OutgoingCall out;
+    out.method = method;
+    out.host = "127.0.0.1";
+    out.port = m_ports[below(m_ports.size())];
+    out.target = "/q/" + id;
+    out.headers.emplace_back("Host", "host.example");
+    out.headers.emplace_back("Deadline-Ms", std::to_string(Deadline.count()));
+    out.mayResend = false;
+    out.timeout = Deadline;
+    return out;
+}
+
+void SoakCallers::submit(const std::string &id, int attempt)
+{
+    auto call = callTo("POST", id);
+    auto steps = nlohmann::json::array();
+    for (const auto count : m_checker.job(id).steps) {
+        nlohmann::json step {{"count", count}, {"cpu", 1000}, {"mem-mb", 100}, {"estimate-ms", 250}, {"checkpointing", true}};
+        if (!steps.empty()) {
+            step["after"] = {steps.size() - 1};
+        }
+        steps.push_back(step);
+    }
+    call.body = nlohmann::json {{"spec", id}, {"phases", steps}}.dump();
+    m_caller.call(std::move(call), [this, id, attempt](const CallResult &result) {
+        submitAnswered(id, attempt, result);
+    });
+}
+
+void SoakCallers::submitAnswered(const std::string &id, int attempt, const CallResult &result)
+{
+    auto &job = m_checker.job(id);
+    if (result.isAnswered && result.status == 200) {
+        if (!job.isAccepted) {
+            job.isAccepted = true;
+            job.acceptedAt = monotonicNow();
+            ++m_accepted;
+        }
+        if (attempt < MostAttempts && below(RepeatOneIn) == 0) {
+            submitLater(id, MostAttempts, Millis(static_cast<std::int64_t>(below(LateCopyMs))));
+        }
+        return;
+    }
+    const bool isRefused = result.isUnsent || (result.isAnswered && (result.status == 503 || result.status == 429));
+    job.mayBeStored = job.mayBeStored || !isRefused;
+    if (attempt < MostAttempts) {
+        submitLater(id, attempt + 1, Millis(static_cast<std::int64_t>(below(RetryPauseMs))));
+    }
+}
+
+void SoakCallers::submitLater(const std::string &id, int attempt, Millis pause)
+{
+    QTimer::singleShot(static_cast<int>(pause.count()), this, [this, id, attempt]() {
+        submit(id, attempt);
+    });
+}
+
+void SoakCallers::cancel(const std::string &id)
+{
+    m_checker.job(id).isCancelSent = true;
+    m_caller.call(callTo("DELETE", id), [](const CallResult & /*result*/) {});
+}
+
+void SoakCallers::ask(const std::string &id)
+{
+    m_caller.call(callTo("GET", id), [this, id](const CallResult &result) {
+        if (!result.isAnswered) {
+            return;
+        }
+        const auto body = nlohmann::json::parse(result.body, nullptr, false);
+        const auto state = body.is_object() ? body.value("state", std::string()) : std::string();
+        m_checker.stateTold(id, result.status, state, monotonicNow());
+    });
+}
+
+bool SoakCallers::isSettled() const
+{
+    return std::all_of(m_checker.jobs().begin(), m_checker.jobs().end(), [](const auto &it) {
+        return !it.second.isAccepted || it.second.isCancelSent || it.second.isSeenCompleted;
+    });
+}
+
+} // namespace marjoramhaven::test
--- /dev/null
+++ b/tests/soak/SoakCallers.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <random>
+#include <string>
+
+#include "SoakChecker.h"
+#include "marjoramhaven/http/HttpCaller.h"
+
+namespace marjoramhaven::test {
+
+/// Callers that submit jobs, send late copies of submissions, cancel some jobs and ask for the states of others.
+class SoakCallers : public QObject
+{
+    Q_OBJECT
+
+public:
+    SoakCallers(SoakChecker &checker, std::vector<int> ports, std::uint64_t seed);
+
+    void start();
+    /// No more new jobs; states are asked for until everything is settled.
+    void stopSubmitting() { m_isSubmitting = false; }
+    /// True when all accepted jobs that nobody cancelled were seen as completed.
+    bool isSettled() const;
+    int accepted() const { return m_accepted; }
+
+private:
+    void tick();
+    void submit(const std::string &id, int attempt);
+    void submitAnswered(const std::string &id, int attempt, const CallResult &result);
+    void submitLater(const std::string &id, int attempt, Millis pause);
+    void cancel(const std::string &id);
+    void ask(const std::string &id);
+    OutgoingCall callTo(const std::string &method, const std::string &id);
+    std::string newJob();
+    std::uint64_t below(std::uint64_t bound) { return m_random() % bound; }
+
+    SoakChecker &m_checker;
+    const std::vector<int> m_ports;
+    std::mt19937_64 m_random;
+    HttpCaller m_caller;
+    QTimer m_ticker;
+    bool m_isSubmitting = true;
+    int m_ticks = 0;
+    int m_accepted = 0;
+    std::uint64_t m_number = 0;
+};
+
+} // namespace marjoramhaven::test
--- a/tests/adapter/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -14,6 +14,7 @@
 
 constexpr int TickMs = 5;
 constexpr Millis TaskTime {150};
+constexpr int FullPace = 100;
 
 HttpResponse json(int status, const Json &body)
 {
@@ -90,16 +91,14 @@
         m_workers.push_back(std::make_unique<FleetWorkerModel>(
             report,
             FleetWorkerTimes {},
-            [](const FleetTaskId & /*task*/) {
+            [this](const FleetTaskId &task) {
                 TaskBehaviour out;
                 out.duration = TaskTime;
                 out.needs = {1000, 100, 0};
-                return std::optional(out);
+                return std::optional(behave ? behave(task) : out);
             },
             [this](const RunEvent &event) {
-                if (event.kind == RunEvent::Kind::Begun) {
-                    m_begins.push_back(event.task.toString());
-                }
+                noteRun(event);
             }));
     }
     writeEntries();
@@ -111,22 +110,54 @@
 
 WireStandIn::~WireStandIn() = default;
 
+void WireStandIn::noteRun(const RunEvent &event)
+{
+    if (event.kind == RunEvent::Kind::Begun) {
+        m_begins.push_back(event.task.toString());
+    }
+    if (onRun) {
+        onRun(event);
+    }
+}
+
 void WireStandIn::writeEntries()
 {
-    for (const auto &it : m_workers) {
-        const auto report = it->reportAt(monotonicNow());
-        const Json entry {{"service", report.service},
-                          {"address", report.host + ":" + std::to_string(report.port)},
-                          {"zone", report.zone},
-                          {"state", "ready"},
-                          {"capacity", {{"cpu", report.capacity.cpuMilli}, {"mem-mb", report.capacity.memoryMb}, {"gpu", 0}}},
-                          {"labels", Json::array({"a", "r1"})},
-                          {"clock-ms", report.clockMs},
-                          {"born", report.bornMs}};
-        put("keyed.servers", report.id, entry.dump());
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        writeEntry(i);
     }
 }
 
+void WireStandIn::writeEntry(std::size_t worker)
+{
+    const auto report = m_workers[worker]->reportAt(monotonicNow());
+    const auto advertised = m_advertised.find(worker);
+    const auto port = advertised == m_advertised.end() ? report.port : advertised->second;
+    const Json entry {{"service", report.service},
+                      {"address", report.host + ":" + std::to_string(port)},
+                      {"zone", report.zone},
+                      {"state", "ready"},
+                      {"capacity", {{"cpu", report.capacity.cpuMilli}, {"mem-mb", report.capacity.memoryMb}, {"gpu", 0}}},
+                      {"labels", Json::array({"a", "r1"})},
+                      {"clock-ms", report.clockMs},
+                      {"born", report.bornMs}};
+    put("keyed.servers", report.id, entry.dump());
+}
+
+void WireStandIn::advertise(std::size_t worker, int port)
+{
+    m_advertised[worker] = port;
+    writeEntry(worker);
+}
+
+void WireStandIn::restartWorker(std::size_t worker)
+{
+    m_workers[worker]->restart(monotonicNow());
+    std::erase_if(m_holders, [worker](const Holder &it) {
+        return it.worker == worker;
+    });
+    writeEntry(worker);
+}
+
 void WireStandIn::putConfiguration(std::int64_t version, const std::string &host, const std::string &prefix, bool needsAdvice)
 {
     Json route {{"name", "r"},
@@ -348,7 +379,15 @@
         order.attempt = attempt;
         order.fence = fence;
         order.leaseUntilMs = body.value("deadline-ms", std::int64_t(0));
+        order.checkpoint = body.value("checkpoint", "");
         answer = worker.start(order, now);
+    } else if (request.path == "/v1/pace") {
+        PaceOrder order;
+        order.task = task;
+        order.attempt = attempt;
+        order.percent = body.value("percent", FullPace);
+        order.fence = fence;
+        answer = worker.pace(order, now);
     } else {
         answer = worker.stop({{}, task, attempt, fence}, now);
     }
--- a/tests/adapter/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -2,6 +2,7 @@
 
 #include <QObject>
 #include <QTimer>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +34,17 @@
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     /// Drops all but the newest record of each key of a topic.
     void compact(const std::string &topic);
+    /// Lets callers of a worker come through another port, as that of a proxy.
+    void advertise(std::size_t worker, int port);
+    int workerPort(std::size_t worker) const { return m_workers[worker]->report().port; }
+    /// Everything that a worker runs is gone, and it starts anew under its id.
+    void restartWorker(std::size_t worker);
+    /// How each task behaves; by default it runs for a short time and ends well.
+    std::function<TaskBehaviour(const FleetTaskId &)> behave;
+    /// Told of each begin and end of a run.
+    std::function<void(const RunEvent &)> onRun;
+    const FleetWorkerModel &worker(std::size_t number) const { return *m_workers[number]; }
+    std::size_t workerCount() const { return m_workers.size(); }
     /// Runs of one task that began on any worker.
     int beginsOf(const std::string &task) const;
     int begins() const { return static_cast<int>(m_begins.size()); }
@@ -64,6 +76,8 @@
     void handleWorker(std::size_t worker, const HttpRequest &request, HttpRespond respond);
     void serveWaiting();
     void writeEntries();
+    void writeEntry(std::size_t worker);
+    void noteRun(const RunEvent &event);
 
     HttpServer m_store;
     HttpServer m_advisor;
@@ -75,6 +89,7 @@
     std::vector<Holder> m_holders;
     std::vector<std::unique_ptr<FleetWorkerModel>> m_workers;
     std::vector<std::unique_ptr<HttpServer>> m_workerServers;
+    std::map<std::size_t, int> m_advertised;
     std::vector<std::string> m_begins;
     QTimer m_ticker;
 };
