A start whose ticket has expired is not sent

Ruled out: lost tickets; the refusals' reason is the ticket. Change: a start looks at its ticket when it is about to be sent, and its task goes back to wait for advice.

--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -60,6 +60,11 @@
         runNeverStarted(RunKey(run.key), "its worker or its job has gone meanwhile", Millis(0), now);
         return;
     }
+    const auto step = job->id() + "." + std::to_string(run.key.task.occurrence) + "." + std::to_string(run.key.task.step);
+    if (queueOf(*job).needsAdvice && m_advice.verdict(step, run.worker, run.workerBornMs, now) != AdviceBook::Verdict::Allowed) {
+        runNeverStarted(RunKey(run.key), "its ticket has expired meanwhile", Millis(0), now);
+        return;
+    }
     run.state = RunState::Starting;
     run.since = now;
     StartOrder order;
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -75,6 +75,8 @@
     std::optional<TimePoint> firstBegin(const std::string &task) const;
     int endsOf(const std::string &task, RunEnd end) const;
     int adviceCalls() const { return m_adviceCalls; }
+    /// Starts that were sent with a ticket that no longer held.
+    int expiredTickets() const { return m_expiredTickets; }
     FleetWorkerModel &worker(int number) { return *m_workers[static_cast<std::size_t>(number)]; }
     int workerOf(const std::string &task) const;
     /// The worker that is asked to start a task right now; for the behaviour of tasks that depends on where they run.
@@ -121,6 +123,7 @@
     double m_lateOrders = 0;
     double m_lostAnswers = 0;
     int m_adviceCalls = 0;
+    int m_expiredTickets = 0;
     std::map<FleetTaskId, int> m_startingOn;
     std::vector<RunEvent> m_begins;
     std::vector<RunEvent> m_ends;
--- a/tests/fleet/FakeFleetHost.h
+++ b/tests/fleet/FakeFleetHost.h
@@ -101,6 +101,9 @@
 
     void sendStart(const StartOrder &order, Millis timeout) override
     {
+        const auto issuedAt = order.ticket.empty() ? fleet.m_now : TimePoint {} + Millis(std::stoll(order.ticket));
+        const bool isExpired = fleet.queue.needsAdvice && fleet.m_now - issuedAt > Millis(fleet.queue.ticketValidityMs);
+        fleet.m_expiredTickets += isExpired ? 1 : 0;
         carry<OrderAnswer>(
             self(),
             order.worker.id,
@@ -193,8 +196,9 @@
         fleet.after(fleet.m_setting.adviceDelay + AdvicePerWorker * static_cast<int>(order.workers.size()), [this, host, order]() {
             AdviceAnswer answer;
             answer.isAnswered = true;
+            const auto issuedMs = (fleet.m_now - TimePoint {}).count();
             for (const auto &it : order.workers) {
-                answer.allowed.push_back({it, "ticket"});
+                answer.allowed.push_back({it, std::to_string(issuedMs)});
             }
             host->receive([this, order, answer]() {
                 planner->adviceAnswered(order, answer, fleet.m_now);
--- a/tests/fleet/LoadTest.cpp
+++ b/tests/fleet/LoadTest.cpp
@@ -185,6 +185,26 @@
     BOOST_TEST(fleet.broken().empty());
 }
 
+// Load: starts wait for a store that is down for longer than their tickets hold.
+BOOST_AUTO_TEST_CASE(aStartWhoseTicketHasExpiredIsNotSent)
+{
+    FakeFleet fleet({});
+    fleet.queue.needsAdvice = true;
+    fleet.queue.adviceBaseMs = 5;
+    fleet.queue.advicePerWorkerMs = 1;
+    fleet.queue.ticketValidityMs = 2500;
+    fleet.submit(fleet.jobWith("check", {step(4, 1000, 400)}));
+    fleet.run(Millis(2));
+    fleet.setStoreUp(false);
+    fleet.run(Millis(3500));
+    BOOST_TEST(fleet.begins() == 0);
+    fleet.setStoreUp(true);
+    fleet.run(Millis(1500));
+    BOOST_TEST(fleet.expiredTickets() == 0);
+    BOOST_TEST((fleet.stateOf("check") == FleetJobState::Completed));
+    BOOST_TEST(fleet.broken().empty());
+}
+
 // Load: the store answers slowly for a while; work that was accepted is served, in order and once.
 BOOST_AUTO_TEST_CASE(aSlowStoreDelaysButLosesNothing)
 {
--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -71,14 +71,16 @@
     }
     const auto now = monotonicNow();
     if (fault.delay.count() == 0 && pipe->lastDue <= now) {
-        pipe->to->write(bytes);
+        if (pipe->to->isOpen()) {
+            pipe->to->write(bytes);
+        }
         return;
     }
     // Bytes never overtake each other, also when the delay shrinks.
     pipe->lastDue = std::max(pipe->lastDue, now + fault.delay);
     const QPointer<QTcpSocket> to(pipe->to);
     QTimer::singleShot(static_cast<int>((pipe->lastDue - now).count()) + 1, Qt::PreciseTimer, this, [to, bytes]() {
-        if (to) {
+        if (to && to->isOpen()) {
             to->write(bytes);
         }
     });
