Configurations go only to processes that stay behind

Change: ConfigurationSpread: sent on the second heartbeat in a row on links of the planner, on the third on others.

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -10,6 +10,7 @@
 #include "marjoramhaven/fleet/FleetDesk.h"
 #include "marjoramhaven/fleet/FleetNodeSettings.h"
 #include "marjoramhaven/fleet/PlannerClaim.h"
+#include "marjoramhaven/fleetnode/ConfigurationSpread.h"
 #include "marjoramhaven/fleetnode/PlannerHost.h"
 #include "marjoramhaven/fleetnode/ProgressReader.h"
 #include "marjoramhaven/fleetnode/RecordWriter.h"
@@ -116,6 +117,7 @@
     QTimer m_ticker;
     std::optional<FleetConfiguration> m_configuration;
     std::string m_configurationText;
+    ConfigurationSpread m_spread;
     /// Other registered processes, and when each was linked last.
     std::map<std::string, TimePoint> m_unlinkedSince;
     std::unique_ptr<ProgressReader> m_reader;
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -70,6 +70,7 @@
         if (m_planner) {
             m_planner->helperLeft(name);
         }
+        m_spread.forget(name);
         storeDirectlyInsteadOf(name);
         m_events.write("peer_lost", {{"peer", name}});
     });
--- a/src/fleetnode/FleetNodePeers.cpp
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -83,8 +83,9 @@
         m_claim.setPlannerLinked(!m_isLeaderBlind, now);
     }
     const auto ownVersion = m_configuration ? m_configuration->version : -1;
-    if (beat.configurationVersion < ownVersion) {
+    if (m_spread.shouldSend(from, beat.configurationVersion, ownVersion, isFastLink(from))) {
         m_hub.send(from, FleetConfigurationMessage {m_configurationText});
+        m_metrics.count("configurations_sent_total");
     }
 }
 
