A takeover goes to a large VM too; links keep their time when planning begins; call numbers are not used again

All processes notice a lost link at once, later than the shorter silence, so the pauses that let large VMs go first told nothing. A new planner also closed healthy links at once, as it judged their rare heartbeats by its own bound. Found by reading beside: call numbers began at 1 at each start, so an answer to an earlier incarnation could match another call. Change: the pauses count from the moment the link was lost; heard-at times of links begin anew with planning; call numbers begin at random. Measured: Claim/aLargeVmTakesOverFromAPlannerThatIsGone fails before.

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -133,7 +133,8 @@
     std::map<std::string, TimePoint> m_heardAt;
     TimePoint m_nextBeatAt {};
     int m_beats = 0;
-    std::uint64_t m_nextCall = 1;
+    /// Numbers of calls to peers; each start begins elsewhere, so that an answer to an earlier incarnation of this process matches no call of this one.
+    std::uint64_t m_nextCall;
     std::map<std::uint64_t, std::shared_ptr<Question>> m_questions;
     std::map<std::uint64_t, std::shared_ptr<AdviceCall>> m_adviceCalls;
     std::map<std::uint64_t, std::shared_ptr<StoreCall>> m_storeCalls;
--- a/src/fleet/PlannerClaim.cpp
+++ b/src/fleet/PlannerClaim.cpp
@@ -130,7 +130,9 @@
     if (m_leader->isLeaving) {
         return now - quietSince >= pause;
     }
-    return now - quietSince >= pause + (m_linkLostAt ? m_times.silenceAfterLinkLoss : m_times.silence);
+    // All processes notice a lost link at about the same time, often later than the shorter silence: the pauses begin there, so that they still tell.
+    const auto suspectedAt = m_linkLostAt ? std::max(quietSince + m_times.silenceAfterLinkLoss, *m_linkLostAt) : quietSince + m_times.silence;
+    return now - suspectedAt >= pause;
 }
 
 std::optional<ClaimAppend> PlannerClaim::nextAppend(TimePoint now)
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -1,6 +1,7 @@
 #include "marjoramhaven/fleetnode/FleetNode.h"
 
 #include <algorithm>
+#include <random>
 
 #include "FleetNodeCalls.h"
 #include "marjoramhaven/base/LastReason.h"
@@ -14,6 +15,13 @@
 constexpr Millis BeatEvery {200};
 constexpr Millis LinkSilence {700};
 
+std::uint64_t randomCallNumber()
+{
+    constexpr int HalfBits = 32;
+    std::random_device random;
+    return (static_cast<std::uint64_t>(random()) << HalfBits) | random();
+}
+
 std::uint64_t seedOf(const std::string &name)
 {
     return std::hash<std::string> {}(name);
@@ -32,6 +40,7 @@
     , m_operator(m_platform.log, StateTopic::Operator, FollowWait, Millis(0))
     , m_leadership(m_platform.log, StateTopic::Leadership, FollowWait, Millis(0))
     , m_writer(m_platform.log, StateTopic::Jobs)
+    , m_nextCall(randomCallNumber())
 {
     m_operator.onRecords = [this](const std::vector<KeyedRecord> &records) {
         takeConfiguration(records);
@@ -313,8 +322,11 @@
     limits.impact = m_settings.bounds.impact;
     m_planner = std::make_unique<PlannerHost>(std::move(services), limits, m_claim.fence(), m_configuration.value_or(FleetConfiguration {}));
     m_planner->helperJoined(m_settings.name);
+    const auto now = monotonicNow();
     for (const auto &it : m_hub.linked()) {
         m_planner->helperJoined(it.name);
+        // Until now these links beat rarely; their silence is judged by the planner's shorter bound from here on.
+        m_heardAt[it.name] = now;
     }
     m_metrics.count("takeovers_total");
     m_planner->start();
--- a/tests/fleet/ClaimTest.cpp
+++ b/tests/fleet/ClaimTest.cpp
@@ -219,4 +219,32 @@
     BOOST_TEST((stream.now - leftAt).count() <= 100);
 }
 
+// Fault: the planner's VM is gone, and everybody's link to it counts as lost at the same time, 1.1 s after its last heartbeat.
+BOOST_AUTO_TEST_CASE(aLargeVmTakesOverFromAPlannerThatIsGone)
+{
+    Stream stream;
+    PlannerClaim gone(recordOf("gone"), {});
+    PlannerClaim small(recordOf("small"), {});
+    PlannerClaim large(recordOf("large"), {});
+    small.setProcessorShare(0.12);
+    large.setProcessorShare(0.5);
+    large.observeDelay(Millis(6));
+    stream.step(gone);
+    for (int i = 0; i < 22; ++i) {
+        stream.now += Millis(50);
+        stream.step(small);
+        stream.step(large);
+    }
+    const auto noticedAt = stream.now;
+    small.setPlannerLinked(false, stream.now);
+    large.setPlannerLinked(false, stream.now);
+    while (!small.isLeading() && !large.isLeading() && stream.now - noticedAt < Millis(2000)) {
+        stream.step(small);
+        stream.step(large);
+        stream.now += Millis(10);
+    }
+    BOOST_TEST(large.isLeading());
+    BOOST_TEST((stream.now - noticedAt).count() <= 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
