Test: a log that turns calls away refuses soon too

Cause: read as a possible hold to the end of the time left; the case shows that callers are refused within 0.9 s, so no change of source was needed.

--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -38,6 +38,11 @@
         auto &stream = m_streams[request.topic];
         AppendResult out;
         out.offset = static_cast<std::int64_t>(stream.size());
+        if (isBusy) {
+            out.outcome = AppendOutcome::Refused;
+            done(out);
+            return;
+        }
         const bool hasMoved = request.expectedEnd && *request.expectedEnd != out.offset;
         out.outcome = hasMoved ? AppendOutcome::Moved : AppendOutcome::Stored;
         if (!hasMoved) {
--- a/tests/fleetnode/RecordWriterTest.cpp
+++ b/tests/fleetnode/RecordWriterTest.cpp
@@ -95,4 +95,23 @@
     BOOST_TEST((late.answer->verdict == SubmitVerdict::Refused));
 }
 
+// Fault: the store turns appends and reads away; nobody waits for the end of the time that is left.
+BOOST_AUTO_TEST_CASE(aBusyLogRefusesSoonToo)
+{
+    MemoryLog log;
+    log.isBusy = true;
+    RecordWriter writer(log, StateTopic::Jobs);
+    Stored it;
+    it.store(writer, "job/1");
+    waitFor(
+        []() {
+            return false;
+        },
+        50);
+    writer.setLogAnswering(false, monotonicNow());
+    BOOST_REQUIRE(it.wait());
+    BOOST_TEST((it.answer->verdict == SubmitVerdict::Refused));
+    BOOST_TEST((it.answeredAt - it.askedAt).count() < 900);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
