A process that reads alone tells an accepted job as queued only once stored progress was read

Cause: found by reading the diff: between losing the planner and the first read of stored progress, a job accepted by the same process up to a minute before was told as queued, though it might have ended. Ruled out: jobs accepted elsewhere; nothing is told of them before the read. Change: nothing is told until the stream of progress was read once. Measured: FleetNodes/anAcceptedJobIsNotToldAsQueued... fails before; test_fleetnode passes.

--- a/include/marjoramhaven/fleetnode/ProgressReader.h
+++ b/include/marjoramhaven/fleetnode/ProgressReader.h
@@ -25,6 +25,8 @@
     std::function<void()> onNews;
 
     void start();
+    /// True once everything that was stored at the start was read.
+    bool isLoaded() const { return m_follower.isLoaded(); }
     /// The newest stored state of a job; none when nothing was stored of it, or nothing was read yet.
     std::optional<FleetJobState> stateOf(const std::string &job) const;
 
--- a/src/fleetnode/FleetNodeDesk.cpp
+++ b/src/fleetnode/FleetNodeDesk.cpp
@@ -162,7 +162,7 @@
 
 std::optional<FleetJobState> FleetNode::stateReadAlone(const std::string &job) const
 {
-    if (!m_reader || job.empty() || m_planner || isLinkedToLeader()) {
+    if (!m_reader || !m_reader->isLoaded() || job.empty() || m_planner || isLinkedToLeader()) {
         return std::nullopt;
     }
     if (const auto state = m_reader->stateOf(job)) {
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -217,6 +217,27 @@
     BOOST_TEST((it.ask("other").verdict == QueryVerdict::Unavailable));
 }
 
+// Fault: a process loses the planner while the log is slow; an accepted job may have ended long before its stored progress is read.
+BOOST_AUTO_TEST_CASE(anAcceptedJobIsNotToldAsQueuedBeforeStoredProgressIsRead)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    log.put(StateTopic::Progress, "job", encodeJobRecord(storedJob("job", FleetJobState::Completed)));
+    log.readDelays[StateTopic::Progress] = Millis(1500);
+    DistantPlanner planner(log);
+    Node it(log);
+    bool isAccepted = false;
+    it.node->submit(it.job("job"), Budget, [&isAccepted](const SubmitAnswer &answer) {
+        isAccepted = answer.verdict == SubmitVerdict::Accepted;
+    });
+    BOOST_REQUIRE(waitFor(
+        [&isAccepted]() {
+            return isAccepted;
+        },
+        2000));
+    BOOST_TEST((it.ask("job").state == FleetJobState::Completed));
+}
+
 // Load: the log answers reads slowly; what this process has stored itself need not be read back before it is planned.
 BOOST_AUTO_TEST_CASE(aJobStoredByThePlannersProcessIsPlannedWithoutReadingItBack)
 {
