--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "FaultProxy.h"
+#include "support/FaultProxy.h"
 #include "NodeProcess.h"
 #include "SoakCallers.h"
 #include "SoakChecker.h"
--- a/tests/soak/FaultProxy.cpp
+++ b/tests/support/FaultProxy.cpp
@@ -7,9 +7,22 @@
 
 namespace marjoramhaven::test {
 
+namespace {
+
+constexpr int SendIntervalMs = 5;
+constexpr qint64 WindowBytes = 64 << 10;
+constexpr qint64 SegmentBytes = 2 << 10;
+constexpr int MillisPerSecond = 1000;
+
+} // namespace
+
 FaultProxy::FaultProxy(int targetPort)
     : m_targetPort(targetPort)
 {
+    m_sendTimer.setTimerType(Qt::PreciseTimer);
+    connect(&m_sendTimer, &QTimer::timeout, this, [this]() {
+        sendWithinBandwidth();
+    });
     m_server.listen(QHostAddress::LocalHost, 0);
     connect(&m_server, &QTcpServer::newConnection, this, [this]() {
         accept();
@@ -29,6 +42,47 @@
     m_toCaller = toCaller;
 }
 
+void FaultProxy::setBandwidthToCaller(std::int64_t bytesPerSecond)
+{
+    m_bytesPerSecond = bytesPerSecond;
+    m_allowance = 0;
+    m_allowanceAt = monotonicNow();
+    m_sendTimer.start(SendIntervalMs);
+}
+
+// Gives each connection a segment in turn, as a link does that all of them share. A connection that was closed by its caller takes no bandwidth any more.
+void FaultProxy::sendWithinBandwidth()
+{
+    const auto now = monotonicNow();
+    const auto elapsedMs = (now - m_allowanceAt).count();
+    m_allowanceAt = now;
+    m_allowance = m_bytesPerSecond == 0 ? WindowBytes << 10 : std::min<std::int64_t>(WindowBytes, m_allowance + m_bytesPerSecond * elapsedMs / MillisPerSecond);
+    bool hasSent = true;
+    while (hasSent && m_allowance > 0) {
+        hasSent = false;
+        for (const auto &it : m_limitedPipes) {
+            const auto pipe = it.lock();
+            if (!pipe || !pipe->from->isOpen() || m_allowance <= 0) {
+                continue;
+            }
+            const auto bytes = pipe->from->read(SegmentBytes);
+            if (bytes.isEmpty()) {
+                continue;
+            }
+            hasSent = true;
+            pipe->isDropping = pipe->isDropping || m_toCaller.isSilent;
+            if (!pipe->isDropping && pipe->to->isOpen()) {
+                m_allowance -= bytes.size();
+                pipe->to->write(bytes);
+            }
+        }
+    }
+    std::erase_if(m_limitedPipes, [](const auto &it) {
+        return it.expired();
+    });
+    std::rotate(m_limitedPipes.begin(), m_limitedPipes.begin() + (m_limitedPipes.empty() ? 0 : 1), m_limitedPipes.end());
+}
+
 void FaultProxy::resetConnections()
 {
     for (auto *it : m_server.findChildren<QTcpSocket *>()) {
@@ -49,6 +103,10 @@
 void FaultProxy::connectPipe(QTcpSocket *from, QTcpSocket *to, bool isToTarget)
 {
     const auto pipe = std::make_shared<Pipe>(Pipe {from, to, isToTarget, false, {}});
+    if (!isToTarget) {
+        m_limitedPipes.push_back(pipe);
+        from->setReadBufferSize(WindowBytes);
+    }
     connect(from, &QTcpSocket::readyRead, to, [this, pipe]() {
         forward(pipe);
     });
@@ -63,6 +121,9 @@
 
 void FaultProxy::forward(const std::shared_ptr<Pipe> &pipe)
 {
+    if (!pipe->isToTarget && m_bytesPerSecond > 0) {
+        return;
+    }
     const auto &fault = pipe->isToTarget ? m_toTarget : m_toCaller;
     const auto bytes = pipe->from->readAll();
     pipe->isDropping = pipe->isDropping || fault.isSilent;
