Failing test: large configurations stay out of force behind a slow link

Callers got 404 for routes of a configuration that had been confirmed more than 4 s before.

Change: a follower of the operator topic reads through a proxy that carries 10 Mbit/s for all its connections. The store is silent during twelve changes of a configuration with 1,401 queues, and must have the newest in force 4 s after it answers again. The stand-in store honours the size limit of reads.

Conclusion: the fault needs neither peers, nor kills, nor load: a slow link and several large records suffice.

--- /dev/null
+++ b/tests/adapter/SlowLinkTest.cpp
@@ -0,0 +1,88 @@
+#include <boost/test/unit_test.hpp>
+
+#include "HttpStateLog.h"
+#include "WireDocuments.h"
+#include "marjoramhaven/fleetnode/TopicFollower.h"
+#include "support/Events.h"
+#include "support/FaultProxy.h"
+#include "support/WireStandIn.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+// Speed of the slowest link of a deployment, 10 Mbit/s.
+constexpr std::int64_t SlowLinkBytesPerSecond = 1'250'000;
+// A configuration with so many queues has about 200 KB.
+constexpr int QueueCount = 1400;
+constexpr int ChangeIntervalMs = 330;
+constexpr int ChangeCount = 12;
+// The time within which a confirmed configuration must be in force on the deployments with slow links.
+constexpr int ApplyWithinMs = 4000;
+
+void pause(int ms)
+{
+    waitFor(
+        []() {
+            return false;
+        },
+        ms);
+}
+
+// A follower of the operator topic behind a slow link to the store.
+struct SlowLinkedProcess {
+    WireStandIn platform {1};
+    FaultProxy link {platform.storePort()};
+    QObject context;
+    PooledHttpClient httpClient {context, 10};
+    platform::HttpStateLog log {httpClient, {"127.0.0.1", link.port()}};
+    TopicFollower follower {log, StateTopic::Operator, Millis(1000), Millis(0)};
+    std::int64_t version = -1;
+
+    explicit SlowLinkedProcess(std::int64_t bytesPerSecond)
+    {
+        link.setBandwidthToCaller(bytesPerSecond);
+        follower.onRecords = [this](const std::vector<KeyedRecord> &records) {
+            for (const auto &it : records) {
+                const auto configuration = it.value ? platform::decodeConfiguration(*it.value) : std::nullopt;
+                version = configuration ? configuration->version : version;
+            }
+        };
+        putVersion(1);
+        follower.start();
+    }
+
+    void putVersion(std::int64_t number) { platform.putLargeConfiguration(number, "host.example", "/q/", QueueCount); }
+
+    bool waitForVersion(std::int64_t number)
+    {
+        return waitFor(
+            [this, number]() {
+                return version >= number;
+            },
+            ApplyWithinMs);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SlowLink)
+
+// Guards against configurations that stay out of force because reads of several large versions time out on a slow link and are repeated from their start.
+BOOST_AUTO_TEST_CASE(newestOfManyLargeConfigurationsIsInForceInTimeAfterAnOutage)
+{
+    SlowLinkedProcess process(SlowLinkBytesPerSecond);
+    BOOST_REQUIRE(process.waitForVersion(1));
+    process.link.setFaults({Millis(0), true}, {Millis(0), true});
+    process.link.resetConnections();
+    for (int i = 0; i < ChangeCount; ++i) {
+        process.putVersion(2 + i);
+        pause(ChangeIntervalMs);
+    }
+    process.link.clearFaults();
+    process.putVersion(100);
+    BOOST_TEST(process.waitForVersion(100));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -52,6 +52,18 @@
     }
 }
 
+Json routeOf(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    return {{"name", name},
+            {"host", host},
+            {"path-prefix", prefix},
+            {"service", "svc"},
+            {"target-completion-ms", 500},
+            {"priority", 0},
+            {"max-attempts", 2},
+            {"slack-factor", 1.5}};
+}
+
 } // namespace
 
 WireStandIn::WireStandIn(int workers)
@@ -160,20 +172,22 @@
 
 void WireStandIn::putConfiguration(std::int64_t version, const std::string &host, const std::string &prefix, bool needsAdvice)
 {
-    Json route {{"name", "r"},
-                {"host", host},
-                {"path-prefix", prefix},
-                {"service", "svc"},
-                {"target-completion-ms", 500},
-                {"priority", 0},
-                {"max-attempts", 2},
-                {"slack-factor", 1.5}};
+    auto route = routeOf("r", host, prefix);
     if (needsAdvice) {
         route["advisor"] = {{"decision-ms", 5.0}, {"per-worker-ms", 0.1}, {"validity-ms", 2500}};
     }
     put("keyed.op", "config", Json {{"version", version}, {"routes", Json::array({route})}}.dump());
 }
 
+void WireStandIn::putLargeConfiguration(std::int64_t version, const std::string &host, const std::string &prefix, int furtherQueues)
+{
+    auto routes = Json::array({routeOf("r", host, prefix)});
+    for (int i = 0; i < furtherQueues; ++i) {
+        routes.push_back(routeOf("further-" + std::to_string(i), host, "/further-" + std::to_string(i) + "/"));
+    }
+    put("keyed.op", "config", Json {{"version", version}, {"routes", routes}}.dump());
+}
+
 void WireStandIn::put(const std::string &topic, const std::string &key, const std::optional<std::string> &value)
 {
     m_topics[topic].records.emplace_back(key, value);
@@ -207,7 +221,7 @@
         respond(newest(request));
     } else if (request.path == "/v1/log-read") {
         const auto wait = Millis(numberOf(request, "wait-ms", 0));
-        m_pendingReads.push_back({queryOf(request, "topic"), numberOf(request, "from", 0), monotonicNow() + wait, std::move(respond)});
+        m_pendingReads.push_back({queryOf(request, "topic"), numberOf(request, "from", 0), numberOf(request, "max-kb", 1024) << 10, monotonicNow() + wait, std::move(respond)});
         answerDueRequests();
     } else {
         respond(json(404, Json::object()));
@@ -289,7 +303,7 @@
     out.body.resize(16);
     qToBigEndian(static_cast<quint64>(end), out.body.data());
     qToBigEndian(static_cast<quint64>(first), out.body.data() + 8);
-    for (auto i = reader.from; i < end; ++i) {
+    for (auto i = reader.from; i < end && (i == reader.from || out.body.size() < reader.maxBytes); ++i) {
         const auto &[key, value] = topic->second.records[static_cast<std::size_t>(i)];
         QByteArray record(4, Qt::Uninitialized);
         qToBigEndian(static_cast<quint32>(1 + key.size() + (value ? value->size() : 0)), record.data());
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -29,6 +29,8 @@
     int advisorPort() const { return m_advisorPort; }
     /// Writes a configuration with one queue, reached under a host name and a path prefix.
     void putConfiguration(std::int64_t version, const std::string &host, const std::string &prefix, bool needsAdvice);
+    /// Writes the same configuration with a number of further queues, each under a prefix of its own.
+    void putLargeConfiguration(std::int64_t version, const std::string &host, const std::string &prefix, int furtherQueues);
     /// Appends a record to a topic of the store, as an operator or a worker does. Without a value, the record deletes the key.
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
     /// Takes the store down or up. While it is down, every call to it gets status 503.
@@ -61,6 +63,7 @@
     struct PendingRead {
         std::string topic;
         std::int64_t from = 0;
+        qsizetype maxBytes = 0;
         TimePoint until;
         HttpRespond respond;
     };
