Log which configuration answered a request, its source and how old the proof is that none is newer

Cause: for a 404 no line told which version had been looked at, and for no answer where that version came from, whether a peer had a newer one, or when the log last showed that there is none.

Change: ConfigurationState holds the configuration in force with its source, the newest version that any peer has, and the time of the last proof from the log. A follower knows up to when it has seen every record. submit, store_lost, store_regained and the new route_not_found carry version, source, newest known version and proof age; gauges configuration_newest_known and configuration_proof_age_ms, counter routes_total. Requests are answered as before.

Conclusion: a 404 by a process that is behind can be recognised from its own line.

--- a/include/marjoramhaven/fleet/JobService.h
+++ b/include/marjoramhaven/fleet/JobService.h
@@ -55,14 +55,38 @@
     std::int64_t pending = 0;
 };
 
+/// Outcome of looking up the queue that a request names.
+enum class RouteOutcome {
+    Found,
+    NoSuchQueue,
+    /// This process has no configuration yet.
+    NoConfiguration,
+};
+
+template<>
+struct EnumTable<RouteOutcome> {
+    static constexpr EnumName<RouteOutcome> Rows[] = {
+        {RouteOutcome::Found, "found"},
+        {RouteOutcome::NoSuchQueue, "no-such-queue"},
+        {RouteOutcome::NoConfiguration, "no-configuration"},
+    };
+};
+
+/// The queue that a request names.
+struct RouteResult {
+    RouteOutcome outcome = RouteOutcome::NoConfiguration;
+    /// The queue if it was found, else nullptr. Valid until the configuration changes.
+    const QueuePolicy *queue = nullptr;
+};
+
 /// Serves the requests of API callers. Each call invokes its callback exactly once, within the time budget.
 class JobService
 {
 public:
     virtual ~JobService() = default;
 
-    /// Returns the configuration in force in this process, or nullptr before the first one is known.
-    virtual const FleetConfiguration *configuration() const = 0;
+    /// Looks up the queue with the longest prefix of the path under the host.
+    virtual RouteResult route(const std::string &host, const std::string &path, TimePoint now) = 0;
     virtual void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitResult &)> done) = 0;
     virtual void query(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) = 0;
     virtual void cancel(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) = 0;
--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -94,6 +94,8 @@
     std::vector<KeyedRecord> records;
     /// Offset from which to read on.
     std::int64_t next = 0;
+    /// End of the topic when the log answered. Records are left to read if it is greater than `next`.
+    std::int64_t end = 0;
     std::string reason;
 };
 
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -11,6 +11,7 @@
 #include "marjoramhaven/fleet/JobService.h"
 #include "marjoramhaven/fleet/PlannerElection.h"
 #include "marjoramhaven/fleetnode/ConfigurationPushPolicy.h"
+#include "marjoramhaven/fleetnode/ConfigurationState.h"
 #include "marjoramhaven/fleetnode/PlannerHost.h"
 #include "marjoramhaven/fleetnode/ProgressReader.h"
 #include "marjoramhaven/fleetnode/RecordWriter.h"
@@ -55,7 +56,9 @@
     /// Sets the gauges that describe this process's current view of the fleet.
     void updateGauges();
 
-    const FleetConfiguration *configuration() const override;
+    /// Returns the configuration in force in this process, or nullptr before the first one is known.
+    const FleetConfiguration *configuration() const { return m_configuration.configuration(); }
+    RouteResult route(const std::string &host, const std::string &path, TimePoint now) override;
     void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitResult &)> done) override;
     void query(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) override;
     void cancel(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) override;
@@ -67,6 +70,8 @@
     struct StoreCall;
 
     void tick();
+    // Returns the time since the log last proved that there was no newer configuration, in milliseconds; -1 if it never did.
+    std::int64_t configurationProofAgeMs(TimePoint now) const;
     void handleOperatorRecords(const std::vector<KeyedRecord> &records);
     void applyConfiguration(const std::string &text, const std::string &source);
     void handleHeartbeat(const std::string &from, const FleetHeartbeatMessage &heartbeat);
@@ -124,8 +129,7 @@
     TopicFollower m_leadershipFollower;
     RecordWriter m_writer;
     QTimer m_ticker;
-    std::optional<FleetConfiguration> m_configuration;
-    std::string m_configurationText;
+    ConfigurationState m_configuration;
     ConfigurationPushPolicy m_configurationPush;
     /// Other registered processes, with the time at which each was last linked or registered.
     std::map<std::string, TimePoint> m_unlinkedSince;
--- a/include/marjoramhaven/fleetnode/TopicFollower.h
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,8 @@
     Millis loadLatency() const { return m_loadLatency; }
     /// Returns when the log last answered a read of this follower.
     TimePoint lastAnswerAt() const { return m_lastAnswerAt; }
+    /// Returns the latest time at which the log is known to have had no record that was not passed to onRecords; std::nullopt if it is known for no time.
+    std::optional<TimePoint> currentAsOf() const { return m_currentAsOf; }
 
 private:
     void loadPage(const std::string &afterKey);
@@ -53,8 +57,9 @@
     void poll();
     void schedulePoll(Millis pause);
     void scheduleParallelRead(std::uint64_t readNumber);
-    void handleReadAnswer(const ReadResult &result);
-    void applyRead(const ReadResult &result);
+    void handleReadAnswer(const ReadResult &result, TimePoint sentAt, Millis waited);
+    // `sentAt` and `waited` are when the read was sent, and for how long it asked the log to wait for a record.
+    void applyRead(const ReadResult &result, TimePoint sentAt, Millis waited);
     void scheduleRetry(const std::string &reason);
     void setReachable(bool isReachable, const std::string &reason);
     std::vector<KeyedRecord> filterNewer(const std::vector<KeyedRecord> &records);
@@ -77,6 +82,7 @@
     std::uint64_t m_lastSettledRead = 0;
     Millis m_loadLatency {0};
     TimePoint m_lastAnswerAt {};
+    std::optional<TimePoint> m_currentAsOf;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -51,7 +51,12 @@
         sendHeartbeats();
     };
     m_operatorFollower.onReachabilityChanged = [this](bool isReachable, const std::string &reason) {
-        m_events.write(isReachable ? "store_regained" : "store_lost", {{"reason", reason}});
+        m_events.write(isReachable ? "store_regained" : "store_lost",
+                       {{"reason", reason},
+                        {"next", m_operatorFollower.nextOffset()},
+                        {"configuration", m_configuration.version()},
+                        {"newest_known", m_configuration.newestKnownVersion()},
+                        {"proof_age_ms", configurationProofAgeMs(monotonicNow())}});
     };
     m_leadershipFollower.onRecords = [this](const std::vector<KeyedRecord> &records) {
         handleLeadershipRecords(records);
@@ -116,12 +121,7 @@
 
 bool FleetNode::isReady() const
 {
-    return !m_isStopping && m_configuration.has_value() && (m_isLogReachable || m_planner || isLinkedToLeader());
-}
-
-const FleetConfiguration *FleetNode::configuration() const
-{
-    return m_configuration ? &*m_configuration : nullptr;
+    return !m_isStopping && m_configuration.configuration() != nullptr && (m_isLogReachable || m_planner || isLinkedToLeader());
 }
 
 void FleetNode::beginStop()
@@ -145,7 +145,9 @@
     const auto now = monotonicNow();
     m_metrics.gauge("leading", m_election.isLeading() ? 1 : 0);
     m_metrics.gauge("planner_fence", static_cast<double>(m_election.leaderFencingToken()));
-    m_metrics.gauge("configuration_version", m_configuration ? static_cast<double>(m_configuration->version) : -1);
+    m_metrics.gauge("configuration_version", static_cast<double>(m_configuration.version()));
+    m_metrics.gauge("configuration_newest_known", static_cast<double>(m_configuration.newestKnownVersion()));
+    m_metrics.gauge("configuration_proof_age_ms", static_cast<double>(configurationProofAgeMs(now)));
     m_metrics.gauge("log_answer_age_ms", static_cast<double>((now - m_leadershipFollower.lastAnswerAt()).count()));
     m_metrics.gauge("peers_linked", static_cast<double>(m_hub.linkedPeers().size()));
     m_metrics.gauge("questions_waiting", static_cast<double>(m_pendingQueries.size()));
@@ -195,11 +197,20 @@
             applyConfiguration(*it.value, "log");
         }
     }
+    if (const auto at = m_operatorFollower.currentAsOf()) {
+        m_configuration.noteProof(*at);
+    }
+}
+
+std::int64_t FleetNode::configurationProofAgeMs(TimePoint now) const
+{
+    const auto age = m_configuration.proofAge(now);
+    return age ? age->count() : -1;
 }
 
 void FleetNode::applyConfiguration(const std::string &text, const std::string &source)
 {
-    if (text == m_configurationText) {
+    if (text == m_configuration.text()) {
         return;
     }
     auto configuration = m_platform.decodeConfiguration(text);
@@ -207,15 +218,18 @@
         m_events.write("configuration_unreadable", {{"source", source}, {"reason", lastReason()}});
         return;
     }
-    if (m_configuration && configuration->version <= m_configuration->version) {
+    const auto previous = m_configuration.version();
+    if (!m_configuration.apply(std::move(*configuration), text, source)) {
         return;
     }
-    m_configuration = std::move(configuration);
-    m_configurationText = text;
     m_events.write("configuration_in_force",
-                   {{"version", m_configuration->version}, {"queues", static_cast<std::int64_t>(m_configuration->queueCount())}, {"source", source}});
+                   {{"version", m_configuration.version()},
+                    {"previous", previous},
+                    {"queues", static_cast<std::int64_t>(this->configuration()->queueCount())},
+                    {"bytes", static_cast<std::int64_t>(text.size())},
+                    {"source", source}});
     if (m_planner) {
-        m_planner->configurationChanged(*m_configuration);
+        m_planner->configurationChanged(*this->configuration());
     }
 }
 
@@ -320,7 +334,8 @@
     limits.statusRetention = m_settings.bounds.statusRetention;
     limits.earlyStartTolerance = m_settings.bounds.earlyStartTolerance;
     limits.latencyViolationTolerance = m_settings.bounds.latencyViolationTolerance;
-    m_planner = std::make_unique<PlannerHost>(std::move(services), limits, m_election.fencingToken(), m_configuration.value_or(FleetConfiguration {}));
+    m_planner = std::make_unique<PlannerHost>(
+        std::move(services), limits, m_election.fencingToken(), configuration() == nullptr ? FleetConfiguration {} : *configuration());
     m_planner->addAdvisorProxy(m_settings.name);
     const auto now = monotonicNow();
     for (const auto &it : m_hub.linkedPeers()) {
--- a/src/fleetnode/FleetNodePeers.cpp
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -82,9 +82,9 @@
         m_isLeaderLogUnreachable = heartbeat.isPlannerLogUnreachable;
         m_election.setLeaderLinked(!m_isLeaderLogUnreachable, now);
     }
-    const auto ownVersion = m_configuration ? m_configuration->version : -1;
-    if (m_configurationPush.shouldSend(from, heartbeat.configurationVersion, ownVersion, isPlannerLink(from))) {
-        m_hub.send(from, FleetConfigurationMessage {m_configurationText});
+    m_configuration.noteVersionOfPeer(heartbeat.configurationVersion);
+    if (m_configurationPush.shouldSend(from, heartbeat.configurationVersion, m_configuration.version(), isPlannerLink(from))) {
+        m_hub.send(from, FleetConfigurationMessage {m_configuration.text()});
         m_metrics.count("configurations_sent_total");
     }
 }
@@ -100,7 +100,7 @@
         heartbeat.plannerPort = leader->port;
     }
     heartbeat.isPlannerLogUnreachable = m_planner && !m_isLogReachable;
-    heartbeat.configurationVersion = m_configuration ? m_configuration->version : -1;
+    heartbeat.configurationVersion = m_configuration.version();
     ++m_heartbeatCount;
     for (const auto &it : m_hub.linkedPeers()) {
         if (m_heartbeatCount % NonPlannerHeartbeatFactor == 0 || isPlannerLink(it.name)) {
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -23,6 +23,27 @@
 
 } // namespace
 
+RouteResult FleetNode::route(const std::string &host, const std::string &path, TimePoint now)
+{
+    RouteResult out;
+    if (configuration() != nullptr) {
+        out.queue = configuration()->route(host, path);
+        out.outcome = out.queue == nullptr ? RouteOutcome::NoSuchQueue : RouteOutcome::Found;
+    }
+    m_metrics.count("routes_total{outcome=\"" + std::string(nameOf(out.outcome)) + "\"}");
+    if (out.outcome != RouteOutcome::Found) {
+        m_events.write("route_not_found",
+                       {{"outcome", std::string(nameOf(out.outcome))},
+                        {"host", host},
+                        {"path", path},
+                        {"configuration", m_configuration.version()},
+                        {"source", m_configuration.source()},
+                        {"newest_known", m_configuration.newestKnownVersion()},
+                        {"proof_age_ms", configurationProofAgeMs(now)}});
+    }
+    return out;
+}
+
 void FleetNode::submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitResult &)> done)
 {
     const auto id = request.id;
@@ -36,7 +57,10 @@
                         {"queue", queue},
                         {"verdict", std::string(nameOf(answer.outcome))},
                         {"reason", answer.reason},
-                        {"configuration", m_configuration ? m_configuration->version : 0},
+                        {"configuration", m_configuration.version()},
+                        {"source", m_configuration.source()},
+                        {"newest_known", m_configuration.newestKnownVersion()},
+                        {"proof_age_ms", configurationProofAgeMs(monotonicNow())},
                         {"took_ms", elapsedMs}});
         m_metrics.count("submits_total{verdict=\"" + std::string(nameOf(answer.outcome)) + "\"}");
         m_metrics.observeMillis("submit_ms", static_cast<double>(elapsedMs));
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -130,14 +130,14 @@
         if (longPollWait.count() == 0) {
             m_readTimes.recordResponse(monotonicNow() - sentAt);
         }
-        handleReadAnswer(result);
+        handleReadAnswer(result, sentAt, longPollWait);
     });
     if (m_consecutiveFailures > 0) {
         scheduleParallelRead(readNumber);
     }
 }
 
-void TopicFollower::handleReadAnswer(const ReadResult &result)
+void TopicFollower::handleReadAnswer(const ReadResult &result, TimePoint sentAt, Millis waited)
 {
     if (result.isTruncated) {
         start();
@@ -145,7 +145,7 @@
     }
     const std::weak_ptr<bool> alive = m_alive;
     const bool hasRecords = !result.records.empty();
-    applyRead(result);
+    applyRead(result, sentAt, waited);
     if (!alive.expired()) {
         schedulePoll(hasRecords ? m_pauseAfterRecords : Millis(0));
     }
@@ -175,12 +175,17 @@
     });
 }
 
-void TopicFollower::applyRead(const ReadResult &result)
+void TopicFollower::applyRead(const ReadResult &result, TimePoint sentAt, Millis waited)
 {
     m_consecutiveFailures = 0;
     m_lastAnswerAt = monotonicNow();
     setReachable(true, {});
     m_next = std::max(m_next, result.next);
+    if (m_next >= result.end) {
+        // A read that ended without a record shows that there was none until the end of its wait, unless the log answered early.
+        const bool hasWaited = result.records.empty() && m_lastAnswerAt >= sentAt + waited;
+        m_currentAsOf = hasWaited ? sentAt + waited : sentAt;
+    }
     onRecords(filterNewer(result.records));
 }
 
@@ -191,13 +196,14 @@
         done(false);
         return;
     }
-    m_log.read(m_topic, m_next, Millis(0), m_readTimes.timeout(), [this, alive, done = std::move(done)](const ReadResult &result) {
+    const auto sentAt = monotonicNow();
+    m_log.read(m_topic, m_next, Millis(0), m_readTimes.timeout(), [this, alive, sentAt, done = std::move(done)](const ReadResult &result) {
         if (alive.expired()) {
             return;
         }
         const bool isUpToDate = result.isAnswered && !result.isTruncated;
         if (isUpToDate) {
-            applyRead(result);
+            applyRead(result, sentAt, Millis(0));
         }
         done(isUpToDate);
     });
--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -88,6 +88,7 @@
         out.records.push_back(topicRecords[i]);
     }
     out.next = static_cast<std::int64_t>(topicRecords.size());
+    out.end = out.next;
     runLater(&m_context, readDelay(topic), [out, done = std::move(done)]() {
         done(out);
     });
