Read the log by progress, one read at a time, and skip superseded configurations

Callers saw 404 for routes of a configuration that had been confirmed more than 4 s before, from processes behind links of 10 Mbit/s.

Cause: a read of the log had to be complete within 0.7 to 1.5 s whatever its size, returned up to 1 MB of everything since the last offset, and began again from nothing. While reads failed, another was sent each 250 ms beside those in flight, for the same bytes. Several versions of 200 KB thus took more of the link than it has; no read completed, heartbeats on the same link waited behind them until peers were lost as silent, and more versions made each read larger. It could not heal by itself, since the load came from the retries. The class: a fixed deadline on a transfer that grows, with retries that add load (a metastable overload).

Change: a response that has begun fails only when no byte arrives for 1.5 s (OutgoingCall::stallTimeout). One call with records is in flight per follower; while the log does not answer, small probes for the end of the topic take the place of parallel reads. A read returns no more than the largest record; the configuration follower loads the newest record when more than one is due. A load that fails goes on at the page where it failed. The fake log leaves loads unanswered too while it is unresponsive.

Conclusion: the link decides how long a configuration takes, and retries add no load to it.

--- a/include/marjoramhaven/fleet/FleetNodeSettings.h
+++ b/include/marjoramhaven/fleet/FleetNodeSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "marjoramhaven/base/Time.h"
@@ -40,6 +41,8 @@
     Address metrics;
     /// Address of the platform's log.
     Address store;
+    /// Size in bytes of the largest record that the log accepts.
+    std::int64_t storeMaxRecordBytes = 262'144;
     Address advisor;
     Address cloud;
     PlatformTimings bounds;
--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -117,9 +117,10 @@
 
     /// Appends the records of a request to its topic.
     virtual void append(AppendRequest request, std::function<void(const AppendResult &)> done) = 0;
-    /// Reads the records from an offset on. If there are none, the log waits for one for up to `wait` before it answers.
+    /// Reads records from an offset on: at least one, if there is one. If there is none, the log waits for one for up to `wait` before it answers. The answer
+    /// must begin within `timeout`; how long it may take after that does not depend on `timeout`, since the records may be large and the link slow.
     virtual void read(StateTopic topic, std::int64_t from, Millis wait, Millis timeout, std::function<void(const ReadResult &)> done) = 0;
-    /// Reads a page of the newest records of the keys that sort after the given one.
+    /// Reads a page of the newest records of the keys that sort after the given one. The answer must begin within `timeout`.
     virtual void newest(StateTopic topic, const std::string &afterKey, Millis timeout, std::function<void(const NewestResult &)> done) = 0;
 };
 
--- a/include/marjoramhaven/http/PooledHttpClient.h
+++ b/include/marjoramhaven/http/PooledHttpClient.h
@@ -3,6 +3,7 @@
 #include <QObject>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +28,9 @@
     bool mayResend = true;
     /// Time limit for the whole call: waiting for a free connection, connecting, sending, and receiving the response.
     Millis timeout {1000};
+    /// If set, `timeout` ends when the first bytes of the response arrive. From then on the call fails only when no further bytes arrive for this long. For
+    /// responses whose size is not known beforehand, which take long on a slow link although nothing is wrong.
+    std::optional<Millis> stallTimeout;
 };
 
 /// The result of a call.
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -37,7 +37,7 @@
     , m_metrics(metrics)
     , m_hub({m_settings.name, m_settings.zone}, seedOf(m_settings.name))
     , m_election(ownLeadershipRecord(m_settings), ElectionTimings {})
-    , m_operatorFollower(m_platform.log, StateTopic::Operator, LongPollWait, Millis(0))
+    , m_operatorFollower(m_platform.log, StateTopic::Operator, LongPollWait, Millis(0), CatchUp::SkipToNewest)
     , m_leadershipFollower(m_platform.log, StateTopic::Leadership, LongPollWait, Millis(0))
     , m_writer(m_platform.log, StateTopic::Jobs)
     , m_nextCall(randomCallNumber())
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -10,23 +10,30 @@
 constexpr Millis LoadTimeout {2000};
 constexpr Millis MinRetryPause {50};
 constexpr Millis MaxRetryPause {400};
-constexpr Millis ParallelReadInterval {250};
+constexpr int MaxRetryPauseDoublings = 4;
+constexpr Millis ProbeInterval {250};
+constexpr Millis ProbeTimeout {1500};
+// Sorts after every key, so that the log answers a load from here with its end offset and no records.
+constexpr char KeyAfterAll[] = "\x7f";
 
 } // namespace
 
-TopicFollower::TopicFollower(StateLog &log, StateTopic topic, Millis longPollWait, Millis pauseAfterRecords, QObject *parent)
+TopicFollower::TopicFollower(StateLog &log, StateTopic topic, Millis longPollWait, Millis pauseAfterRecords, CatchUp catchUp, QObject *parent)
     : QObject(parent)
     , m_log(log)
     , m_topic(topic)
     , m_longPollWait(longPollWait)
     , m_pauseAfterRecords(pauseAfterRecords)
+    , m_catchUp(catchUp)
 {
 }
 
 void TopicFollower::start()
 {
     m_loadedRecords.clear();
-    loadPage({});
+    m_loadedUpToKey.clear();
+    m_isLoading = true;
+    loadPage();
 }
 
 void TopicFollower::stop()
@@ -35,27 +42,28 @@
     m_alive.reset();
 }
 
-void TopicFollower::loadPage(const std::string &afterKey)
+void TopicFollower::loadPage()
 {
     const auto sentAt = monotonicNow();
     const std::weak_ptr<bool> alive = m_alive;
-    m_log.newest(m_topic, afterKey, LoadTimeout, [this, alive, afterKey, sentAt](const NewestResult &result) {
+    m_log.newest(m_topic, m_loadedUpToKey, LoadTimeout, [this, alive, sentAt](const NewestResult &result) {
         if (alive.expired()) {
             return;
         }
         if (!result.isAnswered) {
-            m_loadedRecords.clear();
-            scheduleRetry(result.reason);
+            handleFailure(result.reason);
             return;
         }
         setReachable(true, {});
-        if (afterKey.empty()) {
+        if (m_loadedUpToKey.empty()) {
             m_loadLatency = monotonicNow() - sentAt;
+            m_loadSentAt = sentAt;
             m_loadEnd = result.end;
         }
         m_loadedRecords.insert(m_loadedRecords.end(), result.records.begin(), result.records.end());
         if (result.hasMore && !result.records.empty()) {
-            loadPage(result.records.back().key);
+            m_loadedUpToKey = result.records.back().key;
+            loadPage();
         } else {
             finishLoad();
         }
@@ -81,9 +89,15 @@
     m_loadedRecords.shrink_to_fit();
     // The pages are not a snapshot. Reading continues at the end offset of the first page, so that changes made during the load are read again.
     m_next = m_loadEnd;
+    m_currentAsOf = m_loadSentAt;
+    m_isLoading = false;
     m_isLoaded = true;
+    m_consecutiveFailures = 0;
+    const std::weak_ptr<bool> alive = m_alive;
     onRecords(records);
-    poll();
+    if (!alive.expired()) {
+        poll();
+    }
 }
 
 std::vector<KeyedRecord> TopicFollower::filterNewer(const std::vector<KeyedRecord> &records)
@@ -113,18 +127,13 @@
     // After a failure, reads don't wait for new records until the log answers again.
     const auto longPollWait = m_consecutiveFailures == 0 ? m_longPollWait : Millis(0);
     const auto sentAt = monotonicNow();
-    const auto readNumber = ++m_lastReadNumber;
-    m_log.read(m_topic, m_next, longPollWait, longPollWait + m_readTimes.timeout(), [this, alive, longPollWait, sentAt, readNumber](const ReadResult &result) {
-        if (alive.expired() || readNumber <= m_lastSettledRead) {
-            return;
-        }
-        if (!result.isAnswered && readNumber != m_lastReadNumber) {
+    m_log.read(m_topic, m_next, longPollWait, longPollWait + m_readTimes.timeout(), [this, alive, longPollWait, sentAt](const ReadResult &result) {
+        if (alive.expired()) {
             return;
         }
-        m_lastSettledRead = m_lastReadNumber;
         if (!result.isAnswered) {
             m_readTimes.recordFailure();
-            scheduleRetry(result.reason);
+            handleFailure(result.reason);
             return;
         }
         if (longPollWait.count() == 0) {
@@ -132,9 +141,6 @@
         }
         handleReadAnswer(result, sentAt, longPollWait);
     });
-    if (m_consecutiveFailures > 0) {
-        scheduleParallelRead(readNumber);
-    }
 }
 
 void TopicFollower::handleReadAnswer(const ReadResult &result, TimePoint sentAt, Millis waited)
@@ -146,19 +152,19 @@
     const std::weak_ptr<bool> alive = m_alive;
     const bool hasRecords = !result.records.empty();
     applyRead(result, sentAt, waited);
-    if (!alive.expired()) {
+    if (alive.expired()) {
+        return;
+    }
+    if (shouldSkip(result.end)) {
+        start();
+    } else {
         schedulePoll(hasRecords ? m_pauseAfterRecords : Millis(0));
     }
 }
 
-void TopicFollower::scheduleParallelRead(std::uint64_t readNumber)
+bool TopicFollower::shouldSkip(std::int64_t end) const
 {
-    const std::weak_ptr<bool> alive = m_alive;
-    QTimer::singleShot(static_cast<int>(ParallelReadInterval.count()), this, [this, alive, readNumber]() {
-        if (!alive.expired() && readNumber == m_lastReadNumber && readNumber > m_lastSettledRead) {
-            poll();
-        }
-    });
+    return m_catchUp == CatchUp::SkipToNewest && end > m_next + 1;
 }
 
 void TopicFollower::schedulePoll(Millis pause)
@@ -201,32 +207,58 @@
         if (alive.expired()) {
             return;
         }
-        const bool isUpToDate = result.isAnswered && !result.isTruncated;
-        if (isUpToDate) {
-            applyRead(result, sentAt, Millis(0));
+        if (!result.isAnswered || result.isTruncated) {
+            done(false);
+            return;
         }
-        done(isUpToDate);
+        applyRead(result, sentAt, Millis(0));
+        done(result.next >= result.end);
     });
 }
 
-void TopicFollower::scheduleRetry(const std::string &reason)
+void TopicFollower::handleFailure(const std::string &reason)
 {
     setReachable(false, reason);
-    const auto pause = std::min(MaxRetryPause, MinRetryPause * (1 << std::min(m_consecutiveFailures, 4)));
+    const auto pause = std::min(MaxRetryPause, MinRetryPause * (1 << std::min(m_consecutiveFailures, MaxRetryPauseDoublings)));
     ++m_consecutiveFailures;
+    m_isProbing = true;
     const std::weak_ptr<bool> alive = m_alive;
     QTimer::singleShot(static_cast<int>(pause.count()), this, [this, alive]() {
-        if (alive.expired()) {
+        if (!alive.expired()) {
+            probe();
+        }
+    });
+}
+
+void TopicFollower::probe()
+{
+    const std::weak_ptr<bool> alive = m_alive;
+    m_log.newest(m_topic, KeyAfterAll, ProbeTimeout, [this, alive](const NewestResult &result) {
+        if (alive.expired() || !m_isProbing || !result.isAnswered) {
             return;
         }
-        if (m_isLoaded) {
-            poll();
-        } else {
-            start();
+        m_isProbing = false;
+        resume(result.end);
+    });
+    QTimer::singleShot(static_cast<int>(ProbeInterval.count()), this, [this, alive]() {
+        if (!alive.expired() && m_isProbing) {
+            probe();
         }
     });
 }
 
+void TopicFollower::resume(std::int64_t end)
+{
+    if (m_isLoading) {
+        // The pages that were read before the failure stay; changes since then are read after the load.
+        loadPage();
+    } else if (shouldSkip(end)) {
+        start();
+    } else {
+        poll();
+    }
+}
+
 void TopicFollower::setReachable(bool isReachable, const std::string &reason)
 {
     if (isReachable) {
--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -113,7 +113,7 @@
         m_isReused = m_isConnected;
         m_hasResponseBytes = false;
         m_mayHaveArrived = false;
-        armTimer();
+        armTimer(m_pending->deadline);
         prepareRequest();
         if (m_isConnected) {
             send();
@@ -123,12 +123,14 @@
     }
 
 private:
-    void armTimer()
+    // Replaces the time limit of the pending call.
+    void armTimer(std::chrono::steady_clock::time_point at)
     {
-        m_timer.expires_at(m_pending->deadline);
+        m_timer.expires_at(at);
         m_timer.async_wait([self = this->shared_from_this(), pending = m_pending](const boost::system::error_code &ec) {
-            if (!ec && self->m_pending == pending) {
-                self->fail("timeout");
+            // A limit that was replaced after it had expired may still be reported.
+            if (!ec && self->m_pending == pending && self->m_timer.expiry() <= std::chrono::steady_clock::now()) {
+                self->fail(self->m_hasResponseBytes ? "the response stalled" : "timeout");
             }
         });
     }
@@ -196,18 +198,32 @@
     {
         m_parser.emplace();
         m_parser->body_limit(MaxResponseBytes);
-        http::async_read(
-            m_socket, m_buffer, *m_parser, [self = this->shared_from_this(), pending = m_pending](const boost::system::error_code &ec, std::size_t n) {
-                if (self->m_pending != pending) {
-                    return;
-                }
-                if (ec) {
-                    self->m_hasResponseBytes = n > 0;
-                    self->failOrResend(ec.message());
-                    return;
-                }
-                self->succeed();
-            });
+        receiveSome();
+    }
+
+    void receiveSome()
+    {
+        const auto received = [self = this->shared_from_this(), pending = m_pending](const boost::system::error_code &ec, std::size_t n) {
+            if (self->m_pending == pending) {
+                self->handleReceived(ec, n);
+            }
+        };
+        http::async_read_some(m_socket, m_buffer, *m_parser, received);
+    }
+
+    void handleReceived(const boost::system::error_code &ec, std::size_t n)
+    {
+        m_hasResponseBytes = m_hasResponseBytes || n > 0 || m_buffer.size() > 0;
+        if (ec) {
+            failOrResend(ec.message());
+        } else if (m_parser->is_done()) {
+            succeed();
+        } else {
+            if (m_pending->call.stallTimeout) {
+                armTimer(std::chrono::steady_clock::now() + *m_pending->call.stallTimeout);
+            }
+            receiveSome();
+        }
     }
 
     void succeed()
--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -44,7 +44,7 @@
         : settings(settingsOf(name, platform))
         , events(name, -1)
         , httpClient(context, 10)
-        , log(httpClient, settings.store)
+        , log(httpClient, settings.store, settings.storeMaxRecordBytes)
         , workers(httpClient)
         , advisor(httpClient, settings.advisor)
         , node(settings, {log, workers, advisor, platform::decodeWorker, platform::decodeConfiguration, "config"}, events, metrics)
--- a/tests/adapter/SlowLinkTest.cpp
+++ b/tests/adapter/SlowLinkTest.cpp
@@ -36,8 +36,8 @@
     FaultProxy link {platform.storePort()};
     QObject context;
     PooledHttpClient httpClient {context, 10};
-    platform::HttpStateLog log {httpClient, {"127.0.0.1", link.port()}};
-    TopicFollower follower {log, StateTopic::Operator, Millis(1000), Millis(0)};
+    platform::HttpStateLog log {httpClient, {"127.0.0.1", link.port()}, FleetNodeSettings {}.storeMaxRecordBytes};
+    TopicFollower follower {log, StateTopic::Operator, Millis(1000), Millis(0), CatchUp::SkipToNewest};
     std::int64_t version = -1;
 
     explicit SlowLinkedProcess(std::int64_t bytesPerSecond)
@@ -85,4 +85,28 @@
     BOOST_TEST(process.waitForVersion(100));
 }
 
+// Guards against reads that are given up although bytes arrive: one configuration takes longer over this link than a call may take to begin its answer.
+BOOST_AUTO_TEST_CASE(configurationIsReadOverALinkThatNeedsLongerThanTheTimeout)
+{
+    constexpr std::int64_t VerySlowLinkBytesPerSecond = 125'000;
+    SlowLinkedProcess process(VerySlowLinkBytesPerSecond);
+    BOOST_REQUIRE(process.waitForVersion(1));
+    process.putVersion(2);
+    BOOST_TEST(process.waitForVersion(2));
+}
+
+// Guards against a read that waits for ever on a connection that goes silent in the middle of a response.
+BOOST_AUTO_TEST_CASE(responseThatStallsIsReadAgainOnANewConnection)
+{
+    constexpr std::int64_t VerySlowLinkBytesPerSecond = 50'000;
+    SlowLinkedProcess process(VerySlowLinkBytesPerSecond);
+    pause(1000);
+    process.link.setFaults({Millis(0), true}, {Millis(0), true});
+    pause(100);
+    BOOST_TEST(process.version == -1);
+    process.link.clearFaults();
+    process.link.setBandwidthToCaller(SlowLinkBytesPerSecond);
+    BOOST_TEST(process.waitForVersion(1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/adapter/WireTest.cpp
+++ b/tests/adapter/WireTest.cpp
@@ -16,7 +16,7 @@
     WireStandIn platform {2};
     QObject context;
     PooledHttpClient httpClient {context, 6};
-    platform::HttpStateLog log {httpClient, {"127.0.0.1", platform.storePort()}};
+    platform::HttpStateLog log {httpClient, {"127.0.0.1", platform.storePort()}, FleetNodeSettings {}.storeMaxRecordBytes};
     platform::HttpWorkerClient workers {httpClient};
 
     AppendResult append(AppendRequest request)
@@ -79,7 +79,7 @@
 BOOST_AUTO_TEST_CASE(appendIsRefusedWhenTheStoreIsUnreachable)
 {
     Fixture fixture;
-    platform::HttpStateLog unreachable(fixture.httpClient, {"127.0.0.1", 1});
+    platform::HttpStateLog unreachable(fixture.httpClient, {"127.0.0.1", 1}, FleetNodeSettings {}.storeMaxRecordBytes);
     std::optional<AppendResult> out;
     unreachable.append(fixture.request("k", "v"), [&](const AppendResult &result) {
         out = result;
--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -1,6 +1,7 @@
 #include "MemoryLog.h"
 
 #include <QTimer>
+#include <algorithm>
 
 namespace marjoramhaven::test {
 
@@ -89,13 +90,21 @@
     }
     out.next = static_cast<std::int64_t>(topicRecords.size());
     out.end = out.next;
-    runLater(&m_context, readDelay(topic), [out, done = std::move(done)]() {
+    mostReadsInFlight = std::max(mostReadsInFlight, ++m_readsInFlight);
+    runLater(&m_context, readDelay(topic), [this, out, done = std::move(done)]() {
+        --m_readsInFlight;
         done(out);
     });
 }
 
-void MemoryLog::newest(StateTopic topic, const std::string &afterKey, Millis /*timeout*/, std::function<void(const NewestResult &)> done)
+void MemoryLog::newest(StateTopic topic, const std::string &afterKey, Millis timeout, std::function<void(const NewestResult &)> done)
 {
+    if (isUnresponsive) {
+        runLater(&m_context, timeout, [done = std::move(done)]() {
+            done({});
+        });
+        return;
+    }
     std::map<std::string, KeyedRecord> byKey;
     for (const auto &it : m_topics[topic]) {
         byKey[it.key] = it;
--- a/tests/fleetnode/MemoryLog.h
+++ b/tests/fleetnode/MemoryLog.h
@@ -23,18 +23,21 @@
     std::int64_t end(StateTopic topic) { return static_cast<std::int64_t>(m_topics[topic].size()); }
 
     Millis appendDelay {2};
-    /// While true, appends store nothing, and appends and reads that are sent get no answer before their timeout.
+    /// While true, appends store nothing, and appends and reads that are sent get no answer before their timeout. Loads count as reads.
     bool isUnresponsive = false;
     /// While true, appends are refused after the usual delay.
     bool isRefusing = false;
     /// Delay of reads by topic; 2 ms for topics that are not listed.
     std::map<StateTopic, Millis> readDelays;
+    /// Highest number of reads whose answers were on their way at the same time. Loads don't count.
+    int mostReadsInFlight = 0;
 
 private:
     void answerRead(StateTopic topic, std::int64_t from, TimePoint until, std::function<void(const ReadResult &)> done);
     Millis readDelay(StateTopic topic) const;
 
     QObject m_context;
+    int m_readsInFlight = 0;
     std::map<StateTopic, std::vector<KeyedRecord>> m_topics;
 };
 
--- a/tests/fleetnode/TopicFollowerTest.cpp
+++ b/tests/fleetnode/TopicFollowerTest.cpp
@@ -13,11 +13,12 @@
 
 struct FollowedTopic {
     MemoryLog log;
-    TopicFollower follower {log, StateTopic::Jobs, Wait, Millis(0)};
+    TopicFollower follower;
     std::vector<std::string> keys;
     bool isReachable = true;
 
-    FollowedTopic()
+    explicit FollowedTopic(CatchUp catchUp = CatchUp::ReadAll)
+        : follower(log, StateTopic::Jobs, Wait, Millis(0), catchUp)
     {
         follower.onRecords = [this](const std::vector<KeyedRecord> &records) {
             for (const auto &it : records) {
@@ -76,4 +77,49 @@
     BOOST_TEST(topic.keys.size() == 3U);
 }
 
+// Guards against a follower that competes with itself for a slow link: however long a read takes, no second one is sent beside it.
+BOOST_AUTO_TEST_CASE(slowReadIsTheOnlyOneInFlight)
+{
+    FollowedTopic topic;
+    topic.log.put(StateTopic::Jobs, "a", "1");
+    BOOST_REQUIRE(topic.waitForKeys(1, 1000));
+    topic.log.isUnresponsive = true;
+    BOOST_REQUIRE(waitFor(
+        [&topic]() {
+            return !topic.isReachable;
+        },
+        4000));
+    topic.log.readDelays[StateTopic::Jobs] = Millis(1000);
+    topic.log.put(StateTopic::Jobs, "b", "1");
+    topic.log.mostReadsInFlight = 0;
+    topic.log.isUnresponsive = false;
+    BOOST_TEST(topic.waitForKeys(2, 3000));
+    BOOST_TEST(topic.log.mostReadsInFlight == 1);
+}
+
+// Guards against changes that come faster than they can be read: of many records of one key only the newest is fetched.
+BOOST_AUTO_TEST_CASE(supersededRecordsAreSkippedAfterAnOutage)
+{
+    FollowedTopic topic(CatchUp::SkipToNewest);
+    topic.log.put(StateTopic::Jobs, "a", "1");
+    BOOST_REQUIRE(topic.waitForKeys(1, 1000));
+    topic.log.isUnresponsive = true;
+    BOOST_REQUIRE(waitFor(
+        [&topic]() {
+            return !topic.isReachable;
+        },
+        4000));
+    for (int i = 0; i < 12; ++i) {
+        topic.log.put(StateTopic::Jobs, "a", std::to_string(i));
+    }
+    topic.log.isUnresponsive = false;
+    BOOST_TEST(topic.waitForKeys(2, 1000));
+    const auto currentAsOf = topic.follower.currentAsOf();
+    BOOST_REQUIRE(currentAsOf.has_value());
+    BOOST_TEST((monotonicNow() - *currentAsOf).count() < 1000);
+    topic.log.put(StateTopic::Jobs, "b", "1");
+    BOOST_TEST(topic.waitForKeys(3, 1000));
+    BOOST_TEST(topic.keys.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
