Ask one peer for a copy of the configuration instead of having all peers send one

Cause: each peer that saw an older version in a process's heartbeat sent the whole configuration, on its own and again after two or three heartbeats.

Change: the process that is behind asks (FleetConfigurationRequestMessage, a new last alternative that older processes skip): after 0.8 s without a newer version, one peer at a time, another after 3 s. ConfigurationCopyPolicy takes the place of ConfigurationPushPolicy. Its tests replace the old ones as strictly: no copies while configurations arrive from the log, one within a second for a process that stays behind, and now also a bound on copies in flight.

Conclusion: copies cost a slow link at most one configuration at a time.

--- a/include/marjoramhaven/fleet/FleetNodeSettings.h
+++ b/include/marjoramhaven/fleet/FleetNodeSettings.h
@@ -22,6 +22,8 @@
     Millis statusRetention {120000};
     /// Maximum time for which best-effort tasks may slow down a long-running task.
     Millis latencyViolationTolerance {4000};
+    /// Within this time after its confirmation, a configuration must be in force in every process.
+    Millis configurationApply {2500};
     /// How much earlier than due a task of a repeated job may start.
     Millis earlyStartTolerance {250};
 };
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -10,7 +10,7 @@
 #include "marjoramhaven/fleet/FleetNodeSettings.h"
 #include "marjoramhaven/fleet/JobService.h"
 #include "marjoramhaven/fleet/PlannerElection.h"
-#include "marjoramhaven/fleetnode/ConfigurationPushPolicy.h"
+#include "marjoramhaven/fleetnode/ConfigurationCopyPolicy.h"
 #include "marjoramhaven/fleetnode/ConfigurationState.h"
 #include "marjoramhaven/fleetnode/PlannerHost.h"
 #include "marjoramhaven/fleetnode/ProgressReader.h"
@@ -92,6 +92,7 @@
     void answerQuery(const FleetQueryMessage &query, std::function<void(const FleetQueryResponseMessage &)> done);
     void handleQueryAnswer(const FleetQueryResponseMessage &answer);
     void answerAdvice(const std::string &from, const FleetAdviceRequestMessage &ask);
+    void answerConfigurationRequest(const std::string &from, const FleetConfigurationRequestMessage &ask);
     void answerStore(const std::string &from, const FleetStoreRequestMessage &ask);
     void startQuery(const std::shared_ptr<PendingQuery> &pendingQuery);
     // Ends expired queries, answers those that this process can answer, and sends the others to the planner, again if they had no answer.
@@ -130,7 +131,7 @@
     RecordWriter m_writer;
     QTimer m_ticker;
     ConfigurationState m_configuration;
-    ConfigurationPushPolicy m_configurationPush;
+    ConfigurationCopyPolicy m_configurationCopies;
     /// Other registered processes, with the time at which each was last linked or registered.
     std::map<std::string, TimePoint> m_unlinkedSince;
     std::unique_ptr<ProgressReader> m_fallbackReader;
--- a/include/marjoramhaven/wire/PeerMessage.h
+++ b/include/marjoramhaven/wire/PeerMessage.h
@@ -188,6 +188,17 @@
     }
 };
 
+/// Asks a peer for its configuration, if that is newer than the sender's. Answered with a FleetConfigurationMessage.
+struct FleetConfigurationRequestMessage {
+    /// Version of the sender's configuration; -1 when it has none.
+    std::int64_t version = -1;
+    template<typename Self>
+    static auto fieldsOf(Self &self)
+    {
+        return std::tie(self.version);
+    }
+};
+
 /// Asks the planner for the state of a job, or for the number of pending jobs of a queue.
 struct FleetQueryMessage {
     std::uint64_t call = 0;
@@ -298,6 +309,7 @@
                                  FleetAdviceRequestMessage,
                                  FleetAdviceResponseMessage,
                                  FleetStoreRequestMessage,
-                                 FleetStoreResponseMessage>;
+                                 FleetStoreResponseMessage,
+                                 FleetConfigurationRequestMessage>;
 
 } // namespace marjoramhaven
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -84,7 +84,7 @@
         if (m_planner) {
             m_planner->removeAdvisorProxy(name);
         }
-        m_configurationPush.forget(name);
+        m_configurationCopies.forget(name);
         rerouteStoreCallsFrom(name);
         m_events.write("peer_lost", {{"peer", name}});
     });
--- a/src/fleetnode/FleetNodePeers.cpp
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -36,6 +36,8 @@
         handleHeartbeat(from, *heartbeat);
     } else if (const auto *configuration = std::get_if<FleetConfigurationMessage>(&message)) {
         applyConfiguration(configuration->text, from);
+    } else if (const auto *request = std::get_if<FleetConfigurationRequestMessage>(&message)) {
+        answerConfigurationRequest(from, *request);
     } else if (const auto *query = std::get_if<FleetQueryMessage>(&message)) {
         answerQuery(*query, [this, from](const FleetQueryResponseMessage &it) {
             m_hub.send(from, it);
@@ -83,9 +85,13 @@
         m_election.setLeaderLinked(!m_isLeaderLogUnreachable, now);
     }
     m_configuration.noteVersionOfPeer(heartbeat.configurationVersion);
-    if (m_configurationPush.shouldSend(from, heartbeat.configurationVersion, m_configuration.version(), isPlannerLink(from))) {
-        m_hub.send(from, FleetConfigurationMessage {m_configuration.text()});
-        m_metrics.count("configurations_sent_total");
+    if (m_configurationCopies.shouldAsk(from, heartbeat.configurationVersion, m_configuration.version(), now)) {
+        m_events.write("configuration_asked",
+                       {{"peer", from},
+                        {"version", heartbeat.configurationVersion},
+                        {"configuration", m_configuration.version()},
+                        {"proof_age_ms", configurationProofAgeMs(now)}});
+        m_hub.send(from, FleetConfigurationRequestMessage {m_configuration.version()});
     }
 }
 
@@ -153,6 +159,14 @@
     });
 }
 
+void FleetNode::answerConfigurationRequest(const std::string &from, const FleetConfigurationRequestMessage &ask)
+{
+    if (m_configuration.version() > ask.version) {
+        m_hub.send(from, FleetConfigurationMessage {m_configuration.text()});
+        m_metrics.count("configurations_sent_total");
+    }
+}
+
 void FleetNode::answerStore(const std::string &from, const FleetStoreRequestMessage &ask)
 {
     if (isAlreadyStored(ask.key)) {
