Keep a peer link while bytes of a long message arrive

Cause: a link counts as silent after 0.7 s (3.5 s without a planner at either end) without a complete message. A configuration of 200 KB takes longer than that on a link of 2 Mbit/s, or on one of 10 Mbit/s that carries other traffic, and all heartbeats of that peer wait behind it: the link was closed in the middle of the copy, dialled again, and the copy began anew.

Change: PeerHub reports received bytes, and a peer counts as heard from when any arrive.

Figures: FleetNodes/linkIsKeptWhileALongMessageArrivesSlowly failed before and passes; it also checks that a link without bytes is still lost.

Conclusion: a slow link is no longer taken for a silent one.

--- a/include/marjoramhaven/wire/PeerHub.h
+++ b/include/marjoramhaven/wire/PeerHub.h
@@ -66,6 +66,8 @@
     void peerUp(const std::string &name, const std::string &zone);
     /// The link to a peer was closed.
     void peerDown(const std::string &name);
+    /// Bytes arrived from a peer, complete messages or parts of one.
+    void bytesReceived(const std::string &from);
     /// A message arrived from a peer.
     void received(const std::string &from, const marjoramhaven::PeerMessage &message);
 
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -62,9 +62,11 @@
         handleLeadershipRecords(records);
     };
     connect(&m_hub, &PeerHub::received, this, [this](const std::string &from, const PeerMessage &message) {
-        m_lastHeardAt[from] = monotonicNow();
         handleMessage(from, message);
     });
+    connect(&m_hub, &PeerHub::bytesReceived, this, [this](const std::string &from) {
+        m_lastHeardAt[from] = monotonicNow();
+    });
     connect(&m_hub, &PeerHub::peerUp, this, [this](const std::string &name, const std::string & /*zone*/) {
         const auto now = monotonicNow();
         m_lastHeardAt[name] = now;
--- a/src/wire/PeerHub.cpp
+++ b/src/wire/PeerHub.cpp
@@ -203,7 +203,11 @@
 {
     const QByteArray bytes = socket->readAll();
     m_bytes += bytes.size();
-    const auto messages = m_links.at(socket)->reader.feed(bytes);
+    auto &link = *m_links.at(socket);
+    if (!link.peer.name.empty()) {
+        Q_EMIT bytesReceived(link.peer.name);
+    }
+    const auto messages = link.reader.feed(bytes);
     if (!messages) {
         m_log.warn("closed the link to a peer: " + lastReason());
         socket->abort();
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -1,5 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include <QHostAddress>
+#include <QTcpSocket>
+
 #include "MemoryLog.h"
 #include "marjoramhaven/fleetnode/FleetNode.h"
 #include "marjoramhaven/standin/FreePort.h"
@@ -281,4 +284,36 @@
     BOOST_TEST(process.workers.started.size() == 1U);
 }
 
+// Guards against peers that are lost as silent while a message that is long for their link arrives from them.
+BOOST_AUTO_TEST_CASE(linkIsKeptWhileALongMessageArrivesSlowly)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    Node process(log);
+    QTcpSocket peer;
+    peer.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(process.settings.peers.port));
+    BOOST_REQUIRE(peer.waitForConnected(1000));
+    peer.write(encodeFrame(HelloMessage {WireVersion, "peer", "z"}));
+    const auto frame = encodeFrame(FleetConfigurationMessage {std::string(1000, 'x')});
+    qsizetype sent = 0;
+    QTimer drip;
+    QObject::connect(&drip, &QTimer::timeout, &drip, [&]() {
+        peer.write(frame.mid(sent++, 1));
+    });
+    drip.start(100);
+    waitFor(
+        [&peer]() {
+            return peer.state() != QAbstractSocket::ConnectedState;
+        },
+        3000);
+    BOOST_TEST((peer.state() == QAbstractSocket::ConnectedState));
+    // Without any byte the link is lost.
+    drip.stop();
+    BOOST_TEST(waitFor(
+        [&peer]() {
+            return peer.state() != QAbstractSocket::ConnectedState;
+        },
+        5000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
