Answer 503, not 404, while a newer configuration may have the queue

Callers were told that a queue does not exist by processes that could not know: their configuration had last been shown to be the newest tens of seconds before.

Cause: a missing queue was answered with 404 whatever the age of the configuration, and submissions were accepted under one that peers had already replaced.

Change: a 404 needs a proof from the log, no older than the time within which a confirmed configuration must be in force, that there is no newer one, and no peer with a newer version; else the answer is 503 with Retry-After at once. A process that has known a newer version for longer than that time refuses submissions and is not ready. Queues that are known are served on while nothing newer is known, so a process that is cut off goes on serving what it can.

Conclusion: a process that is behind says so instead of denying what it has not read.

--- a/include/marjoramhaven/fleet/JobService.h
+++ b/include/marjoramhaven/fleet/JobService.h
@@ -59,6 +59,8 @@
 enum class RouteOutcome {
     Found,
     NoSuchQueue,
+    /// This process knows no such queue, but a newer configuration may have it.
+    Unproven,
     /// This process has no configuration yet.
     NoConfiguration,
 };
@@ -68,6 +70,7 @@
     static constexpr EnumName<RouteOutcome> Rows[] = {
         {RouteOutcome::Found, "found"},
         {RouteOutcome::NoSuchQueue, "no-such-queue"},
+        {RouteOutcome::Unproven, "unproven"},
         {RouteOutcome::NoConfiguration, "no-configuration"},
     };
 };
--- a/src/fleetnode/ConfigurationState.cpp
+++ b/src/fleetnode/ConfigurationState.cpp
@@ -4,6 +4,11 @@
 
 namespace marjoramhaven {
 
+ConfigurationState::ConfigurationState(Millis applyWithin)
+    : m_applyWithin(applyWithin)
+{
+}
+
 bool ConfigurationState::apply(FleetConfiguration configuration, std::string text, std::string source)
 {
     if (configuration.version <= version()) {
@@ -12,13 +17,26 @@
     m_configuration = std::move(configuration);
     m_text = std::move(text);
     m_source = std::move(source);
-    noteVersionOfPeer(version());
+    m_newerVersions.erase(m_newerVersions.begin(), m_newerVersions.upper_bound(version()));
     return true;
 }
 
-void ConfigurationState::noteVersionOfPeer(std::int64_t version)
+void ConfigurationState::noteVersionOfPeer(std::int64_t version, TimePoint now)
+{
+    if (version > this->version()) {
+        m_newerVersions.try_emplace(version, now);
+    }
+}
+
+bool ConfigurationState::isProven(TimePoint now) const
+{
+    const auto age = proofAge(now);
+    return m_configuration && m_newerVersions.empty() && age && *age <= m_applyWithin;
+}
+
+bool ConfigurationState::isOutdated(TimePoint now) const
 {
-    m_newestKnownVersion = std::max(m_newestKnownVersion, version);
+    return !m_newerVersions.empty() && now - m_newerVersions.begin()->second > m_applyWithin;
 }
 
 void ConfigurationState::noteProof(TimePoint at)
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -40,6 +40,7 @@
     , m_operatorFollower(m_platform.log, StateTopic::Operator, LongPollWait, Millis(0), CatchUp::SkipToNewest)
     , m_leadershipFollower(m_platform.log, StateTopic::Leadership, LongPollWait, Millis(0))
     , m_writer(m_platform.log, StateTopic::Jobs)
+    , m_configuration(m_settings.bounds.configurationApply)
     , m_nextCall(randomCallNumber())
 {
     m_operatorFollower.onRecords = [this](const std::vector<KeyedRecord> &records) {
@@ -123,7 +124,8 @@
 
 bool FleetNode::isReady() const
 {
-    return !m_isStopping && m_configuration.configuration() != nullptr && (m_isLogReachable || m_planner || isLinkedToLeader());
+    const bool isConfigured = m_configuration.configuration() != nullptr && !m_configuration.isOutdated(monotonicNow());
+    return !m_isStopping && isConfigured && (m_isLogReachable || m_planner || isLinkedToLeader());
 }
 
 void FleetNode::beginStop()
--- a/src/fleetnode/FleetNodePeers.cpp
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -84,7 +84,7 @@
         m_isLeaderLogUnreachable = heartbeat.isPlannerLogUnreachable;
         m_election.setLeaderLinked(!m_isLeaderLogUnreachable, now);
     }
-    m_configuration.noteVersionOfPeer(heartbeat.configurationVersion);
+    m_configuration.noteVersionOfPeer(heartbeat.configurationVersion, now);
     if (m_configurationCopies.shouldAsk(from, heartbeat.configurationVersion, m_configuration.version(), now)) {
         m_events.write("configuration_asked",
                        {{"peer", from},
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -28,7 +28,8 @@
     RouteResult out;
     if (configuration() != nullptr) {
         out.queue = configuration()->route(host, path);
-        out.outcome = out.queue == nullptr ? RouteOutcome::NoSuchQueue : RouteOutcome::Found;
+        const auto missing = m_configuration.isProven(now) ? RouteOutcome::NoSuchQueue : RouteOutcome::Unproven;
+        out.outcome = out.queue == nullptr ? missing : RouteOutcome::Found;
     }
     m_metrics.count("routes_total{outcome=\"" + std::string(nameOf(out.outcome)) + "\"}");
     if (out.outcome != RouteOutcome::Found) {
@@ -49,6 +50,11 @@
     const auto id = request.id;
     const auto queue = request.queue.name;
     const auto receivedAt = monotonicNow();
+    if (m_configuration.isOutdated(receivedAt)) {
+        m_metrics.count("submits_outdated_total");
+        done({SubmitOutcome::Refused, ClientRetryAfter, "a newer configuration is known and may have dropped this queue"});
+        return;
+    }
     KeyedRecord record {acceptanceKey(id), encodeJobRequest(request), 0};
     storeRecord(std::move(record), budget, [this, id, queue, receivedAt, done = std::move(done)](const SubmitResult &answer) {
         const auto elapsedMs = (monotonicNow() - receivedAt).count();
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -316,4 +316,36 @@
         5000));
 }
 
+// Guards against a 404 from a process that can't read the log, for a queue that a newer configuration has.
+BOOST_AUTO_TEST_CASE(unknownQueueIsNotDeniedWhileNewerConfigurationsMayBeUnread)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    Node process(log);
+    BOOST_REQUIRE(waitFor(
+        [&process]() {
+            return process.node->configuration() != nullptr;
+        },
+        1000));
+    const auto outcomeOf = [&process](const std::string &path) {
+        return process.node->route("h", path, monotonicNow()).outcome;
+    };
+    BOOST_TEST((outcomeOf("/new/1") == RouteOutcome::NoSuchQueue));
+    log.isUnresponsive = true;
+    const auto applyWithin = static_cast<int>(process.settings.bounds.configurationApply.count());
+    BOOST_TEST(waitFor(
+        [&outcomeOf]() {
+            return outcomeOf("/new/1") == RouteOutcome::Unproven;
+        },
+        applyWithin + 1500));
+    // Queues that are known are served on.
+    BOOST_TEST((outcomeOf("/q/1") == RouteOutcome::Found));
+    log.isUnresponsive = false;
+    BOOST_TEST(waitFor(
+        [&outcomeOf]() {
+            return outcomeOf("/new/1") == RouteOutcome::NoSuchQueue;
+        },
+        2000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
