Append records in parts that a slow link carries within their time limit

Cause: all progress that had gathered while the log did not answer went into one append, and submissions into appends of up to 1 MB, each with a time limit of 0.7 to 1.5 s. Over a link of 2 to 10 Mbit/s a large one is not sent within it, counts as lost, and is sent again whole beside the first: the same class as the reads, a fixed limit on a transfer that grows.

Change: RecordBatch splits a batch into appends of 64 KB, one after the other; the batch counts as stored when all of them are. RecordWriter's appends get the same limit.

Figures: progressOfManyJobsIsStoredOverALinkThatCarriesNoLargeAppend (1,500 jobs, a log that answers no append above 75,000 bytes) failed before, with no progress stored in 8 s, and passes.

Conclusion: how much gathers no longer decides whether it can be stored.

--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -10,6 +10,7 @@
 #include "marjoramhaven/fleet/FleetPlanner.h"
 #include "marjoramhaven/fleet/StateLog.h"
 #include "marjoramhaven/fleet/WorkerEntryParser.h"
+#include "marjoramhaven/fleetnode/RecordBatch.h"
 #include "marjoramhaven/fleetnode/TopicFollower.h"
 #include "marjoramhaven/telemetry/Metrics.h"
 
@@ -93,6 +94,8 @@
     void planNow();
     void storeProgress();
     void scheduleStoreProgress(Millis pause);
+    // Appends the next records of the batch. The batch is stored when all of its appends are.
+    void appendNextRecords();
     void appendProgress();
     void retryAppendProgress(Millis pause);
     void handleProgressAppendResult(std::int64_t sequence, TimePoint sentAt, const AppendResult &result);
@@ -109,6 +112,8 @@
     std::vector<std::string> m_expiredJobs;
     /// Records of the append in flight, kept until they are stored. A retry uses the same sequence number, so that the append takes effect only once.
     std::vector<KeyedRecord> m_inFlightRecords;
+    /// Records of the same batch that are to be appended after those in flight.
+    RecordBatch m_unsentRecords;
     std::int64_t m_inFlightBatch = 0;
     std::int64_t m_sequence = 0;
     AdaptiveTimeout m_appendTimes;
--- a/src/fleetnode/PlannerHostStore.cpp
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -11,6 +11,8 @@
 constexpr Millis MinStoreInterval {12};
 constexpr Millis StoreTimeout {1200};
 constexpr Millis RetryPause {60};
+// A link of 2 Mbit/s carries an append of this size well within its shortest time limit.
+constexpr std::size_t MaxAppendBytes = 64 << 10;
 constexpr Millis DropTimeout {3000};
 // Most jobs that one append drops from the log.
 constexpr std::size_t MaxJobsPerDrop = 200;
@@ -86,15 +88,22 @@
     if (batch.isEmpty()) {
         return;
     }
-    m_inFlightRecords.clear();
+    std::vector<KeyedRecord> records;
     for (const auto &it : batch.records) {
-        m_inFlightRecords.push_back({it.job, encodeJobRecord(it), 0});
+        records.push_back({it.job, encodeJobRecord(it), 0});
     }
     for (const auto &it : batch.dropped) {
-        m_inFlightRecords.push_back({it, std::nullopt, 0});
+        records.push_back({it, std::nullopt, 0});
     }
+    m_unsentRecords = RecordBatch(std::move(records));
     m_inFlightBatch = batch.number;
     m_isAppendInFlight = true;
+    appendNextRecords();
+}
+
+void PlannerHost::appendNextRecords()
+{
+    m_inFlightRecords = m_unsentRecords.takeNext(MaxAppendBytes);
     ++m_sequence;
     appendProgress();
 }
@@ -139,6 +148,10 @@
         m_appendTimes.recordResponse(monotonicNow() - sentAt);
     }
     m_services.metrics.count("progress_appends_total{outcome=\"" + std::string(nameOf(result.outcome)) + "\"}");
+    if (result.outcome == AppendOutcome::Stored && !m_unsentRecords.isEmpty()) {
+        appendNextRecords();
+        return;
+    }
     if (result.outcome == AppendOutcome::Stored) {
         m_isAppendInFlight = false;
         m_inFlightRecords.clear();
--- a/src/fleetnode/RecordWriter.cpp
+++ b/src/fleetnode/RecordWriter.cpp
@@ -17,7 +17,8 @@
 // Clients have few retries. The longer the log has been unresponsive, the later they are told to retry.
 constexpr Millis MinClientRetryAfter {1000};
 constexpr Millis MaxClientRetryAfter {3000};
-constexpr std::size_t MaxAppendBytes = 1 << 20;
+// A link of 2 Mbit/s carries an append of this size well within its shortest time limit.
+constexpr std::size_t MaxAppendBytes = 64 << 10;
 
 } // namespace
 
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -284,6 +284,31 @@
     BOOST_TEST(process.workers.started.size() == 1U);
 }
 
+// Guards against progress that is never stored because all of it is sent in one append, which a slow link does not carry within the timeout.
+BOOST_AUTO_TEST_CASE(progressOfManyJobsIsStoredOverALinkThatCarriesNoLargeAppend)
+{
+    constexpr int JobCount = 1500;
+    // What a link of 2 Mbit/s carries in 0.3 s.
+    constexpr std::size_t SlowLinkAppendBytes = 75'000;
+    MemoryLog log;
+    log.maxAnsweredAppendBytes = SlowLinkAppendBytes;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    FleetJobRequest request;
+    request.queue = *testConfiguration().find("h", "/q/");
+    request.steps.push_back({});
+    for (int i = 0; i < JobCount; ++i) {
+        request.id = "a-job-with-a-name-of-usual-length-" + std::to_string(i);
+        log.put(StateTopic::Jobs, acceptanceKey(request.id), encodeJobRequest(request));
+        log.put(StateTopic::Jobs, cancellationKey(request.id), "1");
+    }
+    Node process(log);
+    BOOST_TEST(waitFor(
+        [&log]() {
+            return log.end(StateTopic::Progress) >= JobCount;
+        },
+        8000));
+}
+
 // Guards against peers that are lost as silent while a message that is long for their link arrives from them.
 BOOST_AUTO_TEST_CASE(linkIsKeptWhileALongMessageArrivesSlowly)
 {
--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -15,6 +15,15 @@
     QTimer::singleShot(static_cast<int>(delay.count()), Qt::PreciseTimer, context, std::move(run));
 }
 
+std::size_t bytesOf(const AppendRequest &request)
+{
+    std::size_t out = 0;
+    for (const auto &it : request.records) {
+        out += it.key.size() + (it.value ? it.value->size() : 0);
+    }
+    return out;
+}
+
 } // namespace
 
 std::int64_t MemoryLog::put(StateTopic topic, const std::string &key, const std::string &value)
@@ -27,7 +36,7 @@
 
 void MemoryLog::append(AppendRequest request, std::function<void(const AppendResult &)> done)
 {
-    if (isUnresponsive) {
+    if (isUnresponsive || bytesOf(request) > maxAnsweredAppendBytes) {
         runLater(&m_context, request.timeout, [done = std::move(done)]() {
             AppendResult out;
             out.reason = "timeout";
--- a/tests/fleetnode/MemoryLog.h
+++ b/tests/fleetnode/MemoryLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QObject>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -25,6 +26,8 @@
     Millis appendDelay {2};
     /// While true, appends store nothing, and appends and reads that are sent get no answer before their timeout. Loads count as reads.
     bool isUnresponsive = false;
+    /// Appends with more bytes of keys and values than this get no answer and store nothing, as over a link that does not carry them within the timeout.
+    std::size_t maxAnsweredAppendBytes = SIZE_MAX;
     /// While true, appends are refused after the usual delay.
     bool isRefusing = false;
     /// Delay of reads by topic; 2 ms for topics that are not listed.
