Share one read of the log among callers that ask at the same time

Cause: each query of a job that the planner does not know read the jobs topic once more.

Change: TopicFollower::refresh() keeps one read in flight; callers that ask meanwhile share the next one, since the one in flight may have been answered before they asked.

Conclusion: the number of queries no longer multiplies the bytes that are read.

--- a/include/marjoramhaven/fleetnode/TopicFollower.h
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -26,7 +26,7 @@
 /// Follows one topic of the log: loads the newest record of each key, then reads new records until it is stopped.
 ///
 /// When the platform has deleted the records that would come next, the follower loads the topic again and reports keys that are gone as dropped. At most one
-/// call that carries records is in flight, so that the follower never competes with itself for a slow link. While the log does not answer, the follower sends
+/// call that carries records is in flight, and one more for refresh(), so that the follower never competes with itself for a slow link. While the log does not answer, the follower sends
 /// probes without records in parallel, so that it notices that the log is back before an old call times out. Belongs to the thread that created it.
 class TopicFollower : public QObject
 {
@@ -51,7 +51,8 @@
     /// Stops following. Answers to calls in flight are ignored.
     void stop();
     /// Reads once more, and calls back with true when all records up to this moment were passed to onRecords. Calls back with false when the topic is not
-    /// loaded yet, the log did not answer, there were more records than one read returns, or the topic must be loaded again.
+    /// loaded yet, the log did not answer, there were more records than one read returns, or the topic must be loaded again. Callers that ask while such a
+    /// read is in flight share the next one.
     void refresh(std::function<void(bool)> done);
     /// Returns true when all records that were in the topic at the start have been passed to onRecords.
     bool isLoaded() const { return m_isLoaded; }
@@ -79,6 +80,7 @@
     // Goes on where the call that failed left off. `end` is the end of the topic.
     void resume(std::int64_t end);
     bool shouldSkip(std::int64_t end) const;
+    void sendRefresh();
     void setReachable(bool isReachable, const std::string &reason);
     std::vector<KeyedRecord> filterNewer(const std::vector<KeyedRecord> &records);
 
@@ -100,6 +102,9 @@
     bool m_isStopped = false;
     bool m_isReachable = true;
     bool m_isProbing = false;
+    /// Callers of refresh() that wait for the read in flight to end, since it may have been answered before they asked.
+    std::vector<std::function<void(bool)>> m_waitingRefreshes;
+    bool m_isRefreshing = false;
     int m_consecutiveFailures = 0;
     Millis m_loadLatency {0};
     TimePoint m_lastAnswerAt {};
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace marjoramhaven {
 
@@ -197,22 +198,41 @@
 
 void TopicFollower::refresh(std::function<void(bool)> done)
 {
-    const std::weak_ptr<bool> alive = m_alive;
     if (!m_isLoaded) {
         done(false);
         return;
     }
+    m_waitingRefreshes.push_back(std::move(done));
+    sendRefresh();
+}
+
+void TopicFollower::sendRefresh()
+{
+    if (m_isRefreshing || m_waitingRefreshes.empty()) {
+        return;
+    }
+    m_isRefreshing = true;
+    const std::weak_ptr<bool> alive = m_alive;
     const auto sentAt = monotonicNow();
-    m_log.read(m_topic, m_next, Millis(0), m_readTimes.timeout(), [this, alive, sentAt, done = std::move(done)](const ReadResult &result) {
+    const auto callbacks = std::exchange(m_waitingRefreshes, {});
+    m_log.read(m_topic, m_next, Millis(0), m_readTimes.timeout(), [this, alive, sentAt, callbacks](const ReadResult &result) {
         if (alive.expired()) {
             return;
         }
-        if (!result.isAnswered || result.isTruncated) {
-            done(false);
-            return;
+        m_isRefreshing = false;
+        const bool hasRecords = result.isAnswered && !result.isTruncated;
+        if (hasRecords) {
+            applyRead(result, sentAt, Millis(0));
+        }
+        for (const auto &it : callbacks) {
+            if (alive.expired()) {
+                return;
+            }
+            it(hasRecords && result.next >= result.end);
+        }
+        if (!alive.expired()) {
+            sendRefresh();
         }
-        applyRead(result, sentAt, Millis(0));
-        done(result.next >= result.end);
     });
 }
 
--- a/tests/fleetnode/TopicFollowerTest.cpp
+++ b/tests/fleetnode/TopicFollowerTest.cpp
@@ -97,6 +97,38 @@
     BOOST_TEST(topic.log.mostReadsInFlight == 1);
 }
 
+// Guards against one read for each query of an unknown job: many of them at once would fetch the same records again and again over a slow link.
+BOOST_AUTO_TEST_CASE(callersThatRefreshTogetherShareAReadAndSeeAllRecords)
+{
+    constexpr int CallerCount = 20;
+    FollowedTopic topic;
+    topic.log.put(StateTopic::Jobs, "a", "1");
+    BOOST_REQUIRE(topic.waitForKeys(1, 1000));
+    topic.log.readDelays[StateTopic::Jobs] = Millis(300);
+    topic.log.mostReadsInFlight = 0;
+    int answered = 0;
+    std::size_t keysSeenByLast = 0;
+    for (int i = 0; i < CallerCount; ++i) {
+        topic.follower.refresh([&answered](bool isUpToDate) {
+            answered += isUpToDate ? 1 : 0;
+        });
+    }
+    // The first read may have been answered before this record. A caller that asks now must see it.
+    topic.log.put(StateTopic::Jobs, "b", "1");
+    topic.follower.refresh([&](bool isUpToDate) {
+        answered += isUpToDate ? 1 : 0;
+        keysSeenByLast = topic.keys.size();
+    });
+    BOOST_TEST(waitFor(
+        [&answered]() {
+            return answered == CallerCount + 1;
+        },
+        3000));
+    BOOST_TEST(keysSeenByLast == 2U);
+    // One read for the callers beside the one that follows the topic.
+    BOOST_TEST(topic.log.mostReadsInFlight <= 2);
+}
+
 // Guards against changes that come faster than they can be read: of many records of one key only the newest is fetched.
 BOOST_AUTO_TEST_CASE(supersededRecordsAreSkippedAfterAnOutage)
 {
