Read the lists of a worker for as long as bytes arrive

Cause: a poll of a worker had to be complete within 0.7 s, however long its list of ended runs had grown during an outage; all workers are polled at once when a planner starts.

Change: once its response has begun, a poll fails only when no byte arrives for 1.5 s, as reads of the log do.

Conclusion: the length of the list no longer decides whether a worker counts as silent.

--- a/include/marjoramhaven/http/PooledHttpClient.h
+++ b/include/marjoramhaven/http/PooledHttpClient.h
@@ -12,6 +12,9 @@
 
 namespace marjoramhaven {
 
+/// A response that stops for this long is on a connection that has broken without a sign.
+inline constexpr Millis ResponseStallTimeout {1500};
+
 /// A request to an HTTP server that is given by IP address and port.
 struct OutgoingCall {
     std::string method;
