Refuse all requests, not only submissions, under a configuration known to be outdated

What callers could see: a process that has known of a newer configuration for longer than it may take to come into force refused submissions, but went on answering counts, queries and cancellations for queues that the newer version may have dropped.

Change: the lookup of the queue answers "outdated" for every request, with 503 and Retry-After at once; the check in submit() is gone. The lines of counts and cancellations say the version, its source, the newest known version and the age of the proof, as those of submissions do.

Figures: requestsAreRefusedWhenANewerConfigurationHasBeenKnownForTooLong failed before (the queue was found) and passes.

Conclusion: one place decides whether the configuration in force may be used.

--- a/include/marjoramhaven/fleet/JobService.h
+++ b/include/marjoramhaven/fleet/JobService.h
@@ -61,6 +61,8 @@
     NoSuchQueue,
     /// This process knows no such queue, but a newer configuration may have it.
     Unproven,
+    /// A newer configuration has been known for so long that the one in force in this process must not be used.
+    Outdated,
     /// This process has no configuration yet.
     NoConfiguration,
 };
@@ -71,6 +73,7 @@
         {RouteOutcome::Found, "found"},
         {RouteOutcome::NoSuchQueue, "no-such-queue"},
         {RouteOutcome::Unproven, "unproven"},
+        {RouteOutcome::Outdated, "outdated"},
         {RouteOutcome::NoConfiguration, "no-configuration"},
     };
 };
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -26,14 +26,16 @@
 RouteResult FleetNode::route(const std::string &host, const std::string &path, TimePoint now)
 {
     RouteResult out;
-    if (configuration() != nullptr) {
+    if (m_configuration.isOutdated(now)) {
+        out.outcome = RouteOutcome::Outdated;
+    } else if (configuration() != nullptr) {
         out.queue = configuration()->route(host, path);
         const auto missing = m_configuration.isProven(now) ? RouteOutcome::NoSuchQueue : RouteOutcome::Unproven;
         out.outcome = out.queue == nullptr ? missing : RouteOutcome::Found;
     }
     m_metrics.count("routes_total{outcome=\"" + std::string(nameOf(out.outcome)) + "\"}");
     if (out.outcome != RouteOutcome::Found) {
-        m_events.write("route_not_found",
+        m_events.write("request_not_routed",
                        {{"outcome", std::string(nameOf(out.outcome))},
                         {"host", host},
                         {"path", path},
@@ -50,11 +52,6 @@
     const auto id = request.id;
     const auto queue = request.queue.name;
     const auto receivedAt = monotonicNow();
-    if (m_configuration.isOutdated(receivedAt)) {
-        m_metrics.count("submits_outdated_total");
-        done({SubmitOutcome::Refused, ClientRetryAfter, "a newer configuration is known and may have dropped this queue"});
-        return;
-    }
     KeyedRecord record {acceptanceKey(id), encodeJobRequest(request), 0};
     storeRecord(std::move(record), budget, [this, id, queue, receivedAt, done = std::move(done)](const SubmitResult &answer) {
         const auto elapsedMs = (monotonicNow() - receivedAt).count();
@@ -100,8 +97,17 @@
     pendingQuery->message.host = queue.host;
     pendingQuery->message.prefix = queue.prefix;
     pendingQuery->deadline = monotonicNow() + budget - ResponseMargin;
-    pendingQuery->done = [done = std::move(done)](const FleetQueryResponseMessage *answer) {
-        done({answer != nullptr, answer == nullptr ? 0 : answer->pending});
+    pendingQuery->done = [this, name = queue.name, done = std::move(done)](const FleetQueryResponseMessage *answer) {
+        const PendingJobsResult out {answer != nullptr, answer == nullptr ? 0 : answer->pending};
+        m_events.write("pending_count",
+                       {{"queue", name},
+                        {"verdict", std::string(out.isKnown ? "known" : "unavailable")},
+                        {"pending", out.pending},
+                        {"configuration", m_configuration.version()},
+                        {"source", m_configuration.source()},
+                        {"newest_known", m_configuration.newestKnownVersion()},
+                        {"proof_age_ms", configurationProofAgeMs(monotonicNow())}});
+        done(out);
     };
     startQuery(pendingQuery);
 }
@@ -109,7 +115,14 @@
 void FleetNode::cancel(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done)
 {
     storeRecord({cancellationKey(job), std::string("1"), 0}, budget, [this, job, done = std::move(done)](const SubmitResult &answer) {
-        m_events.write("cancel", {{"id", job}, {"verdict", std::string(nameOf(answer.outcome))}, {"reason", answer.reason}});
+        m_events.write("cancel",
+                       {{"id", job},
+                        {"verdict", std::string(nameOf(answer.outcome))},
+                        {"reason", answer.reason},
+                        {"configuration", m_configuration.version()},
+                        {"source", m_configuration.source()},
+                        {"newest_known", m_configuration.newestKnownVersion()},
+                        {"proof_age_ms", configurationProofAgeMs(monotonicNow())}});
         QueryResult out;
         out.outcome = answer.outcome == SubmitOutcome::Accepted ? QueryOutcome::Known : QueryOutcome::Unavailable;
         out.state = FleetJobState::Cancelled;
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -341,6 +341,37 @@
         5000));
 }
 
+// Guards against requests that are served by a configuration which is known to have been replaced, and may have dropped their queue.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedWhenANewerConfigurationHasBeenKnownForTooLong)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    Node process(log);
+    QTcpSocket peer;
+    peer.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(process.settings.peers.port));
+    BOOST_REQUIRE(peer.waitForConnected(1000));
+    peer.write(encodeFrame(HelloMessage {WireVersion, "peer", "z"}));
+    FleetHeartbeatMessage heartbeat;
+    heartbeat.configurationVersion = testConfiguration().version + 1;
+    peer.write(encodeFrame(heartbeat));
+    const auto outcome = [&process]() {
+        return process.node->route("h", "/q/1", monotonicNow()).outcome;
+    };
+    BOOST_REQUIRE(waitFor(
+        [&process]() {
+            return process.node->isReady();
+        },
+        2000));
+    BOOST_TEST((outcome() == RouteOutcome::Found));
+    const auto applyWithin = static_cast<int>(process.settings.bounds.configurationApply.count());
+    BOOST_TEST(waitFor(
+        [&outcome]() {
+            return outcome() == RouteOutcome::Outdated;
+        },
+        applyWithin + 500));
+    BOOST_TEST(!process.node->isReady());
+}
+
 // Guards against a 404 from a process that can't read the log, for a queue that a newer configuration has.
 BOOST_AUTO_TEST_CASE(unknownQueueIsNotDeniedWhileNewerConfigurationsMayBeUnread)
 {
