Keep runs that only the answer to their start confirms when a worker restarts

What callers saw: a task that ran on two workers at once.

Cause: the answer to a start request does not say which incarnation of the worker gave it; only a clock that is more than 3 s behind shows another one. A worker that had restarted twice within that time took a start under its next incarnation. The planner then learnt of the restart, counted the run as ended with the old incarnation, and started the task elsewhere 16 ms later.

Change: a run counts as one of an incarnation only once that incarnation has listed it. At a restart, running tasks that were never listed are kept as unconfirmed, like starts without an answer, until the new incarnation has listed or stopped them. In the simulated fleet, a restarted worker registers itself at once, as real ones do.

Conclusion: no task is given to another worker while the restarted one may run it.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -76,6 +76,8 @@
     RunState state = RunState::Planned;
     /// When the run entered this state.
     TimePoint stateSince {};
+    /// Whether the worker has listed the run. An answer to the start request alone does not tell which incarnation of the worker gave it.
+    bool isListed = false;
     std::string ticket;
     std::string checkpoint;
     /// Progress in percent as the worker last reported it; 100 for a long-running task that is fully serving.
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -60,27 +60,33 @@
 
 void FleetPlanner::handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now)
 {
-    // A start request without an answer may still reach the new incarnation, which does not know the attempt. Such a run is kept until the new incarnation has
-    // confirmed or stopped it.
-    std::vector<RunKey> unanswered;
+    // The new incarnation may have received a start request that is not answered yet, or whose answer came before the restart was known. Such a run is kept
+    // until the new incarnation has confirmed or stopped it.
+    std::vector<RunKey> unlisted;
     for (const auto &[key, needs] : worker.allocations) {
         auto *run = findRun(key);
-        if (run != nullptr && startedUnixMs != 0 && (run->state == RunState::Starting || run->state == RunState::Unconfirmed)) {
+        const bool isAnswered = run != nullptr && run->state == RunState::Running && !run->isListed;
+        const bool isUnanswered = run != nullptr && (run->state == RunState::Starting || run->state == RunState::Unconfirmed);
+        if (startedUnixMs != 0 && (isAnswered || isUnanswered)) {
+            if (isAnswered) {
+                run->state = RunState::Unconfirmed;
+                run->stateSince = now;
+            }
             run->workerStartedUnixMs = startedUnixMs;
             run->isStopAnswered = false;
-            unanswered.push_back(key);
+            unlisted.push_back(key);
             if (auto *job = findJob(key.task.job)) {
                 markDirty(*job);
             }
         }
     }
-    markRunsLost(worker, "worker restarted", unanswered, now);
+    markRunsLost(worker, "worker restarted", unlisted, now);
     if (startedUnixMs != 0) {
         stopUnansweredStarts(worker);
     }
     worker.startedUnixMs = startedUnixMs;
     worker.lease.reset();
-    if (!unanswered.empty()) {
+    if (!unlisted.empty()) {
         // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease.
         worker.lease.assumeGrantedUntil(now + m_limits.maxLease);
     }
@@ -264,6 +270,7 @@
         run->stateSince = now;
         run->percentChangedAt = now;
     }
+    run->isListed = true;
     if (row.percent != run->percent) {
         run->percent = row.percent;
         run->percentChangedAt = now;
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -12,6 +12,7 @@
 constexpr int WorkersPerRack = 3;
 constexpr Millis TickEvery {20};
 constexpr Millis ReportEvery {500};
+constexpr Millis RegistrationDelay {15};
 
 std::string stepOf(const FleetTaskId &task)
 {
@@ -367,6 +368,13 @@
 {
     m_hasFaults = true;
     m_workers[static_cast<std::size_t>(worker)]->restart(m_now);
+    // The new incarnation registers itself at once, long before its next regular report.
+    after(RegistrationDelay, [this, worker]() {
+        const auto i = static_cast<std::size_t>(worker);
+        if (m_planner && !m_planner->isFrozen && !m_planner->isDead && m_isListed[i] && !m_isUnresponsive[i]) {
+            m_planner->planner->workerReported(m_workers[i]->reportAt(m_now), m_now);
+        }
+    });
 }
 
 void FakeFleet::drainWorker(int worker, Millis remaining)
--- a/tests/fleet/PlannerTest.cpp
+++ b/tests/fleet/PlannerTest.cpp
@@ -193,6 +193,32 @@
     expectNoViolations(fleet);
 }
 
+// Guards against tasks that run twice when a worker restarts twice within seconds: a start request that was answered by the new incarnation was taken for one that
+// ended with the old incarnation.
+BOOST_AUTO_TEST_CASE(runStartedByTheNextIncarnationOfAWorkerIsNotStartedElsewhere)
+{
+    constexpr int RestartCount = 200;
+    FakeFleetOptions options;
+    options.workers = 4;
+    FakeFleet fleet(options);
+    fleet.run(Millis(500));
+    for (int i = 0; i < RestartCount; ++i) {
+        fleet.submit(fleet.makeJob("j" + std::to_string(i), {step(3, 1000, 400)}));
+        // Between the start requests and the next poll, at a different point each time.
+        fleet.run(Millis(5 + i % 31));
+        for (int worker = 0; worker < options.workers; ++worker) {
+            fleet.restartWorker(worker);
+        }
+        fleet.run(Millis(2500));
+    }
+    BOOST_TEST(fleet.runUntil(
+        [&]() {
+            return isState(fleet, "j" + std::to_string(RestartCount - 1), FleetJobState::Completed);
+        },
+        Millis(20000)));
+    expectNoViolations(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(logOutageStopsNewRunsButNotRunningOnes)
 {
     FakeFleet fleet({});
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -22,6 +22,8 @@
     130,
     // Requests were cut off by a process that had got SIGTERM: it read new ones on open connections until its end, while the log did not answer.
     2,
+    // Tasks ran twice: a start request reached the next incarnation of a worker that had restarted twice within 3 s, and was taken for one of the old incarnation.
+    30,
 };
 
 void runSoak(std::uint64_t seed, Millis faultPeriod)
