Let a process end only when its responses are written

What callers saw: a request cut off 2.7 s after it was sent, at the moment when a process that had got SIGTERM ended.

Cause: a response counted as sent when it was handed to its connection. Queries whose time is up and the check that ends an idle process run on the same 50 ms beat, so the process ended in the millisecond in which it gave its last answer, before the event loop wrote it.

Change: HttpServer::inFlight() counts connections with unwritten bytes.

Conclusion: the end of a process loses no answer that it gave.

--- a/include/marjoramhaven/http/HttpServer.h
+++ b/include/marjoramhaven/http/HttpServer.h
@@ -82,8 +82,8 @@
     int listenOn(const QHostAddress &address, int port);
     /// Stops accepting connections; existing connections stay open.
     void stopListening();
-    /// Returns the number of requests without a response so far.
-    int inFlight() const { return m_inFlight; }
+    /// Returns the number of requests whose responses have not been passed to the operating system yet.
+    int inFlight() const;
 
 protected:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
@@ -100,7 +100,8 @@
     HttpHandler m_handler;
     HttpLimits m_limits;
     QTcpServer *m_listener = nullptr;
-    int m_inFlight = 0;
+    /// Requests that the handler has not responded to.
+    int m_unanswered = 0;
     std::unordered_map<QTcpSocket *, std::unique_ptr<Connection>> m_connections;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <QHttpServerResponder>
 #include <QTcpServer>
 #include <QTimer>
+#include <algorithm>
 
 #include "marjoramhaven/base/Json.h"
 #include "marjoramhaven/base/LastReason.h"
@@ -151,6 +152,14 @@
     }
 }
 
+int HttpServer::inFlight() const
+{
+    const auto unwritten = std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) {
+        return it.first->bytesToWrite() > 0;
+    });
+    return m_unanswered + static_cast<int>(unwritten);
+}
+
 void HttpServer::trackConnection(QTcpSocket *socket)
 {
     auto connection = std::make_unique<Connection>();
@@ -202,14 +211,14 @@
     it->second->requestBytes = 0;
     it->second->pending.push_back(pending);
     it->second->timer->stop();
-    ++m_inFlight;
+    ++m_unanswered;
     const std::weak_ptr<bool> alive = m_alive;
     const QPointer<QTcpSocket> guardedSocket(socket);
     m_handler(requestOf(request), [this, alive, guardedSocket, pending](HttpResponse response) {
         if (alive.expired() || pending->response) {
             return;
         }
-        --m_inFlight;
+        --m_unanswered;
         pending->response = std::move(response);
         if (guardedSocket) {
             flush(guardedSocket);
--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -72,6 +72,35 @@
     BOOST_TEST(got.indexOf("/slow") < got.indexOf("/fast"));
 }
 
+// Guards against a process that ends when nothing is in flight, and takes responses with it that it has not written to their connections yet.
+BOOST_AUTO_TEST_CASE(aResponseIsInFlightUntilItIsWritten)
+{
+    std::vector<HttpRespond> waiting;
+    HttpServer server(
+        [&waiting](const HttpRequest & /*request*/, const HttpRespond &respond) {
+            waiting.push_back(respond);
+        },
+        HttpLimits {});
+    const auto port = server.listenOn(QHostAddress(QHostAddress::LocalHost), 0);
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(port));
+    socket.write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    BOOST_REQUIRE(waitFor([&]() {
+        return waiting.size() == 1;
+    }));
+    BOOST_TEST(server.inFlight() == 1);
+    HttpResponse response;
+    response.body = "answer";
+    waiting.front()(response);
+    BOOST_TEST(server.inFlight() == 1);
+    QByteArray got;
+    BOOST_TEST(waitFor([&]() {
+        got += socket.readAll();
+        return got.endsWith("answer");
+    }));
+    BOOST_TEST(server.inFlight() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(aPostIsSentOnlyOnceWhenTheServerClosesTheConnection)
 {
     // This server reads requests and closes the connection without a response.
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MaxFaultMs = 3500;
 constexpr std::size_t MaxFaultGapMs = 1200;
 constexpr Millis StoreDelay {250};
+// Records in a page of the platform's store.
+constexpr std::size_t StorePageSize = 500;
 constexpr Millis WorkerDelay {120};
 constexpr Millis WarmUp {1500};
 // Runs of cancelled jobs must have ended this long after all other jobs have completed.
@@ -23,6 +25,7 @@
 constexpr std::size_t SeriesOneIn = 4;
 constexpr std::size_t MaxSeriesLength = 8;
 constexpr std::size_t MaxSeriesGapMs = 400;
+constexpr Millis ChangeInterval {330};
 
 } // namespace
 
@@ -34,6 +37,7 @@
 {
     // Runs a copy of the program: a build that replaces the program during the soak would make starts fail, which looks like a crash.
     QFile::copy(QLatin1String(MARJORAMHAVEN_BINARY), m_folder.filePath(QLatin1String("marjoramhaven")));
+    m_platform.newestPageSize = StorePageSize;
     m_platform.onRunEvent = [this](const RunEvent &event) {
         m_checker.handleRunEvent(event);
     };
@@ -279,6 +283,11 @@
         return Millis(static_cast<std::int64_t>(randomBelow(bound)));
     };
     std::vector<std::pair<Millis, SoakFault>> out;
+    if (m_options.hasFrequentChanges) {
+        for (Millis at {0}; at < m_options.faultPeriod; at += ChangeInterval) {
+            out.emplace_back(at, SoakFault::LargeConfigurationChanged);
+        }
+    }
     for (auto at = randomPause(MaxFaultGapMs); at < m_options.faultPeriod; at += randomPause(MaxFaultGapMs)) {
         const auto fault = rows[randomBelow(std::size(rows))].value;
         const auto count = randomBelow(SeriesOneIn) == 0 ? 2 + randomBelow(MaxSeriesLength - 1) : 1;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -44,6 +44,8 @@
     std::uint64_t seed = 1;
     int nodes = 4;
     int workers = 6;
+    /// Whether a large configuration changes several times a second all the time, beside the other faults.
+    bool hasFrequentChanges = false;
     /// Faults are injected for this long.
     Millis faultPeriod {10'000};
     /// Accepted jobs must complete within this time after the last fault was injected.
--- a/tests/soak/SoakOperator.h
+++ b/tests/soak/SoakOperator.h
@@ -26,8 +26,8 @@
 public:
     SoakOperator(WireStandIn &platform, SoakChecker &checker, std::vector<int> ports, std::uint64_t seed);
 
-    /// Writes a new version: adds a queue, and drops the oldest added one when there are several. A large one has so many further queues that a slow link
-    /// takes long for it.
+    /// Writes a new version: adds a queue, and drops those that were added a while ago. A large one has so many further queues that a slow link takes long
+    /// for it.
     void changeConfiguration(bool isLarge);
     /// Starts to send requests.
     void start();
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -24,6 +24,8 @@
     2,
     // Tasks ran twice: a start request reached the next incarnation of a worker that had restarted twice within 3 s, and was taken for one of the old incarnation.
     30,
+    // Queues added more than 2.5 s before were denied by processes that the log did not answer, while a large configuration changed three times a second.
+    104,
 };
 
 void runSoak(std::uint64_t seed, Millis faultPeriod)
@@ -31,6 +33,7 @@
     SoakOptions options;
     options.seed = seed;
     options.faultPeriod = faultPeriod;
+    options.hasFrequentChanges = seed % 2 == 0;
     options.nodes = static_cast<int>(environmentNumber("SOAK_NODES", options.nodes));
     options.workers = static_cast<int>(environmentNumber("SOAK_WORKERS", options.workers));
     Soak soak(options);
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -30,6 +30,8 @@
     /// Writes a configuration with a queue for each path prefix under a host name, and a number of further queues, each under a prefix of its own. With
     /// `needsAdvice`, the first queue's steps run only on workers that the advisor allows.
     void putConfiguration(std::int64_t version, const std::string &host, const std::vector<std::string> &prefixes, bool needsAdvice, int furtherQueues = 0);
+    /// Maximum number of records in a page of the newest ones. Small, so that short tests read several pages.
+    std::size_t newestPageSize = 3;
     /// Appends a record to a topic of the store, as an operator or a worker does. Without a value, the record deletes the key.
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
     /// Takes the store down or up. While it is down, every call to it gets status 503.
