Prove nothing by a configuration that can't be read

Cause: when the newest configuration in the log could not be read, reading it counted as proof that none is newer than the one in force, and queues of the newer one were denied with 404.

Change: while the newest configuration in the log is unreadable, no proof is noted, so that such queues get 503 once the last proof has expired.

Figures: unknownQueueIsNotDeniedWhileTheNewestConfigurationIsUnreadable failed without the condition and passes.

Conclusion: a proof now says that the newest version is the one in force.

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -73,7 +73,8 @@
     // Returns the time since the log last proved that there was no newer configuration, in milliseconds; -1 if it never did.
     std::int64_t configurationProofAgeMs(TimePoint now) const;
     void handleOperatorRecords(const std::vector<KeyedRecord> &records);
-    void applyConfiguration(const std::string &text, const std::string &source);
+    // Puts a configuration in force unless it is older than the one in force. Returns false if it can't be read.
+    bool applyConfiguration(const std::string &text, const std::string &source);
     void handleHeartbeat(const std::string &from, const FleetHeartbeatMessage &heartbeat);
     void sendHeartbeats();
     void registerSelf();
@@ -131,6 +132,8 @@
     RecordWriter m_writer;
     QTimer m_ticker;
     ConfigurationState m_configuration;
+    /// Whether the newest configuration in the log can't be read, so that the one in force is not the newest.
+    bool m_isNewestUnreadable = false;
     ConfigurationCopyPolicy m_configurationCopies;
     /// Other registered processes, with the time at which each was last linked or registered.
     std::map<std::string, TimePoint> m_unlinkedSince;
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -198,10 +198,11 @@
 {
     for (const auto &it : records) {
         if (it.key == m_platform.configurationKey && it.value) {
-            applyConfiguration(*it.value, "log");
+            m_isNewestUnreadable = !applyConfiguration(*it.value, "log");
         }
     }
-    if (const auto at = m_operatorFollower.currentAsOf()) {
+    const auto at = m_operatorFollower.currentAsOf();
+    if (at && !m_isNewestUnreadable) {
         m_configuration.noteProof(*at);
     }
 }
@@ -212,19 +213,19 @@
     return age ? age->count() : -1;
 }
 
-void FleetNode::applyConfiguration(const std::string &text, const std::string &source)
+bool FleetNode::applyConfiguration(const std::string &text, const std::string &source)
 {
     if (text == m_configuration.text()) {
-        return;
+        return true;
     }
     auto configuration = m_platform.decodeConfiguration(text);
     if (!configuration) {
         m_events.write("configuration_unreadable", {{"source", source}, {"reason", lastReason()}});
-        return;
+        return false;
     }
     const auto previous = m_configuration.version();
     if (!m_configuration.apply(std::move(*configuration), text, source)) {
-        return;
+        return true;
     }
     m_events.write("configuration_in_force",
                    {{"version", m_configuration.version()},
@@ -235,6 +236,7 @@
     if (m_planner) {
         m_planner->configurationChanged(*this->configuration());
     }
+    return true;
 }
 
 void FleetNode::handleLeadershipRecords(const std::vector<KeyedRecord> &records)
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr char ConfigurationKey[] = "config";
+constexpr char UnreadableText[] = "unreadable";
 constexpr Millis Budget {3000};
 
 // Confirms every start at once and never ends a run.
@@ -109,8 +110,8 @@
                                       workers,
                                       advisor,
                                       testWorker,
-                                      [](const std::string & /*text*/) {
-                                          return std::optional(testConfiguration());
+                                      [](const std::string &text) {
+                                          return text == UnreadableText ? std::nullopt : std::optional(testConfiguration());
                                       },
                                       ConfigurationKey};
         node = std::make_unique<FleetNode>(settings, platform, events, metrics);
@@ -341,6 +342,26 @@
         5000));
 }
 
+// Guards against a 404 for a queue of a configuration that this process has received but can't read.
+BOOST_AUTO_TEST_CASE(unknownQueueIsNotDeniedWhileTheNewestConfigurationIsUnreadable)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    Node process(log);
+    const auto waitForOutcome = [&process](RouteOutcome outcome, int withinMs) {
+        return waitFor(
+            [&process, outcome]() {
+                return process.node->route("h", "/new/1", monotonicNow()).outcome == outcome;
+            },
+            withinMs);
+    };
+    BOOST_REQUIRE(waitForOutcome(RouteOutcome::NoSuchQueue, 2000));
+    log.put(StateTopic::Operator, ConfigurationKey, UnreadableText);
+    BOOST_TEST(waitForOutcome(RouteOutcome::Unproven, static_cast<int>(process.settings.bounds.configurationApply.count()) + 1500));
+    log.put(StateTopic::Operator, ConfigurationKey, "2");
+    BOOST_TEST(waitForOutcome(RouteOutcome::NoSuchQueue, 2000));
+}
+
 // Guards against requests that are served by a configuration which is known to have been replaced, and may have dropped their queue.
 BOOST_AUTO_TEST_CASE(requestsAreRefusedWhenANewerConfigurationHasBeenKnownForTooLong)
 {
