--- a/include/marjoramhaven/fleetnode/TopicFollower.h
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -26,8 +26,9 @@
 /// Follows one topic of the log: loads the newest record of each key, then reads new records until it is stopped.
 ///
 /// When the platform has deleted the records that would come next, the follower loads the topic again and reports keys that are gone as dropped. At most one
-/// call that carries records is in flight, and one more for refresh(), so that the follower never competes with itself for a slow link. While the log does not answer, the follower sends
-/// probes without records in parallel, so that it notices that the log is back before an old call times out. Belongs to the thread that created it.
+/// call that carries records is in flight, and one more for refresh(), so that the follower never competes with itself for a slow link. While the log does not
+/// answer, the follower sends probes without records in parallel, so that it notices that the log is back before an old call times out. Belongs to the thread
+/// that created it.
 class TopicFollower : public QObject
 {
     Q_OBJECT
--- a/tests/adapter/ClientApiServerTest.cpp
+++ b/tests/adapter/ClientApiServerTest.cpp
@@ -16,10 +16,7 @@
 class UnansweringService : public JobService
 {
 public:
-    RouteResult route(const std::string & /*host*/, const std::string & /*path*/, TimePoint /*now*/) override
-    {
-        return {RouteOutcome::Found, &m_queue};
-    }
+    RouteResult route(const std::string & /*host*/, const std::string & /*path*/, TimePoint /*now*/) override { return {RouteOutcome::Found, &m_queue}; }
     void submit(FleetJobRequest /*request*/, Millis /*budget*/, std::function<void(const SubmitResult &)> done) override { done({}); }
     void query(const std::string & /*job*/, Millis budget, std::function<void(const QueryResult &)> done) override
     {
--- a/tests/fleet/PlannerTest.cpp
+++ b/tests/fleet/PlannerTest.cpp
@@ -193,8 +193,8 @@
     expectNoViolations(fleet);
 }
 
-// Guards against tasks that run twice when a worker restarts twice within seconds: a start request that was answered by the new incarnation was taken for one that
-// ended with the old incarnation.
+// Guards against tasks that run twice when a worker restarts twice within seconds: a start request that was answered by the new incarnation was taken for one
+// that ended with the old incarnation.
 BOOST_AUTO_TEST_CASE(runStartedByTheNextIncarnationOfAWorkerIsNotStartedElsewhere)
 {
     constexpr int RestartCount = 200;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -7,12 +7,12 @@
 #include <utility>
 #include <vector>
 
-#include "support/FaultProxy.h"
 #include "NodeProcess.h"
 #include "SoakCallers.h"
 #include "SoakChecker.h"
 #include "SoakOperator.h"
 #include "marjoramhaven/base/EnumNames.h"
+#include "support/FaultProxy.h"
 
 namespace marjoramhaven::test {
 
--- a/tests/soak/SoakOperator.cpp
+++ b/tests/soak/SoakOperator.cpp
@@ -114,7 +114,8 @@
         return;
     }
     ++m_checkedCount;
-    const auto request = it.prefix + " at process " + std::to_string(node) + ", sent " + std::to_string((sentAt - it.addedAt).count()) + " ms after its version";
+    const auto request =
+        it.prefix + " at process " + std::to_string(node) + ", sent " + std::to_string((sentAt - it.addedAt).count()) + " ms after its version";
     if (status == StatusNotFound && !it.droppedAt) {
         if (sentAt > it.addedAt + ApplyWithin) {
             m_checker.addViolation("a queue was denied as only an older version allows (status 404): " + request);
--- a/tests/soak/SoakOperator.h
+++ b/tests/soak/SoakOperator.h
@@ -17,8 +17,8 @@
 /// Changes the configuration as an operator does, asks processes directly for the pending jobs of queues that were added or dropped, and checks that each
 /// answers as the version in force requires.
 ///
-/// A 404 for a queue that was added in time is a violation whatever faults the process has. An answer for a dropped queue is one only if the process and the log
-/// were undisturbed, since a process that is cut off may go on serving what it knows.
+/// A 404 for a queue that was added in time is a violation whatever faults the process has. An answer for a dropped queue is one only if the process and the
+/// log were undisturbed, since a process that is cut off may go on serving what it knows.
 class SoakOperator : public QObject
 {
     Q_OBJECT
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -22,7 +22,8 @@
     130,
     // Requests were cut off by a process that had got SIGTERM: it read new ones on open connections until its end, while the log did not answer.
     2,
-    // Tasks ran twice: a start request reached the next incarnation of a worker that had restarted twice within 3 s, and was taken for one of the old incarnation.
+    // Tasks ran twice: a start request reached the next incarnation of a worker that had restarted twice within 3 s, and was taken for one of the old
+    // incarnation.
     30,
     // Queues added more than 2.5 s before were denied by processes that the log did not answer, while a large configuration changed three times a second.
     104,
@@ -38,9 +39,8 @@
     options.workers = static_cast<int>(environmentNumber("SOAK_WORKERS", options.workers));
     Soak soak(options);
     const auto violations = soak.run();
-    BOOST_TEST_MESSAGE("seed " << seed << ": " << soak.accepted() << " jobs accepted, " << soak.startCount() << " runs, "
-                               << soak.checkedConfigurationCount() << " answers checked against the configuration, " << soak.injected().size()
-                               << " faults");
+    BOOST_TEST_MESSAGE("seed " << seed << ": " << soak.accepted() << " jobs accepted, " << soak.startCount() << " runs, " << soak.checkedConfigurationCount()
+                               << " answers checked against the configuration, " << soak.injected().size() << " faults");
     BOOST_TEST(violations.empty());
     BOOST_TEST(soak.accepted() > 0);
     BOOST_TEST(soak.checkedConfigurationCount() > 0);
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -219,7 +219,8 @@
         respond(newest(request));
     } else if (request.path == "/v1/log-read") {
         const auto wait = Millis(numberOf(request, "wait-ms", 0));
-        m_pendingReads.push_back({queryOf(request, "topic"), numberOf(request, "from", 0), numberOf(request, "max-kb", 1024) << 10, monotonicNow() + wait, std::move(respond)});
+        m_pendingReads.push_back(
+            {queryOf(request, "topic"), numberOf(request, "from", 0), numberOf(request, "max-kb", 1024) << 10, monotonicNow() + wait, std::move(respond)});
         answerDueRequests();
     } else {
         respond(json(404, Json::object()));
