Tests: share the steps that lose the log and link a peer

Cause: three cases of the follower and two of the process repeated the same steps.

Change: FollowedTopic::loseLog() and linkAsPeer(); the checks are the same.

Conclusion: only tests are touched.

--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -147,6 +147,14 @@
     }
 };
 
+// Opens a link to a process, as a peer that sends nothing by itself.
+void linkAsPeer(QTcpSocket &peer, const Node &process)
+{
+    peer.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(process.settings.peers.port));
+    BOOST_REQUIRE(peer.waitForConnected(1000));
+    peer.write(encodeFrame(HelloMessage {WireVersion, "peer", "z"}));
+}
+
 // A planner that writes heartbeats to the log but accepts no links, as behind a network partition.
 struct UnreachablePlanner {
     MemoryLog &log;
@@ -317,9 +325,7 @@
     log.put(StateTopic::Operator, ConfigurationKey, "1");
     Node process(log);
     QTcpSocket peer;
-    peer.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(process.settings.peers.port));
-    BOOST_REQUIRE(peer.waitForConnected(1000));
-    peer.write(encodeFrame(HelloMessage {WireVersion, "peer", "z"}));
+    linkAsPeer(peer, process);
     const auto frame = encodeFrame(FleetConfigurationMessage {std::string(1000, 'x')});
     qsizetype sent = 0;
     QTimer drip;
@@ -369,9 +375,7 @@
     log.put(StateTopic::Operator, ConfigurationKey, "1");
     Node process(log);
     QTcpSocket peer;
-    peer.connectToHost(QHostAddress(QHostAddress::LocalHost), static_cast<quint16>(process.settings.peers.port));
-    BOOST_REQUIRE(peer.waitForConnected(1000));
-    peer.write(encodeFrame(HelloMessage {WireVersion, "peer", "z"}));
+    linkAsPeer(peer, process);
     FleetHeartbeatMessage heartbeat;
     heartbeat.configurationVersion = testConfiguration().version + 1;
     peer.write(encodeFrame(heartbeat));
--- a/tests/fleetnode/TopicFollowerTest.cpp
+++ b/tests/fleetnode/TopicFollowerTest.cpp
@@ -31,6 +31,17 @@
         follower.start();
     }
 
+    // Lets the log leave calls unanswered until the follower has noticed.
+    void loseLog()
+    {
+        log.isUnresponsive = true;
+        BOOST_REQUIRE(waitFor(
+            [this]() {
+                return !isReachable;
+            },
+            4000));
+    }
+
     bool waitForKeys(std::size_t count, int withinMs)
     {
         return waitFor(
@@ -51,12 +62,7 @@
     FollowedTopic topic;
     topic.log.put(StateTopic::Jobs, "a", "1");
     BOOST_REQUIRE(topic.waitForKeys(1, 1000));
-    topic.log.isUnresponsive = true;
-    BOOST_REQUIRE(waitFor(
-        [&topic]() {
-            return !topic.isReachable;
-        },
-        4000));
+    topic.loseLog();
     waitFor(
         []() {
             return false;
@@ -83,12 +89,7 @@
     FollowedTopic topic;
     topic.log.put(StateTopic::Jobs, "a", "1");
     BOOST_REQUIRE(topic.waitForKeys(1, 1000));
-    topic.log.isUnresponsive = true;
-    BOOST_REQUIRE(waitFor(
-        [&topic]() {
-            return !topic.isReachable;
-        },
-        4000));
+    topic.loseLog();
     topic.log.readDelays[StateTopic::Jobs] = Millis(1000);
     topic.log.put(StateTopic::Jobs, "b", "1");
     topic.log.mostReadsInFlight = 0;
@@ -135,12 +136,7 @@
     FollowedTopic topic(CatchUp::SkipToNewest);
     topic.log.put(StateTopic::Jobs, "a", "1");
     BOOST_REQUIRE(topic.waitForKeys(1, 1000));
-    topic.log.isUnresponsive = true;
-    BOOST_REQUIRE(waitFor(
-        [&topic]() {
-            return !topic.isReachable;
-        },
-        4000));
+    topic.loseLog();
     for (int i = 0; i < 12; ++i) {
         topic.log.put(StateTopic::Jobs, "a", std::to_string(i));
     }
