--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -1,8 +1,11 @@
 #include <boost/test/unit_test.hpp>
 
+#include <QFile>
+#include <csignal>
 #include <cstdlib>
 
 #include "Soak.h"
+#include "support/Events.h"
 
 using namespace marjoramhaven;
 using namespace marjoramhaven::test;
@@ -81,4 +84,22 @@
     }
 }
 
+// Guards against a process that a change of its settings ends: SIGHUP arrives before the process has installed its handler. Found by seed 1019.
+BOOST_AUTO_TEST_CASE(reloadSignalDuringTheStartDoesNotEndTheProcess)
+{
+    constexpr int SettleMs = 1000;
+    WireStandIn platform(1);
+    const QTemporaryDir folder;
+    QFile::copy(QLatin1String(MARJORAMHAVEN_BINARY), folder.filePath(QLatin1String("marjoramhaven")));
+    NodeProcess process(folder.path(), "node", platform.storePort(), platform.advisorPort());
+    process.start();
+    process.signal(SIGHUP);
+    waitFor(
+        []() {
+            return false;
+        },
+        SettleMs);
+    BOOST_TEST(!process.hasEndedUnexpectedly());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
