Test: end leases on the worker's clock, not at a fixed reading

Cause: longListOfEndedRunsIsReadOverASlowLink gave its runs a lease that ended when the stand-in's clock, which counts from the start of the machine, read 1,000 s.

Change: the lease ends 10 s after the worker's present reading. The checks are the same. A fake queue is built without warnings.

Conclusion: the failure was the test's own.

--- a/tests/adapter/ClientApiServerTest.cpp
+++ b/tests/adapter/ClientApiServerTest.cpp
@@ -16,6 +16,8 @@
 class UnansweringService : public JobService
 {
 public:
+    UnansweringService() { m_queue.prefix = "/q/"; }
+
     RouteResult route(const std::string & /*host*/, const std::string & /*path*/, TimePoint /*now*/) override { return {RouteOutcome::Found, &m_queue}; }
     void submit(FleetJobRequest /*request*/, Millis /*budget*/, std::function<void(const SubmitResult &)> done) override { done({}); }
     void query(const std::string & /*job*/, Millis budget, std::function<void(const QueryResult &)> done) override
@@ -32,7 +34,7 @@
 
 private:
     QObject m_context;
-    QueuePolicy m_queue {.prefix = "/q/"};
+    QueuePolicy m_queue;
 };
 
 struct Fixture {
--- a/tests/adapter/SlowLinkTest.cpp
+++ b/tests/adapter/SlowLinkTest.cpp
@@ -128,13 +128,15 @@
     platform::HttpWorkerClient workers {httpClient};
     auto target = platform.worker(0).report();
     target.port = link.port();
+    constexpr std::int64_t LeaseMs = 10'000;
+    const auto leaseUntilMs = platform.worker(0).reportAt(monotonicNow()).clockMs + LeaseMs;
     int started = 0;
     for (int i = 0; i < RunCount; ++i) {
         StartRunRequest request;
         request.worker = {target.id, target.host, target.port};
         request.task = {std::string(300, 'a'), 0, 0, i};
         request.attempt = 1;
-        request.leaseUntilMs = 1'000'000;
+        request.leaseUntilMs = leaseUntilMs;
         request.fencingToken = 1;
         workers.start(request, Millis(5000), [&started](const WorkerResponse &answer) {
             started += answer.outcome == WorkerCallOutcome::Done ? 1 : 0;
