Let lists of workers prove only what they can prove

Causes: (1) a list of a worker's runs that lacked a run was taken as proof that the run had ended if the poll was not sent earlier than the answer to the start had arrived, in milliseconds: a list made before the start, under way in the same millisecond as its answer, started the task again elsewhere while it ran. The answer to a stop had the same fault. (2) A list whose end is cut off at the worker's limit, or has an unreadable row, proved the same. (3) A run counted as stuck after some seconds on the planner's clock, so a planner or a worker that had been paused stopped all runs when it resumed. (4) An entry in the platform's list with a later start time, or with another address, ended all runs of its worker, although anybody may write entries.

Changes: the planner numbers its own events, and only a poll sent after the last answer about a run proves its absence; incomplete lists prove nothing; a stuck run needs the worker's own clock to have advanced; the worker's own list, not an entry, ends the runs of an earlier incarnation, and an entry that can't be read or contradicts its worker stops new runs there only.

A preempted task also waits 200 ms, and twice as long after each further preemption, before it starts again: it was placed again at once where it had just been preempted, three times within 0.4 s.

--- a/include/marjoramhaven/fleet/FleetClients.h
+++ b/include/marjoramhaven/fleet/FleetClients.h
@@ -100,6 +100,8 @@
     std::int64_t acknowledged = 0;
     /// How long the worker may hold back its answer while no run ends.
     Millis wait {0};
+    /// Position of the request among the planner's own events. Not sent to the worker.
+    std::int64_t sequence = 0;
 };
 
 /// A worker's answer to a request to start, stop or slow down a run.
@@ -162,6 +164,8 @@
     std::int64_t startedUnixMs = 0;
     std::vector<RunningRunInfo> running;
     std::vector<EndedRunInfo> ended;
+    /// False if the worker may have runs, or ends of runs, that the lists lack. The absence of a run then proves nothing.
+    bool isComplete = true;
     std::string reason;
 };
 
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -76,6 +76,8 @@
     RunState state = RunState::Planned;
     /// When the run entered this state.
     TimePoint stateSince {};
+    /// Position among the planner's own events at which the run entered this state. Only a list that was requested after it can prove that the run is gone.
+    std::int64_t stateSequence = 0;
     /// Whether the worker has listed the run. An answer to the start request alone does not tell which incarnation of the worker gave it.
     bool isListed = false;
     std::string ticket;
@@ -83,6 +85,8 @@
     /// Progress in percent as the worker last reported it; 100 for a long-running task that is fully serving.
     int percent = 0;
     TimePoint percentChangedAt {};
+    /// The worker's clock in its first list with this percentage, in milliseconds; 0 before the first list.
+    std::int64_t percentChangedClockMs = 0;
     /// See RunningRunInfo::usage.
     double usage = 0;
     /// Speed limit that the worker has confirmed, in percent of full speed.
@@ -92,7 +96,8 @@
     StopReason stopReason = StopReason::None;
     bool isStopInFlight = false;
     bool isStopAnswered = false;
-    TimePoint stopAnsweredAt {};
+    /// Position among the planner's own events of the answer to the stop request.
+    std::int64_t stopAnsweredSequence = 0;
     TimePoint nextStopAt {};
 };
 
@@ -163,6 +168,8 @@
     void jobCancelled(const std::string &job, TimePoint now);
     /// Adds a worker or updates its description.
     void workerReported(const WorkerReport &report, TimePoint now);
+    /// Records that the entry of a worker can't be read. The worker gets no new runs until a readable entry arrives; its current runs go on.
+    void workerEntryUnreadable(const std::string &worker, TimePoint now);
     /// Records that the platform's list no longer contains a worker.
     void workerUnlisted(const std::string &worker, TimePoint now);
     /// Applies a new configuration to all jobs.
@@ -177,8 +184,7 @@
     void handleStartResponse(const StartRunRequest &request, const WorkerResponse &response, TimePoint now);
     void handleStopResponse(const StopRunRequest &request, const WorkerResponse &response, TimePoint now);
     void handleThrottleResponse(const ThrottleRunRequest &request, const WorkerResponse &response, TimePoint now);
-    /// Handles the answer to a poll that was sent at `sentAt`.
-    void handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint sentAt, TimePoint now);
+    void handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint now);
     void handleAdviceResponse(const AdviceRequest &request, const AdviceResponse &response, TimePoint now);
 
     /// Returns the changes to store next, or an empty batch if there are none. The previous batch must have been stored.
@@ -224,6 +230,8 @@
     void releaseIfIdle(FleetJob &job);
     // FleetPlannerRuns.cpp: life cycle of runs
     FleetRun *findRun(const RunKey &key);
+    // Enters a state; the lists of polls that were sent before prove nothing about the run any more.
+    void setState(FleetRun &run, RunState state, TimePoint now);
     FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now);
     void sendStart(FleetRun &run, TimePoint now);
     void requestStop(FleetRun &run, StopReason reason, TimePoint now);
@@ -240,9 +248,11 @@
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker);
-    void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, TimePoint sentAt, TimePoint now);
+    void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
     void reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now);
-    void reconcileMissingRun(FleetWorker &worker, FleetRun &run, TimePoint sentAt, TimePoint now);
+    void reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now);
+    // Returns true if an entry names another address or service for the incarnation that the worker itself has confirmed.
+    static bool contradicts(const WorkerReport &report, const FleetWorker &worker);
     void sendPollIfDue(FleetWorker &worker, TimePoint now);
     // FleetPlannerMonitoring.cpp: periodic checks of workers and runs
     void checkWorker(FleetWorker &worker, TimePoint now);
@@ -293,6 +303,8 @@
     std::map<RunKey, FleetRun> m_runs;
     std::map<std::string, FleetWorker> m_workers;
     AdviceCache m_advice;
+    /// Number of the planner's own events so far: polls sent, and changes of runs that answers caused. Unlike times, it is never equal for two events.
+    std::int64_t m_sequence = 0;
     std::int64_t m_batchNumber = 0;
     std::unique_ptr<Batch> m_batch;
     bool m_hasUnstoredEnds = false;
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -67,6 +67,8 @@
     WorkerReport report;
     /// True while the platform's list contains the worker.
     bool isListed = false;
+    /// True while the newest entry under the worker's id can't be read or contradicts what the worker says of itself.
+    bool isEntryUnreadable = false;
     /// When the worker disappeared from the platform's list.
     TimePoint unlistedSince {};
     /// Start of the incarnation that last listed its runs, in milliseconds since the Unix epoch; 0 before the first list.
@@ -79,7 +81,11 @@
     /// Polls without an answer since the last answered one.
     int failedPolls = 0;
     bool isPollInFlight = false;
+    /// PollWorkerRequest::sequence of the newest poll; answers to earlier ones are ignored.
+    std::int64_t pollSequence = 0;
     TimePoint nextPollAt {};
+    /// The worker's clock in its newest list, in milliseconds; 0 before the first list of this incarnation.
+    std::int64_t lastListClockMs = 0;
     /// Number of the last ended run that is stored; the worker may discard ended runs up to it.
     std::int64_t lastStoredEnd = 0;
     /// Number of the last ended run that the planner has processed.
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -13,6 +13,8 @@
 constexpr double StuckShareOfEstimate = 0.35;
 // Progress in percent becomes visible in steps of this length, so the limit is extended by it.
 constexpr Millis ProgressGranularity {100};
+// A list is held back for up to a second, so the worker's clock in the newest list lags behind by that much.
+constexpr Millis MaxListAge {1000};
 constexpr Millis FailureWindow {10000};
 // Time reserved for a draining worker to report the ends of the runs that are stopped on it.
 constexpr Millis DrainMargin {800};
@@ -67,7 +69,8 @@
     if (worker.report.isDraining) {
         stopRunsOnDrainingWorker(worker, now);
     }
-    if (!worker.isListed && worker.allocations.empty() && now - worker.unlistedSince > UnlistedRetention && !worker.isPollInFlight) {
+    const bool isUnlisted = !worker.isListed || worker.isEntryUnreadable;
+    if (isUnlisted && worker.allocations.empty() && now - worker.unlistedSince > UnlistedRetention && !worker.isPollInFlight) {
         m_workers.erase(id);
     }
 }
@@ -84,7 +87,9 @@
         return;
     }
     const auto limit = std::max(StuckAfter, Millis(static_cast<std::int64_t>(static_cast<double>(spec.estimateMs) * StuckShareOfEstimate)));
-    if (now - run.percentChangedAt > limit + ProgressGranularity) {
+    // The worker's own clock must have advanced without progress too: this process or the worker may have been paused, or its lists delayed.
+    const Millis observed(run.percentChangedClockMs == 0 ? 0 : worker.lastListClockMs - run.percentChangedClockMs);
+    if (now - run.percentChangedAt > limit + ProgressGranularity && observed >= limit - MaxListAge) {
         auto &failing = findOrCreateWorker(run.worker);
         failing.recentFailures.emplace_back(now, job->id());
         failing.avoidUntil = std::max(failing.avoidUntil, now + StuckAfter);
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -115,7 +115,7 @@
 bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now)
 {
     const bool isListed = worker.isListed || (worker.unlistedSince != TimePoint {} && now - worker.unlistedSince < UnlistedGracePeriod);
-    return isListed && worker.isInventoried && worker.failedPolls == 0 && !worker.report.isDraining && worker.avoidUntil <= now
+    return isListed && !worker.isEntryUnreadable && worker.isInventoried && worker.failedPolls == 0 && !worker.report.isDraining && worker.avoidUntil <= now
         && worker.startedUnixMs == worker.report.startedUnixMs;
 }
 
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -15,6 +15,9 @@
 // A worker that fails runs of this many jobs, with no completed run in between, gets no new runs for a while.
 constexpr std::size_t FailedJobsToAvoid = 2;
 constexpr Millis AvoidAfterFailures {4000};
+// While urgent tasks keep arriving, a preempted task that starts again at once is soon preempted again and only wastes its start and its stop.
+constexpr Millis PauseAfterPreemption {200};
+constexpr int MaxPreemptionPauseDoublings = 3;
 
 } // namespace
 
@@ -24,13 +27,20 @@
     return it == m_runs.end() ? nullptr : &it->second;
 }
 
+void FleetPlanner::setState(FleetRun &run, RunState state, TimePoint now)
+{
+    run.state = state;
+    run.stateSince = now;
+    run.stateSequence = ++m_sequence;
+}
+
 FleetRun &FleetPlanner::createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now)
 {
     FleetRun run;
     run.key = {task.id, attempt};
     run.worker = worker.report.id;
     run.workerStartedUnixMs = worker.startedUnixMs;
-    run.stateSince = now;
+    setState(run, RunState::Planned, now);
     run.percentChangedAt = now;
     run.checkpoint = task.checkpoint;
     task.lastAttempt = attempt;
@@ -65,8 +75,7 @@
         discardUnstartedRun(RunKey(run.key), "its ticket expired before the start request was sent", Millis(0), now);
         return;
     }
-    run.state = RunState::Starting;
-    run.stateSince = now;
+    setState(run, RunState::Starting, now);
     StartRunRequest request;
     request.worker = worker.target();
     request.task = run.key.task;
@@ -106,14 +115,12 @@
     switch (response.outcome) {
     case WorkerCallOutcome::Done:
         // A worker that has restarted lists the run in its new incarnation or not at all.
-        run->state = isOtherIncarnation ? RunState::Unconfirmed : RunState::Running;
-        run->stateSince = now;
+        setState(*run, isOtherIncarnation ? RunState::Unconfirmed : RunState::Running, now);
         run->percentChangedAt = now;
         return;
     case WorkerCallOutcome::Unknown:
         worker.unansweredStarts.emplace_back(now, key);
-        run->state = RunState::Unconfirmed;
-        run->stateSince = now;
+        setState(*run, RunState::Unconfirmed, now);
         worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
         worker.nextPollAt = std::min(worker.nextPollAt, now);
         return;
@@ -221,7 +228,7 @@
     auto &worker = findOrCreateWorker(run->worker);
     if (response.outcome == WorkerCallOutcome::Done) {
         run->isStopAnswered = true;
-        run->stopAnsweredAt = now;
+        run->stopAnsweredSequence = ++m_sequence;
         worker.nextPollAt = std::min(worker.nextPollAt, now);
         return;
     }
@@ -278,6 +285,7 @@
                     {"worker", worker},
                     {"end", std::string(nameOf(end))},
                     {"ran_ms", isKnown ? (now - run->stateSince).count() : std::int64_t(-1)}});
+    const bool isPreempted = isKnown && run->stopReason == StopReason::Preempted;
     if (isKnown) {
         removeRun(key);
     }
@@ -288,6 +296,10 @@
     auto &step = *job->findStep(key.task.occurrence, key.task.step);
     const auto &spec = job->spec(key.task.step);
     markDirty(*job);
+    if (isPreempted) {
+        const auto doublings = std::min(task->preemptionCount++, MaxPreemptionPauseDoublings);
+        task->notBefore = std::max(task->notBefore, now + PauseAfterPreemption * (1 << doublings));
+    }
     if (isKnown && !checkpoint.empty() && !task->isDone) {
         task->checkpoint = checkpoint;
         if (spec.isGang) {
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "FleetPlannerBatch.h"
+#include "marjoramhaven/base/LastReason.h"
 
 namespace marjoramhaven {
 
@@ -31,12 +32,24 @@
     auto &worker = findOrCreateWorker(report.id);
     const bool wasDraining = worker.report.isDraining && worker.isListed;
     const bool isNew = worker.report.host.empty();
-    if (worker.startedUnixMs != 0 && report.startedUnixMs > worker.startedUnixMs) {
-        m_events.write("worker_reborn", {{"worker", report.id}, {"born_ms", report.startedUnixMs}, {"was_born_ms", worker.startedUnixMs}});
-        handleWorkerRestart(worker, report.startedUnixMs, now);
+    if (contradicts(report, worker)) {
+        setLastReason("it names another address or service than the worker itself");
+        workerEntryUnreadable(report.id, now);
+        return;
     }
+    const bool isRestartKnown = worker.report.startedUnixMs == report.startedUnixMs;
     worker.report = report;
     worker.isListed = true;
+    worker.isEntryUnreadable = false;
+    if (worker.startedUnixMs != 0 && report.startedUnixMs > worker.startedUnixMs && !isRestartKnown) {
+        // Anybody may write an entry. What became of the runs is decided by what the worker itself lists, which the old incarnation can't answer any more.
+        m_events.write("worker_reborn", {{"worker", report.id}, {"born_ms", report.startedUnixMs}, {"was_born_ms", worker.startedUnixMs}});
+        // A poll of an incarnation that is not confirmed must not acknowledge ended runs.
+        worker.isInventoried = false;
+        worker.isPollInFlight = false;
+        worker.nextPollAt = now;
+        sendPollIfDue(worker, now);
+    }
     if (report.isDraining && !wasDraining) {
         worker.drainingSince = now;
         m_events.write("worker_draining", {{"worker", report.id}, {"remaining_ms", report.remainingMs}});
@@ -47,6 +60,24 @@
     }
 }
 
+bool FleetPlanner::contradicts(const WorkerReport &report, const FleetWorker &worker)
+{
+    const auto &known = worker.report;
+    const bool isSameIncarnation = worker.startedUnixMs != 0 && known.startedUnixMs == worker.startedUnixMs && report.startedUnixMs <= worker.startedUnixMs;
+    return isSameIncarnation && (report.host != known.host || report.port != known.port || report.service != known.service);
+}
+
+void FleetPlanner::workerEntryUnreadable(const std::string &id, TimePoint now)
+{
+    const auto it = m_workers.find(id);
+    const bool isKnown = it != m_workers.end() && !it->second.report.host.empty();
+    m_events.write("entry_unusable", {{"worker", id}, {"reason", lastReason()}, {"known", static_cast<std::int64_t>(isKnown)}});
+    if (isKnown && !it->second.isEntryUnreadable) {
+        it->second.isEntryUnreadable = true;
+        it->second.unlistedSince = now;
+    }
+}
+
 void FleetPlanner::workerUnlisted(const std::string &id, TimePoint now)
 {
     const auto it = m_workers.find(id);
@@ -69,8 +100,7 @@
         const bool isUnanswered = run != nullptr && (run->state == RunState::Starting || run->state == RunState::Unconfirmed);
         if (startedUnixMs != 0 && (isAnswered || isUnanswered)) {
             if (isAnswered) {
-                run->state = RunState::Unconfirmed;
-                run->stateSince = now;
+                setState(*run, RunState::Unconfirmed, now);
             }
             run->workerStartedUnixMs = startedUnixMs;
             run->isStopAnswered = false;
@@ -92,6 +122,7 @@
     }
     worker.lastStoredEnd = 0;
     worker.lastSeenEnd = 0;
+    worker.lastListClockMs = 0;
     worker.isInventoried = false;
     worker.nextPollAt = now;
     worker.recentFailures.clear();
@@ -141,14 +172,16 @@
     request.leaseUntilMs = hasLease ? worker.lease.grant(m_limits.lease, now) : 0;
     const bool areEndsStored = hasLease && worker.lastSeenEnd == worker.lastStoredEnd;
     request.wait = areEndsStored ? m_limits.pollWait : Millis(0);
+    request.sequence = ++m_sequence;
     worker.isPollInFlight = true;
+    worker.pollSequence = request.sequence;
     m_port.sendPoll(request, request.wait + PollResponseMargin);
 }
 
-void FleetPlanner::handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint sentAt, TimePoint now)
+void FleetPlanner::handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint now)
 {
     const auto it = m_workers.find(request.worker.id);
-    if (it == m_workers.end()) {
+    if (it == m_workers.end() || it->second.pollSequence != request.sequence) {
         return;
     }
     auto &worker = it->second;
@@ -190,7 +223,8 @@
         worker.startedUnixMs = response.startedUnixMs;
     }
     worker.lease.observe(response.workerClockMs, now);
-    reconcileRuns(worker, response, sentAt, now);
+    worker.lastListClockMs = std::max(worker.lastListClockMs, response.workerClockMs);
+    reconcileRuns(worker, response, request.sequence, now);
     if (!worker.isInventoried) {
         worker.isInventoried = true;
         m_events.write("worker_inventory",
@@ -202,7 +236,7 @@
     worker.nextPollAt = worker.lastSeenEnd > worker.lastStoredEnd ? now + PollIntervalWhileStoring : now + PollInterval;
 }
 
-void FleetPlanner::reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, TimePoint sentAt, TimePoint now)
+void FleetPlanner::reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now)
 {
     std::set<RunKey> listed;
     for (const auto &row : response.running) {
@@ -218,6 +252,10 @@
             endRun({row.task, row.attempt}, row.end, row.checkpoint, worker.report.id, now);
         }
     }
+    if (!response.isComplete) {
+        m_events.write("worker_list_incomplete", {{"worker", worker.report.id}, {"reason", response.reason}});
+        return;
+    }
     std::vector<RunKey> absent;
     for (const auto &[key, needs] : worker.allocations) {
         if (!listed.contains(key)) {
@@ -229,7 +267,7 @@
         if (run == nullptr) {
             worker.release(key);
         } else {
-            reconcileMissingRun(worker, *run, sentAt, now);
+            reconcileMissingRun(worker, *run, requestSequence, now);
         }
     }
 }
@@ -246,8 +284,7 @@
         orphan.key = key;
         orphan.worker = worker.report.id;
         orphan.workerStartedUnixMs = worker.startedUnixMs;
-        orphan.state = RunState::Running;
-        orphan.stateSince = now;
+        setState(orphan, RunState::Running, now);
         const bool isKnownStep = job != nullptr && row.task.step >= 0 && row.task.step < static_cast<int>(job->request().steps.size());
         const RunAllocation unknown {worker.report.capacity, 0, false, false, now};
         worker.allocate(key, isKnownStep ? allocationFor(*job, job->spec(row.task.step), now) : unknown);
@@ -266,14 +303,14 @@
         return;
     }
     if (run->state == RunState::Inherited || run->state == RunState::Unconfirmed) {
-        run->state = RunState::Running;
-        run->stateSince = now;
+        setState(*run, RunState::Running, now);
         run->percentChangedAt = now;
     }
     run->isListed = true;
-    if (row.percent != run->percent) {
+    if (row.percent != run->percent || run->percentChangedClockMs == 0) {
+        run->percentChangedAt = row.percent != run->percent ? now : run->percentChangedAt;
+        run->percentChangedClockMs = worker.lastListClockMs;
         run->percent = row.percent;
-        run->percentChangedAt = now;
     }
     run->usage = row.usage;
     if (!row.checkpoint.empty()) {
@@ -285,7 +322,9 @@
     }
 }
 
-void FleetPlanner::reconcileMissingRun(FleetWorker &worker, FleetRun &run, TimePoint sentAt, TimePoint now)
+// Decides what the absence of a run from a worker's lists means. It proves something only if the poll was sent after the last answer about the run arrived:
+// an answer and a list that were under way at the same time may have been made in either order, whatever the times at which they were sent and received.
+void FleetPlanner::reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now)
 {
     const RunKey key = run.key;
     switch (run.state) {
@@ -297,14 +336,14 @@
         discardUnstartedRun(key, "not listed by its worker after the takeover", Millis(0), now);
         return;
     case RunState::Unconfirmed:
-        if (run.isStopAnswered && run.stopAnsweredAt <= sentAt) {
+        if (run.isStopAnswered && run.stopAnsweredSequence < requestSequence) {
             discardUnstartedRun(key, "its start request was not answered and it was stopped", Millis(0), now);
-        } else if (run.stateSince <= sentAt && run.stopReason == StopReason::None) {
+        } else if (run.stateSequence < requestSequence && run.stopReason == StopReason::None) {
             requestStop(run, StopReason::Unanswered, now);
         }
         return;
     case RunState::Running:
-        if (run.stateSince <= sentAt) {
+        if (run.stateSequence < requestSequence) {
             m_events.write("run_vanished", {{"task", key.task.toString()}, {"attempt", key.attempt}, {"worker", worker.report.id}});
             const auto checkpoint = run.checkpoint;
             endRun(key, RunEnd::LeaseExpired, checkpoint, worker.report.id, now);
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -138,7 +138,7 @@
         if (report) {
             m_planner.workerReported(*report, now);
         } else {
-            m_services.events.write("entry_unusable", {{"worker", it.key}, {"reason", lastReason()}});
+            m_planner.workerEntryUnreadable(it.key, now);
         }
     }
     if (!records.empty()) {
@@ -279,10 +279,9 @@
 void PlannerHost::sendPoll(const PollWorkerRequest &request, Millis timeout)
 {
     const std::weak_ptr<bool> alive = m_alive;
-    const auto sentAt = monotonicNow();
-    m_services.workers.poll(request, timeout, [this, alive, request, sentAt](const PollWorkerResponse &answer) {
+    m_services.workers.poll(request, timeout, [this, alive, request](const PollWorkerResponse &answer) {
         if (!alive.expired()) {
-            m_planner.handlePollResponse(request, answer, sentAt, monotonicNow());
+            m_planner.handlePollResponse(request, answer, monotonicNow());
             schedulePlan();
         }
     });
--- /dev/null
+++ b/tests/fleet/EvidenceTest.cpp
@@ -0,0 +1,195 @@
+#include <boost/test/unit_test.hpp>
+
+#include "PlannerScript.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+// Reaches the point at which the task "j.0.0.0" has a start request under way.
+StartRunRequest startTask(PlannerScript &script, std::int64_t estimateMs = 4000)
+{
+    script.submit("j", estimateMs);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    return script.port.starts.front();
+}
+
+} // namespace
+
+// What answers of workers prove, in each order in which they may arrive. Guards against work that is started again elsewhere while it still runs.
+BOOST_AUTO_TEST_SUITE(Evidence)
+
+// The worker made the list before it carried out the start, and both answers arrive within one millisecond.
+BOOST_AUTO_TEST_CASE(listUnderWayWithTheAnswerToAStartDoesNotProveThatTheRunIsGone)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.advance(Millis(25));
+    const auto poll = script.lastPoll(start.worker.id);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.planner.handlePollResponse(poll, script.list(start.worker.id, {}), script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_TEST(script.planner.runCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(listRequestedAfterTheAnswerToAStartProvesThatTheRunIsGone)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.advance(Millis(25));
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {}), script.now);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    BOOST_TEST(script.port.starts.back().attempt == 2);
+}
+
+// The start request was not answered and is carried out just before the stop; the list was made before both.
+BOOST_AUTO_TEST_CASE(listUnderWayWithTheAnswerToAStopDoesNotProveThatTheRunIsGone)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, {}, script.now);
+    script.advance(Millis(25));
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {}), script.now);
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+    script.advance(Millis(25));
+    const auto poll = script.lastPoll(start.worker.id);
+    script.planner.handleStopResponse(script.port.stops.front(), script.done(start.worker.id), script.now);
+    script.planner.handlePollResponse(poll, script.list(start.worker.id, {}), script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    script.advance(Millis(25));
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {}), script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+}
+
+// A worker lists only so many ended runs at a time, and none behind a malformed one.
+BOOST_AUTO_TEST_CASE(incompleteListDoesNotProveThatARunIsGone)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.advance(Millis(25));
+    auto list = script.list(start.worker.id, {});
+    list.isComplete = false;
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), list, script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+}
+
+// The planner's process is paused while lists of the worker are under way.
+BOOST_AUTO_TEST_CASE(pauseOfThePlannerDoesNotMakeARunLookStuck)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.advance(Millis(25));
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+    script.now += Millis(4000);
+    script.planner.tick(0, script.now);
+    BOOST_TEST(script.port.stops.empty());
+}
+
+// The worker's machine is suspended, so neither its clock nor its runs advance, and it lists them again when it resumes.
+BOOST_AUTO_TEST_CASE(pauseOfTheWorkerDoesNotMakeARunLookStuck)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.advance(Millis(25));
+    auto list = script.list(start.worker.id, {{start.task, 1, "", 10, 0}});
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), list, script.now);
+    script.advance(Millis(25));
+    script.now += Millis(4000);
+    list.workerClockMs += 50;
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), list, script.now);
+    script.planner.tick(0, script.now);
+    BOOST_TEST(script.port.stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(runWithoutProgressOnTheWorkersClockIsStopped)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    for (int i = 0; i < 4; ++i) {
+        script.advance(Millis(950));
+        script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+    }
+    script.planner.tick(0, script.now);
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+}
+
+// Another writer leaves an entry with a later start time under the id of a worker that goes on.
+BOOST_AUTO_TEST_CASE(entryAloneDoesNotProveThatAWorkerHasRestarted)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.advance(Millis(25));
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 5, 0}}), script.now);
+    auto entry = script.entry(start.worker.id);
+    entry.startedUnixMs += 1000;
+    script.planner.workerReported(entry, script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    const auto poll = script.lastPoll(start.worker.id);
+    BOOST_TEST(poll.acknowledged == 0);
+    script.planner.handlePollResponse(poll, script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_TEST(script.port.stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(listOfALaterIncarnationEndsTheRunsOfTheEarlierOne)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.advance(Millis(25));
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+    auto entry = script.entry(start.worker.id);
+    entry.startedUnixMs += 1000;
+    script.planner.workerReported(entry, script.now);
+    auto list = script.list(start.worker.id, {});
+    list.startedUnixMs = entry.startedUnixMs;
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), list, script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+}
+
+// An entry names the address of another worker, which would refuse every call.
+BOOST_AUTO_TEST_CASE(entryThatContradictsTheWorkerIsIgnored)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    auto entry = script.entry(start.worker.id);
+    entry.port += 1;
+    script.planner.workerReported(entry, script.now);
+    script.advance(Millis(25));
+    BOOST_TEST(script.lastPoll(start.worker.id).worker.port == entry.port - 1);
+    BOOST_TEST(script.planner.runCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(workerWithAnUnreadableEntryKeepsItsRunsAndGetsNoNewOnes)
+{
+    PlannerScript script(1);
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.planner.workerEntryUnreadable(start.worker.id, script.now);
+    script.submit("k", 1000);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_TEST(script.planner.runCount() == 1U);
+    script.planner.workerReported(script.entry(start.worker.id), script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/FakeFleetPlanner.h
+++ b/tests/fleet/FakeFleetPlanner.h
@@ -149,14 +149,13 @@
     void sendPoll(const PollWorkerRequest &request, Millis timeout) override
     {
         const auto i = indexOf(request.worker.id);
-        const auto sentAt = fleet.m_now;
         const auto process = self();
         const auto isFinished = std::make_shared<bool>(false);
-        const auto finish = [this, process, isFinished, request, sentAt](const PollWorkerResponse &response) {
+        const auto finish = [this, process, isFinished, request](const PollWorkerResponse &response) {
             if (!*isFinished) {
                 *isFinished = true;
-                process->receive([this, request, sentAt, response]() {
-                    planner->handlePollResponse(request, response, sentAt, fleet.m_now);
+                process->receive([this, request, response]() {
+                    planner->handlePollResponse(request, response, fleet.m_now);
                 });
             }
         };
--- /dev/null
+++ b/tests/fleet/PlannerScript.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "marjoramhaven/fleet/FleetPlanner.h"
+
+namespace marjoramhaven::test {
+
+/// Records the planner's requests, so that a test answers them in the order that it needs.
+struct RecordingTransport : public PlannerTransport {
+    std::vector<StartRunRequest> starts;
+    std::vector<StopRunRequest> stops;
+    std::vector<PollWorkerRequest> polls;
+    std::vector<AdviceRequest> advice;
+
+    void sendStart(const StartRunRequest &request, Millis /*timeout*/) override { starts.push_back(request); }
+    void sendStop(const StopRunRequest &request, Millis /*timeout*/) override { stops.push_back(request); }
+    void sendThrottle(const ThrottleRunRequest & /*request*/, Millis /*timeout*/) override { }
+    void sendPoll(const PollWorkerRequest &request, Millis /*timeout*/) override { polls.push_back(request); }
+    void sendAdviceRequest(const AdviceRequest &request) override { advice.push_back(request); }
+    void fencedByWorker(const std::string & /*worker*/) override { }
+};
+
+/// A planner whose workers "w0", "w1", ... answer only what the test says. The workers are listed and inventoried, and each has room for one task.
+class PlannerScript
+{
+public:
+    explicit PlannerScript(int workers = 2)
+    {
+        planner.startPlanning(now);
+        for (int i = 0; i < workers; ++i) {
+            const auto id = "w" + std::to_string(i);
+            planner.workerReported(entry(id), now);
+            planner.tick(0, now);
+            planner.handlePollResponse(lastPoll(id), list(id, {}), now);
+        }
+    }
+
+    /// Moves time on and sends what is due.
+    void advance(Millis time)
+    {
+        now += time;
+        planner.tick(0, now);
+    }
+
+    void submit(const std::string &id, std::int64_t estimateMs)
+    {
+        FleetJobRequest request;
+        request.id = id;
+        request.queue.service = "svc";
+        request.queue.maxAttempts = 3;
+        StepSpec step;
+        step.taskCount = 1;
+        step.needs = {500, 500, 0};
+        step.estimateMs = estimateMs;
+        request.steps.push_back(step);
+        planner.jobAccepted(request, now);
+    }
+
+    /// Places waiting tasks and sends their start requests.
+    void planAndStore()
+    {
+        planner.plan(now);
+        const auto batch = planner.takeBatch(now);
+        planner.batchStored(batch.number, now);
+    }
+
+    WorkerReport entry(const std::string &id) const
+    {
+        WorkerReport out;
+        out.id = id;
+        out.service = "svc";
+        out.host = "127.0.0.1";
+        out.port = 1000 + std::stoi(id.substr(1));
+        out.capacity = {1000, 1000, 0};
+        out.startedUnixMs = 1;
+        return out;
+    }
+
+    PollWorkerRequest lastPoll(const std::string &worker) const
+    {
+        const auto it = std::find_if(port.polls.rbegin(), port.polls.rend(), [&](const PollWorkerRequest &request) {
+            return request.worker.id == worker;
+        });
+        return it == port.polls.rend() ? PollWorkerRequest {} : *it;
+    }
+
+    WorkerResponse done(const std::string & /*worker*/) const { return {WorkerCallOutcome::Done, millisOf(now), "done"}; }
+
+    PollWorkerResponse list(const std::string & /*worker*/, std::vector<RunningRunInfo> running) const
+    {
+        PollWorkerResponse out;
+        out.outcome = WorkerCallOutcome::Done;
+        out.workerClockMs = millisOf(now);
+        out.startedUnixMs = 1;
+        out.running = std::move(running);
+        return out;
+    }
+
+    TimePoint now = atMillis(100'000);
+    EventLog events {"test", -1};
+    RecordingTransport port;
+    FleetPlanner planner {port, events, PlannerLimits {}, 7, now};
+};
+
+} // namespace marjoramhaven::test
