--- a/include/marjoramhaven/config/Settings.h
+++ b/include/marjoramhaven/config/Settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +10,14 @@
 
 namespace marjoramhaven {
 
+inline constexpr int MaxPort = 65535;
+
+/// Returns true for the number of a port that can be connected to.
+constexpr bool isPort(std::int64_t number)
+{
+    return number >= 1 && number <= MaxPort;
+}
+
 /// An IPv4 address and a port.
 struct Address {
     std::string host;
--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -113,6 +113,10 @@
     std::int64_t acceptedUnixMs = 0;
 };
 
+/// Returns true if a job's steps and repetitions are consistent and few enough for a planner to hold; otherwise sets the lastReason(). A request that a caller
+/// sent or that was stored is checked once, so that the planner may rely on it.
+bool isValidRequest(const FleetJobRequest &request);
+
 /// Identifies one task. `occurrence` counts the repetitions of the job, `step` and `index` count its steps and the tasks of a step; all start at 0.
 struct FleetTaskId {
     std::string job;
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t MaxNameBytes = 64;
-constexpr int MaxPort = 65535;
 constexpr std::int64_t MinLeaseMs = 500;
 constexpr std::int64_t MaxLeaseMs = 120'000;
 constexpr std::int64_t MinRenewMs = 50;
@@ -90,7 +89,7 @@
     out.host = text.substr(0, colon);
     bool ok = false;
     out.port = toQt(std::string_view(text).substr(colon + 1)).toInt(&ok);
-    if (!ok || out.port < 1 || out.port > MaxPort) {
+    if (!ok || !isPort(out.port)) {
         setLastReason("must end in a port from 1 to 65535");
         return std::nullopt;
     }
--- a/src/fleet/FleetJob.cpp
+++ b/src/fleet/FleetJob.cpp
@@ -53,6 +53,44 @@
     });
 }
 
+bool isValidRequest(const FleetJobRequest &request)
+{
+    // A planner on a small VM holds the tasks of many jobs.
+    constexpr std::int64_t MaxTasks = 50'000;
+    constexpr std::size_t MaxSteps = 1'000;
+    constexpr std::int64_t MaxMillis = 1LL << 40;
+    constexpr std::int64_t MaxUnixMs = 1LL << 50;
+    const auto reject = [](const char *reason) {
+        setLastReason(reason);
+        return false;
+    };
+    if (request.steps.empty() || request.steps.size() > MaxSteps) {
+        return reject("a job has from 1 to 1000 steps");
+    }
+    std::int64_t tasks = 0;
+    for (std::size_t i = 0; i < request.steps.size(); ++i) {
+        const auto &step = request.steps[i];
+        const auto isEarlier = [i](int it) {
+            return it >= 0 && static_cast<std::size_t>(it) < i;
+        };
+        const auto &needs = step.needs;
+        if (step.taskCount < 1 || step.taskCount > MaxTasks || !std::all_of(step.after.begin(), step.after.end(), isEarlier)) {
+            return reject("a step has no tasks, too many tasks, or depends on a step that is not earlier");
+        }
+        if (std::min({needs.cpuMilli, needs.memoryMb, needs.gpus, step.estimateMs}) < 0 || step.estimateMs > MaxMillis) {
+            return reject("a step's needs or its estimated duration are out of range");
+        }
+        tasks += step.taskCount;
+    }
+    if (request.repeatCount < 0 || request.repeatCount > MaxTasks || tasks * std::max(1, request.repeatCount) > MaxTasks) {
+        return reject("a job has at most 50000 tasks in all its repetitions");
+    }
+    if (request.firstDueUnixMs < 0 || request.firstDueUnixMs > MaxUnixMs || request.repeatIntervalMs < 0 || request.repeatIntervalMs > MaxMillis) {
+        return reject("the due time or the interval of a repeated job is out of range");
+    }
+    return true;
+}
+
 std::string FleetTaskId::toString() const
 {
     return job + "." + std::to_string(occurrence) + "." + std::to_string(step) + "." + std::to_string(index);
--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -12,6 +12,8 @@
 #include <mutex>
 #include <thread>
 
+#include "marjoramhaven/telemetry/Log.h"
+
 namespace marjoramhaven {
 
 namespace asio = boost::asio;
@@ -20,7 +22,8 @@
 
 namespace {
 
-constexpr std::uint64_t MaxResponseBytes = 64ULL << 20;
+// Larger than any response that is asked for, and small enough for the memory of a small VM.
+constexpr std::uint64_t MaxResponseBytes = 8ULL << 20;
 
 // A call that has not completed yet.
 struct PendingCall {
@@ -40,7 +43,7 @@
         , m_connectionsPerHost(connectionsPerHost)
         , m_guard(asio::make_work_guard(m_io))
         , m_thread([this]() {
-            m_io.run();
+            run();
         })
     {
     }
@@ -53,6 +56,18 @@
         m_completions->finished.clear();
     }
 
+    // Runs the I/O until it is stopped. A handler that throws leaves its connection to the time limit of its call, which closes it.
+    void run()
+    {
+        while (!m_io.stopped()) {
+            try {
+                m_io.run();
+            } catch (const std::exception &ec) {
+                m_log.error(std::string("a handler of the HTTP client failed: ") + ec.what());
+            }
+        }
+    }
+
     void submit(std::shared_ptr<PendingCall> pending)
     {
         asio::post(m_io, [this, pending = std::move(pending)]() {
@@ -86,6 +101,7 @@
 
     QObject &m_context;
     const int m_connectionsPerHost;
+    const Log m_log {"http"};
     asio::io_context m_io {1};
     asio::executor_work_guard<asio::io_context::executor_type> m_guard;
     std::map<HostKey, Host> m_hosts;
