Check stored records and frames before they are used

Cause: progress of a step, task or repetition that its job does not have was read out of bounds; a stored job with a negative number of tasks, or that depends on a later step, was restored; msgpack was unpacked without limits. Frames between processes did not fail; their tests stay as proof. A task name with an unreadable number in a worker's report ended the zone leader's process; it is now the name of no task.

--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -62,7 +62,9 @@
     , m_criticalPath(static_cast<std::int64_t>(criticalPathMs(m_request)))
     , m_workCoreMs(totalWorkCoreMs(m_request))
 {
-    const auto scaledMs = m_request.queue.slackFactor * static_cast<double>(m_criticalPath.count());
+    // A configuration may hold any factor; the bound keeps sums of times within their type.
+    constexpr double MaxScaledMs = 1e15;
+    const auto scaledMs = std::min(MaxScaledMs, m_request.queue.slackFactor * static_cast<double>(m_criticalPath.count()));
     m_softDeadline = acceptedAt + Millis(static_cast<std::int64_t>(scaledMs) + m_request.queue.objectiveMs);
 }
 
@@ -107,7 +109,7 @@
     state = record.state;
     storedState = record.state;
     for (const auto &it : record.tasks) {
-        if (it.occurrence < 0 || it.step < 0 || it.step >= static_cast<int>(m_request.steps.size())) {
+        if (it.occurrence < 0 || it.occurrence >= std::max(1, m_request.repeatCount)) {
             continue;
         }
         occurrence(it.occurrence);
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -43,6 +43,9 @@
     job->restore(record);
     job->endedAt = now;
     for (const auto &row : record.tasks) {
+        if (job->find({record.job, row.occurrence, row.step, row.index}) == nullptr) {
+            continue;
+        }
         for (const auto &it : row.runs) {
             FleetRun run;
             run.key = {{record.job, row.occurrence, row.step, row.index}, it.attempt};
--- a/src/fleet/FleetRecords.cpp
+++ b/src/fleet/FleetRecords.cpp
@@ -1,6 +1,5 @@
-#include <msgpack.hpp>
-
 #include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/base/Msgpack.h"
 #include "marjoramhaven/fleet/FleetJob.h"
 
 MSGPACK_ADD_ENUM(marjoramhaven::FleetJobState)
@@ -142,7 +141,7 @@
 std::optional<T> decode(const std::string &bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackLimited(bytes.data(), bytes.size());
         return handle.get().as<T>();
     } catch (const std::exception &ec) {
         setLastReason(std::string("malformed stored record: ") + ec.what());
@@ -159,7 +158,8 @@
 
 std::optional<FleetJobRequest> decodeJobRequest(const std::string &bytes)
 {
-    return decode<FleetJobRequest>(bytes);
+    auto out = decode<FleetJobRequest>(bytes);
+    return out && isValidRequest(*out) ? std::move(out) : std::nullopt;
 }
 
 std::string encodeJobRecord(const JobRecord &record)
--- a/src/fleet/PlannerElection.cpp
+++ b/src/fleet/PlannerElection.cpp
@@ -1,9 +1,10 @@
 #include "marjoramhaven/fleet/PlannerElection.h"
 
 #include <algorithm>
-#include <msgpack.hpp>
 
 #include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/base/Msgpack.h"
+#include "marjoramhaven/config/Settings.h"
 
 namespace marjoramhaven {
 
@@ -27,8 +28,12 @@
 std::optional<LeadershipRecord> decodeLeadership(const std::string &bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackLimited(bytes.data(), bytes.size());
         const auto [node, host, port, incarnation, claimOffset, heartbeatNumber, isLeaving] = handle.get().as<LeadershipTuple>();
+        if (!isPort(port)) {
+            setLastReason("malformed leadership record: port " + std::to_string(port) + " is out of range");
+            return std::nullopt;
+        }
         return LeadershipRecord {node, host, port, incarnation, claimOffset, heartbeatNumber, isLeaving};
     } catch (const std::exception &ec) {
         setLastReason(std::string("malformed leadership record: ") + ec.what());
--- a/src/wire/FrameCodec.cpp
+++ b/src/wire/FrameCodec.cpp
@@ -2,9 +2,9 @@
 
 #include <QtEndian>
 #include <array>
-#include <msgpack.hpp>
 
 #include "marjoramhaven/base/LastReason.h"
+#include "marjoramhaven/base/Msgpack.h"
 
 namespace marjoramhaven {
 
@@ -53,7 +53,7 @@
 // Decodes a frame without its length field. Returns std::nullopt for a message type that this version does not know.
 std::optional<PeerMessage> decode(const char *data, std::size_t size)
 {
-    const auto handle = msgpack::unpack(data, size);
+    const auto handle = unpackLimited(data, size);
     const auto object = handle.get();
     if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) {
         throw msgpack::type_error();
--- a/src/zone/ZoneLeaderJobs.cpp
+++ b/src/zone/ZoneLeaderJobs.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <charconv>
+#include <limits>
 
 #include "marjoramhaven/zone/ZoneLeader.h"
 
@@ -15,11 +17,19 @@
 constexpr Millis FailureResetAfter {10'000};
 constexpr int MaxRestartDoublings = 8;
 constexpr int MaxAttempts = 3;
+// Index of a task whose name, which workers report, has no valid number; no job has a task with it.
+constexpr int InvalidIndex = std::numeric_limits<int>::max();
 
 int indexOf(const AttemptId &attempt)
 {
     const auto slash = attempt.task.rfind('/');
-    return slash == std::string::npos ? ShortRequestIndex : std::stoi(attempt.task.substr(slash + 1));
+    if (slash == std::string::npos) {
+        return ShortRequestIndex;
+    }
+    int out = InvalidIndex;
+    const char *end = attempt.task.data() + attempt.task.size();
+    const auto [rest, ec] = std::from_chars(attempt.task.data() + slash + 1, end, out);
+    return ec == std::errc() && rest == end && out >= 0 ? out : InvalidIndex;
 }
 
 std::string jobOf(const AttemptId &attempt)
--- a/tests/wire/WireTest.cpp
+++ b/tests/wire/WireTest.cpp
@@ -5,6 +5,7 @@
 
 #include "marjoramhaven/base/LastReason.h"
 #include "marjoramhaven/wire/FrameCodec.h"
+#include "support/Mutator.h"
 
 using namespace marjoramhaven;
 
@@ -54,6 +55,34 @@
     }));
 }
 
+// Arrays within arrays, and an array that declares far more elements than the frame has bytes.
+BOOST_AUTO_TEST_CASE(nestedAndOversizedFramesAreRefused)
+{
+    for (const std::size_t depth : {40U, 100'000U, 2'000'000U}) {
+        std::vector<std::uint8_t> payload {0x92, 0x01};
+        payload.insert(payload.end(), depth, 0x91);
+        payload.push_back(0x01);
+        FrameReader reader;
+        BOOST_TEST(!reader.feed(framed(payload)));
+    }
+    FrameReader reader;
+    BOOST_TEST(!reader.feed(framed({0x92, 0x01, 0xdd, 0xff, 0xff, 0xff, 0xff})));
+}
+
+BOOST_AUTO_TEST_CASE(mutatedFramesAreDecodedOrRefused)
+{
+    test::Mutator mutator(4);
+    FleetHeartbeatMessage heartbeat;
+    heartbeat.planner = "node-1";
+    const auto sample = encodeFrame(heartbeat).mid(4).toStdString();
+    for (int i = 0; i < test::fuzzCount(); ++i) {
+        const auto bytes = mutator.mutate(sample);
+        FrameReader reader;
+        reader.feed(framed({bytes.begin(), bytes.end()}));
+    }
+    BOOST_TEST(true);
+}
+
 BOOST_AUTO_TEST_CASE(messagesOfOlderAndNewerVersionsAreDecoded)
 {
     // [1, [7, true]]: a HeartbeatMessage of an older version with only two fields.
