Count the time of a suspension on the monotonic clock

The steady clock of the system stands still while a machine is suspended, so proofs of the configuration, tickets and deadlines seemed younger by that time when the process went on.

--- a/include/marjoramhaven/base/Time.h
+++ b/include/marjoramhaven/base/Time.h
@@ -12,8 +12,8 @@
 /// never compared.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Millis>;
 
-/// Reads the monotonic clock. Only code that does I/O calls it; scheduling and leadership logic takes the current time as an argument, so that
-/// tests control the clock.
+/// Reads the monotonic clock, which also counts the time during which the machine is suspended. Only code that does I/O calls it; scheduling and leadership
+/// logic takes the current time as an argument, so that tests control the clock.
 TimePoint monotonicNow();
 
 /// Converts milliseconds since the clock's epoch to a time point. Used by tests and for timestamps in messages between processes.
