Go on after an event handler has thrown an exception

Cause: Qt ends the process on an exception that leaves an event handler, and the I/O thread of the HTTP client on one that leaves its handlers. A refresh of a followed topic that was overtaken by a read no longer brings back records that the read deleted.

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -53,6 +53,9 @@
     void beginStop();
     /// Returns true when no client request is pending in this process and it has handed over leadership.
     bool isIdle() const;
+    /// Gives up the planner after an event handler has thrown an exception, since the planner's state may be half changed. The next leader, which may be this
+    /// process again, rebuilds it from the log and the workers.
+    void recoverFromError(const std::string &reason);
     /// Sets the gauges that describe this process's current view of the fleet.
     void updateGauges();
 
--- a/include/marjoramhaven/node/EntryNode.h
+++ b/include/marjoramhaven/node/EntryNode.h
@@ -24,6 +24,8 @@
     ///
     /// Blocks for at most about `Settings::shutdownTimeout`. Returns true when all of them completed in time.
     bool stop();
+    /// Lets the decision thread discard its state after an event handler of this process has thrown an exception. Callable from any thread.
+    void recoverFromError(const std::string &reason);
     /// Returns the state that the node's threads share. Callable from any thread.
     NodeSharedState &shared() { return m_shared; }
     const Settings &settings() const { return m_settings; }
--- a/include/marjoramhaven/node/NodeCore.h
+++ b/include/marjoramhaven/node/NodeCore.h
@@ -58,6 +58,8 @@
     void shutDown();
     /// Gives up leadership of the zone and does not take it again, as part of a graceful shutdown.
     void resignLeadership();
+    /// Gives up leadership after an event handler has thrown an exception. The next leader, which may be this process again, rebuilds the state of the zone.
+    void recoverFromError(const std::string &reason);
     /// Returns true when every queued record has been appended to the log.
     bool isFlushed() const { return m_appender.pending() == 0; }
 
--- a/src/cli/ServeCommands.cpp
+++ b/src/cli/ServeCommands.cpp
@@ -9,6 +9,7 @@
 #include "CommandLine.h"
 #include "DemoRun.h"
 #include "PlatformNode.h"
+#include "marjoramhaven/base/GuardedApplication.h"
 #include "marjoramhaven/base/Json.h"
 #include "marjoramhaven/base/LastReason.h"
 #include "marjoramhaven/node/EntryNode.h"
@@ -91,6 +92,11 @@
         printError(lastReason());
         return ExitCode::Failed;
     }
+    if (auto *application = GuardedApplication::current()) {
+        application->setErrorHandler([&node](const std::string &reason) {
+            node->recoverFromError(reason);
+        });
+    }
     log.info("listening for callers on " + settings->clientListen.toString());
     runUntilSignal();
     log.info("stops");
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -139,6 +139,16 @@
     appendLeadershipIfDue(monotonicNow());
 }
 
+void FleetNode::recoverFromError(const std::string &reason)
+{
+    m_events.write("unexpected_error", {{"reason", reason}, {"leading", static_cast<std::int64_t>(m_planner != nullptr)}});
+    m_metrics.count("unexpected_errors_total");
+    if (m_planner) {
+        m_election.dropLeadership(monotonicNow());
+        stopPlanner("an event handler failed: " + reason);
+    }
+}
+
 bool FleetNode::isIdle() const
 {
     return m_pendingQueries.empty() && m_storeCalls.empty() && m_writer.pendingCount() == 0 && m_election.isWithdrawn();
@@ -252,7 +262,10 @@
             continue;
         }
         if (!it.key.starts_with(NodeKeyPrefix)) {
-            leadershipRecords.emplace_back(it.offset, *record);
+            // A claim is older than each heartbeat that names it.
+            if (record->claimOffset < it.offset) {
+                leadershipRecords.emplace_back(it.offset, *record);
+            }
         } else if (record->node != m_settings.name) {
             m_unlinkedSince[record->node] = now;
             m_hub.addPeers({{record->node, record->host, record->port}});
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -187,13 +187,18 @@
     m_consecutiveFailures = 0;
     m_lastAnswerAt = monotonicNow();
     setReachable(true, {});
+    // A read and a refresh may be under way at the same time. Records that the other one has applied already may have been superseded since.
+    auto records = result.records;
+    std::erase_if(records, [this](const KeyedRecord &it) {
+        return it.offset < m_next;
+    });
     m_next = std::max(m_next, result.next);
     if (m_next >= result.end) {
         // A read that ended without a record shows that there was none until the end of its wait, unless the log answered early.
         const bool hasWaited = result.records.empty() && m_lastAnswerAt >= sentAt + waited;
         m_currentAsOf = hasWaited ? sentAt + waited : sentAt;
     }
-    onRecords(filterNewer(result.records));
+    onRecords(filterNewer(records));
 }
 
 void TopicFollower::refresh(std::function<void(bool)> done)
--- a/src/node/EntryNode.cpp
+++ b/src/node/EntryNode.cpp
@@ -85,6 +85,16 @@
     return node;
 }
 
+void EntryNode::recoverFromError(const std::string &reason)
+{
+    QMetaObject::invokeMethod(
+        &m_decisionContext,
+        [this, reason]() {
+            m_core->recoverFromError(reason);
+        },
+        Qt::QueuedConnection);
+}
+
 bool EntryNode::stop()
 {
     const auto deadline = monotonicNow() + m_settings.shutdownTimeout;
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -399,6 +399,16 @@
     updateRole(monotonicNow());
 }
 
+void NodeCore::recoverFromError(const std::string &reason)
+{
+    m_log.error("an event handler failed: " + reason);
+    m_shared.metrics.count("unexpected_errors_total");
+    if (m_leader) {
+        m_leadership.stepDown(monotonicNow());
+        updateRole(monotonicNow());
+    }
+}
+
 void NodeCore::handlePeerUp(const std::string &name, const std::string &zone)
 {
     m_peerZones[name] = zone;
