Keep one poll of a restarted worker from deleting the ends of the new one

Change: nothing starts on the new incarnation before the earlier poll has been answered or has timed out; the list is asked for at once all the same. Test: nothingStartsOnARestartedWorkerWhileAPollOfItsOldIncarnationIsUnderWay.

--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -81,8 +81,10 @@
     /// Polls without an answer since the last answered one.
     int failedPolls = 0;
     bool isPollInFlight = false;
-    /// PollWorkerRequest::sequence of the newest poll; answers to earlier ones are ignored.
+    /// PollWorkerRequest::sequence of the newest poll.
     std::int64_t pollSequence = 0;
+    /// True while a poll is under way that was sent to an earlier incarnation. It acknowledges the ends of that one, and would delete those of the present one.
+    bool isEarlierPollInFlight = false;
     TimePoint nextPollAt {};
     /// The worker's clock in its newest list, in milliseconds; 0 before the first list of this incarnation.
     std::int64_t lastListClockMs = 0;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -44,8 +44,9 @@
     if (worker.startedUnixMs != 0 && report.startedUnixMs > worker.startedUnixMs && !isRestartKnown) {
         // Anybody may write an entry. What became of the runs is decided by what the worker itself lists, which the old incarnation can't answer any more.
         m_events.write("worker_reborn", {{"worker", report.id}, {"born_ms", report.startedUnixMs}, {"was_born_ms", worker.startedUnixMs}});
-        // A poll of an incarnation that is not confirmed must not acknowledge ended runs.
+        // Nothing starts there until the list is in, and the poll for it acknowledges no ended runs.
         worker.isInventoried = false;
+        worker.isEarlierPollInFlight = worker.isEarlierPollInFlight || worker.isPollInFlight;
         worker.isPollInFlight = false;
         worker.nextPollAt = now;
         sendPollIfDue(worker, now);
@@ -181,10 +182,14 @@
 void FleetPlanner::handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint now)
 {
     const auto it = m_workers.find(request.worker.id);
-    if (it == m_workers.end() || it->second.pollSequence != request.sequence) {
+    if (it == m_workers.end()) {
         return;
     }
     auto &worker = it->second;
+    if (request.sequence != worker.pollSequence) {
+        worker.isEarlierPollInFlight = false;
+        return;
+    }
     worker.isPollInFlight = false;
     if (response.outcome == WorkerCallOutcome::Fenced) {
         m_port.fencedByWorker(request.worker.id);
--- a/tests/fleet/EvidenceTest.cpp
+++ b/tests/fleet/EvidenceTest.cpp
@@ -146,6 +146,29 @@
     BOOST_TEST(script.port.stops.empty());
 }
 
+// A poll that acknowledges ends of the old incarnation is under way. If it arrived at the new one after runs had ended there, it would delete their ends.
+BOOST_AUTO_TEST_CASE(nothingStartsOnARestartedWorkerWhileAPollOfItsOldIncarnationIsUnderWay)
+{
+    PlannerScript script(1);
+    script.advance(Millis(25));
+    const auto earlierPoll = script.lastPoll("w0");
+    auto entry = script.entry("w0");
+    entry.startedUnixMs += 1000;
+    script.planner.workerReported(entry, script.now);
+    const auto poll = script.lastPoll("w0");
+    BOOST_TEST(poll.sequence > earlierPoll.sequence);
+    BOOST_TEST(poll.acknowledged == 0);
+    auto list = script.list("w0", {});
+    list.startedUnixMs = entry.startedUnixMs;
+    script.planner.handlePollResponse(poll, list, script.now);
+    script.submit("j", 1000);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.empty());
+    script.planner.handlePollResponse(earlierPoll, {}, script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(listOfALaterIncarnationEndsTheRunsOfTheEarlierOne)
 {
     PlannerScript script;
