Send nothing new into a topic whose appends get no answers

The writer's view that appends get no answers was discarded whenever the topic of leaders was read, several times a second, and an append that could not even be sent counted as an answer. Change: a circuit breaker for each writer, which only an answer about the same topic closes; a read of the topic probes it; a process whose planner gave up a record probes before it appends itself. Tests: answersAboutOtherTopicsDoNotCloseTheBreaker, nothingNewIsSentToALogThatIsKnownToBeUnreachable, recordsWaitForAProbeAfterAnotherProcessFoundTheLogUnresponsive.

--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -27,6 +27,9 @@
     Status,
 };
 
+/// Sorts after every key, so that the log answers a load from here with its end offset and no records.
+inline constexpr char KeyAfterAll[] = "\x7f";
+
 /// One record of a topic.
 struct KeyedRecord {
     std::string key;
@@ -79,6 +82,8 @@
 /// Answer to an append.
 struct AppendResult {
     AppendOutcome outcome = AppendOutcome::Unknown;
+    /// True if the log itself has answered. An append can also be refused because it could not be sent.
+    bool isAnswered = false;
     /// Offset of the first record, if the append was stored.
     std::int64_t offset = 0;
     /// End of the topic, if the log's answer contains it.
--- a/include/marjoramhaven/fleetnode/RecordWriter.h
+++ b/include/marjoramhaven/fleetnode/RecordWriter.h
@@ -11,6 +11,7 @@
 #include "marjoramhaven/fleet/AdaptiveTimeout.h"
 #include "marjoramhaven/fleet/JobService.h"
 #include "marjoramhaven/fleet/StateLog.h"
+#include "marjoramhaven/fleetnode/LogBreaker.h"
 
 namespace marjoramhaven {
 
@@ -31,6 +32,8 @@
     void store(KeyedRecord record, TimePoint deadline, Done done);
     /// Reports whether the log answers the other calls of this process.
     void setLogReachable(bool isReachable, TimePoint now);
+    /// Reports that another process got no answers to appends to the topic. New records wait until a read of the topic shows that this process gets answers.
+    void suspectLog(TimePoint now);
     /// Returns the number of records whose result is still open.
     std::size_t pendingCount() const { return m_pendingCount; }
 
@@ -48,8 +51,8 @@
 
     void flush();
     void scheduleFlush(Millis pause);
-    /// Returns true when an append would most likely get no answer.
-    bool isLogUnresponsive() const { return m_unresponsiveSince.has_value(); }
+    // Reads the topic until it is answered, while the breaker needs that.
+    void probe();
     void trackAppendOutcome(bool isAnswered, TimePoint sentAt, TimePoint now);
     /// Removes and returns the records that have too little time left for an append.
     std::vector<EntryPtr> takeExpired(TimePoint now);
@@ -59,8 +62,8 @@
 
     StateLog &m_log;
     const StateTopic m_topic;
-    std::optional<TimePoint> m_unresponsiveSince;
-    int m_unansweredAppends = 0;
+    LogBreaker m_breaker;
+    bool m_isProbing = false;
     bool m_isFlushScheduled = false;
     std::vector<EntryPtr> m_queue;
     AdaptiveTimeout m_appendTimes;
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -313,6 +313,8 @@
         return;
     }
     call->mayBeStored = outcome != SubmitOutcome::Refused;
+    // The planner gives up a record only when the log does not answer it. That may be so for this process too.
+    m_writer.suspectLog(monotonicNow());
     fallBackToDirectStore(call);
 }
 
--- a/src/fleetnode/RecordWriter.cpp
+++ b/src/fleetnode/RecordWriter.cpp
@@ -12,8 +12,8 @@
 constexpr Millis MinAppendTime {100};
 constexpr Millis RetryPause {120};
 constexpr Millis RefuseUnsentAfter {300};
-// Number of consecutive appends without an answer after which the log counts as unresponsive.
-constexpr int UnansweredAppendLimit = 2;
+constexpr Millis ProbeInterval {250};
+constexpr Millis ProbeTimeout {1000};
 // Clients have few retries. The longer the log has been unresponsive, the later they are told to retry.
 constexpr Millis MinClientRetryAfter {1000};
 constexpr Millis MaxClientRetryAfter {3000};
@@ -38,15 +38,43 @@
 
 void RecordWriter::setLogReachable(bool isReachable, TimePoint now)
 {
+    m_breaker.setReachable(isReachable, now);
     if (isReachable) {
-        m_unresponsiveSince.reset();
-        m_unansweredAppends = 0;
         flush();
-    } else if (!m_unresponsiveSince) {
-        m_unresponsiveSince = now;
     }
 }
 
+void RecordWriter::suspectLog(TimePoint now)
+{
+    m_breaker.suspect(now);
+    probe();
+}
+
+void RecordWriter::probe()
+{
+    if (m_isProbing || !m_breaker.needsProbe()) {
+        return;
+    }
+    m_isProbing = true;
+    const std::weak_ptr<bool> alive = m_alive;
+    m_log.newest(m_topic, KeyAfterAll, ProbeTimeout, [this, alive](const NewestResult &result) {
+        if (alive.expired()) {
+            return;
+        }
+        m_isProbing = false;
+        if (result.isAnswered) {
+            m_breaker.probeAnswered();
+            flush();
+            return;
+        }
+        QTimer::singleShot(static_cast<int>(ProbeInterval.count()), this, [this, alive]() {
+            if (!alive.expired()) {
+                probe();
+            }
+        });
+    });
+}
+
 std::vector<RecordWriter::EntryPtr> RecordWriter::takeExpired(TimePoint now)
 {
     std::vector<EntryPtr> out;
@@ -63,7 +91,7 @@
 // Refuses records that were never sent once the log has been unresponsive for a while. A shorter outage may come from a single broken connection.
 void RecordWriter::refuseUnsent(TimePoint now)
 {
-    const auto unresponsiveFor = now - *m_unresponsiveSince;
+    const auto unresponsiveFor = m_breaker.openFor(now);
     if (unresponsiveFor < RefuseUnsentAfter) {
         return;
     }
@@ -85,7 +113,7 @@
     for (const auto &it : takeExpired(now)) {
         answer(it, it->mayBeStored ? SubmitOutcome::Unknown : SubmitOutcome::Refused, it->reason.empty() ? "no time left" : it->reason, MinClientRetryAfter);
     }
-    if (isLogUnresponsive()) {
+    if (m_breaker.isOpen()) {
         refuseUnsent(now);
     }
     if (m_queue.empty() || m_inFlight >= MaxAppendsInFlight) {
@@ -97,7 +125,7 @@
     std::vector<EntryPtr> entries;
     std::size_t bytes = 0;
     std::erase_if(m_queue, [&](const EntryPtr &it) {
-        if (bytes >= MaxAppendBytes || (isLogUnresponsive() && !it->mayBeStored)) {
+        if (bytes >= MaxAppendBytes || (m_breaker.isOpen() && !it->mayBeStored)) {
             return false;
         }
         bytes += it->record.key.size() + (it->record.value ? it->record.value->size() : 0);
@@ -117,7 +145,7 @@
     m_log.append(std::move(request), [this, alive, entries, now](const AppendResult &result) {
         if (!alive.expired()) {
             --m_inFlight;
-            trackAppendOutcome(result.outcome != AppendOutcome::Unknown, now, monotonicNow());
+            trackAppendOutcome(result.isAnswered, now, monotonicNow());
             handleAppendResult(entries, result);
         }
     });
@@ -127,15 +155,12 @@
 {
     if (isAnswered) {
         m_appendTimes.recordResponse(now - sentAt);
-        m_unansweredAppends = 0;
-        m_unresponsiveSince.reset();
+        m_breaker.appendAnswered(now);
         return;
     }
     m_appendTimes.recordFailure();
-    ++m_unansweredAppends;
-    if (m_unansweredAppends >= UnansweredAppendLimit && !m_unresponsiveSince) {
-        m_unresponsiveSince = sentAt;
-    }
+    m_breaker.appendUnanswered(sentAt);
+    probe();
 }
 
 void RecordWriter::scheduleFlush(Millis pause)
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -14,8 +14,6 @@
 constexpr int MaxRetryPauseDoublings = 4;
 constexpr Millis ProbeInterval {250};
 constexpr Millis ProbeTimeout {1500};
-// Sorts after every key, so that the log answers a load from here with its end offset and no records.
-constexpr char KeyAfterAll[] = "\x7f";
 
 } // namespace
 
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -304,7 +304,8 @@
     log.put(StateTopic::Operator, ConfigurationKey, "1");
     FleetJobRequest request;
     request.queue = *testConfiguration().find("h", "/q/");
-    request.steps.push_back({});
+    request.steps.emplace_back();
+    request.steps.back().taskCount = 1;
     for (int i = 0; i < JobCount; ++i) {
         request.id = "a-job-with-a-name-of-usual-length-" + std::to_string(i);
         log.put(StateTopic::Jobs, acceptanceKey(request.id), encodeJobRequest(request));
--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -36,6 +36,15 @@
 
 void MemoryLog::append(AppendRequest request, std::function<void(const AppendResult &)> done)
 {
+    if (isUnreachable) {
+        runLater(&m_context, appendDelay, [done = std::move(done)]() {
+            AppendResult out;
+            out.outcome = AppendOutcome::Refused;
+            out.reason = "connection refused";
+            done(out);
+        });
+        return;
+    }
     if (isUnresponsive || bytesOf(request) > maxAnsweredAppendBytes) {
         runLater(&m_context, request.timeout, [done = std::move(done)]() {
             AppendResult out;
@@ -47,6 +56,7 @@
     runLater(&m_context, appendDelay, [this, request = std::move(request), done = std::move(done)]() {
         auto &topicRecords = m_topics[request.topic];
         AppendResult out;
+        out.isAnswered = true;
         out.offset = static_cast<std::int64_t>(topicRecords.size());
         if (isRefusing) {
             out.outcome = AppendOutcome::Refused;
--- a/tests/fleetnode/MemoryLog.h
+++ b/tests/fleetnode/MemoryLog.h
@@ -28,6 +28,8 @@
     bool isUnresponsive = false;
     /// Appends with more bytes of keys and values than this get no answer and store nothing, as over a link that does not carry them within the timeout.
     std::size_t maxAnsweredAppendBytes = SIZE_MAX;
+    /// While true, appends can't be sent, as to an address that refuses connections.
+    bool isUnreachable = false;
     /// While true, appends are refused after the usual delay.
     bool isRefusing = false;
     /// Delay of reads by topic; 2 ms for topics that are not listed.
--- a/tests/fleetnode/RecordWriterTest.cpp
+++ b/tests/fleetnode/RecordWriterTest.cpp
@@ -95,6 +95,79 @@
     BOOST_TEST((late.answer->outcome == SubmitOutcome::Refused));
 }
 
+// The log resets connections: some appends can't be sent, others may be stored. One that could not be sent does not show that the log answers again.
+BOOST_AUTO_TEST_CASE(nothingNewIsSentToALogThatIsKnownToBeUnreachable)
+{
+    MemoryLog log;
+    RecordWriter writer(log, StateTopic::Jobs);
+    log.isUnreachable = true;
+    StoreRequest first;
+    first.store(writer, "job/1");
+    writer.setLogReachable(false, monotonicNow());
+    waitFor(
+        []() {
+            return false;
+        },
+        100);
+    log.isUnreachable = false;
+    log.isUnresponsive = true;
+    StoreRequest second;
+    second.store(writer, "job/2");
+    BOOST_REQUIRE(first.waitForAnswer());
+    BOOST_REQUIRE(second.waitForAnswer());
+    BOOST_TEST((first.answer->outcome == SubmitOutcome::Refused));
+    BOOST_TEST((second.answer->outcome == SubmitOutcome::Refused));
+    BOOST_TEST((second.answeredAt - second.submittedAt).count() < 600);
+}
+
+// One topic gets no answers while the log answers reads of others, which this process reports all the time.
+BOOST_AUTO_TEST_CASE(answersAboutOtherTopicsDoNotCloseTheBreaker)
+{
+    MemoryLog log;
+    log.isUnresponsive = true;
+    RecordWriter writer(log, StateTopic::Jobs);
+    StoreRequest first;
+    first.store(writer, "job/1");
+    BOOST_REQUIRE(first.waitForAnswer());
+    BOOST_TEST((first.answer->outcome == SubmitOutcome::Unknown));
+    writer.setLogReachable(true, monotonicNow());
+    StoreRequest second;
+    second.store(writer, "job/2");
+    BOOST_REQUIRE(second.waitForAnswer());
+    BOOST_TEST((second.answer->outcome == SubmitOutcome::Refused));
+    log.isUnresponsive = false;
+    waitFor(
+        []() {
+            return false;
+        },
+        1400);
+    StoreRequest third;
+    third.store(writer, "job/3");
+    BOOST_REQUIRE(third.waitForAnswer());
+    BOOST_TEST((third.answer->outcome == SubmitOutcome::Accepted));
+}
+
+// Another process reports that its appends get no answers.
+BOOST_AUTO_TEST_CASE(recordsWaitForAProbeAfterAnotherProcessFoundTheLogUnresponsive)
+{
+    MemoryLog log;
+    RecordWriter writer(log, StateTopic::Jobs);
+    writer.suspectLog(monotonicNow());
+    StoreRequest answered;
+    answered.store(writer, "job/1");
+    BOOST_REQUIRE(answered.waitForAnswer());
+    BOOST_TEST((answered.answer->outcome == SubmitOutcome::Accepted));
+    MemoryLog down;
+    down.isUnresponsive = true;
+    RecordWriter other(down, StateTopic::Jobs);
+    other.suspectLog(monotonicNow());
+    StoreRequest refused;
+    refused.store(other, "job/1");
+    BOOST_REQUIRE(refused.waitForAnswer());
+    BOOST_TEST((refused.answer->outcome == SubmitOutcome::Refused));
+    BOOST_TEST((refused.answeredAt - refused.submittedAt).count() < 600);
+}
+
 // The log rejects appends and reads. Clients are refused soon instead of waiting until their deadlines.
 BOOST_AUTO_TEST_CASE(recordIsRefusedSoonWhenTheLogRejectsAppends)
 {
