Share the advisor among queues, and hold workers for gangs that wait

Change: queues that compete for long advisor requests get equal shares; a gang asks until it knows enough allowed workers, and then only for tickets once all its tasks have room; while it waits, the workers that need to free the least for it are held, a quarter of all at most. Tests: floodOfOneQueueLeavesTheOthersTheirShareOfProxies, gangOfWholeWorkersStartsAmongSmallTasks (never started before).

--- a/include/marjoramhaven/fleet/AdviceCache.h
+++ b/include/marjoramhaven/fleet/AdviceCache.h
@@ -22,7 +22,8 @@
 ///
 /// The advisor handles one request at a time for each calling machine, so requests are distributed over the processes of the system, called advisor proxies
 /// here. Long requests leave some proxies free for short ones, so that urgent steps never wait behind them. Short requests go through the proxies with the
-/// lowest network latency to the advisor, and long ones, for which that latency matters little, through the others.
+/// lowest network latency to the advisor, and long ones, for which that latency matters little, through the others. Queues that compete for the proxies of long
+/// requests get equal shares of them, so that a flood of one queue leaves the others theirs.
 class AdviceCache
 {
 public:
@@ -81,7 +82,9 @@
 
     struct Proxy {
         bool hasRequestInFlight = false;
+        bool isLongRequest = false;
         std::string step;
+        std::string queue;
         TimePoint busyUntil {};
         TimePoint requestedAt {};
         /// Expected processing time of the request in flight inside the advisor, in milliseconds.
@@ -95,11 +98,15 @@
         double allowed = 0;
     };
 
-    Proxy *chooseProxy(bool isLong, TimePoint now, std::string &name);
+    Proxy *chooseProxy(bool isLong, const std::string &queue, TimePoint now, std::string &name);
+    // Returns true if the queue uses its share of the proxies for long requests and another one waits for its own.
+    bool hasUsedItsShare(const std::string &queue, TimePoint now) const;
 
     std::map<std::string, StepAdvice> m_steps;
     std::map<std::string, Proxy> m_proxies;
     std::map<std::string, AllowanceStats> m_allowanceStats;
+    /// When a long request of a queue last found no proxy.
+    std::map<std::string, TimePoint> m_refusedAt;
 };
 
 } // namespace marjoramhaven
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -270,6 +270,11 @@
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
+    // FleetPlannerGangs.cpp: workers and advice for gangs that don't fit yet
+    void holdWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
+    std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
     FleetWorker *
     chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
     std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
@@ -308,6 +313,8 @@
     std::int64_t m_batchNumber = 0;
     std::unique_ptr<Batch> m_batch;
     bool m_hasUnstoredEnds = false;
+    /// Workers whose free resources are held in this call of plan() for gangs that rank before the steps that are still to be placed.
+    std::set<const FleetWorker *> m_heldWorkers;
     /// Number of steps for which this call of plan() may still preempt runs.
     int m_preemptionsLeft = 0;
 };
--- a/src/fleet/AdviceCache.cpp
+++ b/src/fleet/AdviceCache.cpp
@@ -10,6 +10,8 @@
 // A request that is expected to take longer than this leaves some advisor proxies free for shorter ones.
 constexpr double LongCallMs = 200;
 constexpr std::size_t ProxiesPerReserved = 3;
+// A queue whose request found no proxy within this time still waits for one.
+constexpr Millis RefusalMemory {200};
 constexpr Millis ResponseMargin {1500};
 constexpr Millis PauseAfterFailure {100};
 constexpr Millis PauseAfterBusy {300};
@@ -80,14 +82,47 @@
     return (stats.allowed + PriorWorkers * PriorAllowedShare) / (stats.asked + PriorWorkers);
 }
 
-AdviceCache::Proxy *AdviceCache::chooseProxy(bool isLong, TimePoint now, std::string &name)
+bool AdviceCache::hasUsedItsShare(const std::string &queue, TimePoint now) const
 {
+    std::map<std::string, std::size_t> inFlight;
+    for (const auto &[name, refusedAt] : m_refusedAt) {
+        if (now - refusedAt <= RefusalMemory) {
+            inFlight[name];
+        }
+    }
+    const bool isAlone = inFlight.empty() || (inFlight.size() == 1 && inFlight.contains(queue));
+    if (isAlone) {
+        return false;
+    }
+    inFlight[queue];
+    for (const auto &[name, proxy] : m_proxies) {
+        if (proxy.hasRequestInFlight && proxy.isLongRequest) {
+            ++inFlight[proxy.queue];
+        }
+    }
+    const auto forLongRequests = m_proxies.size() - m_proxies.size() / ProxiesPerReserved;
+    const auto share = std::max<std::size_t>(1, forLongRequests / inFlight.size());
+    const bool doesAnotherWait = std::any_of(inFlight.begin(), inFlight.end(), [&](const auto &it) {
+        const auto refused = m_refusedAt.find(it.first);
+        return it.first != queue && it.second < share && refused != m_refusedAt.end() && now - refused->second <= RefusalMemory;
+    });
+    return doesAnotherWait && inFlight[queue] >= share;
+}
+
+AdviceCache::Proxy *AdviceCache::chooseProxy(bool isLong, const std::string &queue, TimePoint now, std::string &name)
+{
+    if (isLong && hasUsedItsShare(queue, now)) {
+        return nullptr;
+    }
     const auto isFree = [now](const auto &it) {
         return !it.second.hasRequestInFlight && it.second.busyUntil <= now;
     };
     const auto free = static_cast<std::size_t>(std::count_if(m_proxies.begin(), m_proxies.end(), isFree));
     const auto reserved = isLong ? m_proxies.size() / ProxiesPerReserved : 0;
     if (free <= reserved) {
+        if (isLong) {
+            m_refusedAt[queue] = now;
+        }
         return nullptr;
     }
     Proxy *best = nullptr;
@@ -114,12 +149,15 @@
     }
     const auto expectedMs = queue.adviceBaseMs + queue.advicePerWorkerMs * static_cast<double>(workersWithStart.size());
     std::string name;
-    auto *proxy = chooseProxy(expectedMs > LongCallMs, now, name);
+    const bool isLong = expectedMs > LongCallMs;
+    auto *proxy = chooseProxy(isLong, queue.name, now, name);
     if (proxy == nullptr) {
         return std::nullopt;
     }
     proxy->hasRequestInFlight = true;
+    proxy->isLongRequest = isLong;
     proxy->step = step;
+    proxy->queue = queue.name;
     proxy->requestedAt = now;
     proxy->expectedMs = expectedMs;
     auto &advice = m_steps[step];
--- /dev/null
+++ b/src/fleet/FleetPlannerGangs.cpp
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <iterator>
+
+#include "FleetPlannerBatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+// Gangs that wait for room hold at most one in this many of the workers; the others stay free for steps that fit.
+constexpr std::size_t HeldWorkersDivisor = 4;
+// A gang asks about further workers until it knows of this many allowed ones for each of its tasks, so that some of them become free soon.
+constexpr std::size_t AllowedWorkersPerTask = 2;
+
+// Returns the largest part of a resource of the worker that runs would have to free before a task with these needs fits; 0 if it fits now.
+double missingShare(const FleetWorker &worker, const FleetResources &needs)
+{
+    const auto share = [](std::int64_t need, std::int64_t used, std::int64_t capacity) {
+        return capacity <= 0 ? 0.0 : static_cast<double>(std::max<std::int64_t>(0, used + need - capacity)) / static_cast<double>(capacity);
+    };
+    const auto &capacity = worker.report.capacity;
+    return std::max({share(needs.cpuMilli, worker.used.cpuMilli, capacity.cpuMilli),
+                     share(needs.memoryMb, worker.used.memoryMb, capacity.memoryMb),
+                     share(needs.gpus, worker.used.gpus, capacity.gpus)});
+}
+
+bool isLargeEnough(const FleetWorker &worker, const FleetResources &needs)
+{
+    const auto &capacity = worker.report.capacity;
+    return needs.cpuMilli <= capacity.cpuMilli && needs.memoryMb <= capacity.memoryMb && needs.gpus <= capacity.gpus;
+}
+
+} // namespace
+
+std::vector<FleetWorker *> FleetPlanner::workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const
+{
+    const auto needs = reservedResources(*pending.spec);
+    std::vector<FleetWorker *> out;
+    std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
+        return isLargeEnough(*it, needs) && !m_heldWorkers.contains(it) && isEligible(*it, pending);
+    });
+    return out;
+}
+
+// Small tasks fill each gap before a gang finds all its gaps at the same time. So the workers that need to free the least for the gang are kept from steps that
+// rank behind it, until it starts.
+void FleetPlanner::holdWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
+{
+    const bool isWorthless = std::get<0>(pending.rank);
+    if (isWorthless) {
+        return;
+    }
+    const auto name = pending.name();
+    const auto needs = reservedResources(*pending.spec);
+    auto candidates = workersForGang(pending, workers);
+    std::erase_if(candidates, [&](const FleetWorker *it) {
+        const auto verdict = m_advice.verdict(name, it->report.id, it->startedUnixMs, now);
+        return queueOf(*pending.job).needsAdvice && verdict != AdviceCache::Verdict::Allowed && verdict != AdviceCache::Verdict::Expired;
+    });
+    std::vector<std::pair<double, FleetWorker *>> byMissing;
+    for (auto *it : candidates) {
+        byMissing.emplace_back(missingShare(*it, needs), it);
+    }
+    std::sort(byMissing.begin(), byMissing.end(), [](const auto &a, const auto &b) {
+        return std::pair(a.first, &a.second->report.id) < std::pair(b.first, &b.second->report.id);
+    });
+    std::vector<const FleetWorker *> chosen;
+    std::int64_t tasks = 0;
+    for (const auto &[missing, worker] : byMissing) {
+        if (tasks >= static_cast<std::int64_t>(pending.waiting.size())) {
+            break;
+        }
+        const auto slots = std::max<std::int64_t>(1, worker->slotsFor(needs));
+        tasks += pending.spec->maxPerWorker > 0 ? std::min<std::int64_t>(slots, pending.spec->maxPerWorker) : slots;
+        chosen.push_back(worker);
+    }
+    const bool isEnough = tasks >= static_cast<std::int64_t>(pending.waiting.size());
+    if (isEnough && m_heldWorkers.size() + chosen.size() <= workers.size() / HeldWorkersDivisor) {
+        m_heldWorkers.insert(chosen.begin(), chosen.end());
+    }
+}
+
+// The advisor's verdict on a worker does not change, only its ticket expires. So a gang asks until it knows enough workers, whether they have room or not, and
+// then only for new tickets once all its tasks have room. Asking again and again without room would keep the advisor from steps that could start.
+void FleetPlanner::requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
+{
+    const auto name = pending.name();
+    const auto needs = reservedResources(*pending.spec);
+    const auto size = pending.waiting.size();
+    std::vector<FleetWorker *> withRoom;
+    std::vector<FleetWorker *> unknown;
+    std::size_t allowed = 0;
+    std::int64_t slots = 0;
+    for (auto *it : workersForGang(pending, workers)) {
+        const auto verdict = m_advice.verdict(name, it->report.id, it->startedUnixMs, now);
+        if (verdict == AdviceCache::Verdict::Unknown) {
+            unknown.push_back(it);
+        } else if (verdict != AdviceCache::Verdict::Forbidden) {
+            ++allowed;
+            const auto free = it->slotsFor(needs);
+            slots += pending.spec->maxPerWorker > 0 ? std::min<std::int64_t>(free, pending.spec->maxPerWorker) : free;
+            if (free > 0) {
+                withRoom.push_back(it);
+            }
+        }
+    }
+    if (slots >= static_cast<std::int64_t>(size)) {
+        requestAdvice(pending, withRoom, size, now);
+    } else if (allowed < size * AllowedWorkersPerTask) {
+        requestAdvice(pending, unknown, size * AllowedWorkersPerTask - allowed, now);
+    }
+}
+
+} // namespace marjoramhaven
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -100,6 +100,7 @@
         return a.rank < b.rank;
     });
     m_preemptionsLeft = MaxPreemptingSteps;
+    m_heldWorkers.clear();
     std::vector<FleetWorker *> usable;
     for (auto &[id, worker] : m_workers) {
         if (isUsable(worker, now)) {
@@ -115,8 +116,8 @@
 bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now)
 {
     const bool isListed = worker.isListed || (worker.unlistedSince != TimePoint {} && now - worker.unlistedSince < UnlistedGracePeriod);
-    return isListed && !worker.isEntryUnreadable && worker.isInventoried && worker.failedPolls == 0 && !worker.report.isDraining && worker.avoidUntil <= now
-        && worker.startedUnixMs == worker.report.startedUnixMs;
+    return isListed && !worker.isEntryUnreadable && worker.isInventoried && !worker.isEarlierPollInFlight && worker.failedPolls == 0
+        && !worker.report.isDraining && worker.avoidUntil <= now && worker.startedUnixMs == worker.report.startedUnixMs;
 }
 
 bool FleetPlanner::isEligible(const FleetWorker &worker, const PendingStep &pending)
@@ -131,10 +132,10 @@
     const auto &queue = queueOf(*pending.job);
     std::vector<FleetWorker *> withRoom;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
-        return it->hasRoomFor(needs) && isEligible(*it, pending);
+        return it->hasRoomFor(needs) && !m_heldWorkers.contains(it) && isEligible(*it, pending);
     });
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
-    if (withRoom.empty() && !isPreempting) {
+    if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
         return;
     }
     const auto name = pending.name();
@@ -156,6 +157,13 @@
     if (pending.waiting.empty()) {
         return;
     }
+    if (pending.spec->isGang) {
+        if (queue.needsAdvice) {
+            requestGangAdvice(pending, workers, now);
+        }
+        holdWorkersForGang(pending, workers, now);
+        return;
+    }
     if (isPreempting) {
         --m_preemptionsLeft;
         std::vector<FleetWorker *> usable;
--- a/tests/fleet/AdviceCacheTest.cpp
+++ b/tests/fleet/AdviceCacheTest.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 #include "marjoramhaven/fleet/AdaptiveTimeout.h"
 #include "marjoramhaven/fleet/AdviceCache.h"
 
@@ -53,6 +55,43 @@
     BOOST_TEST(cache.createRequest("check", queueWith("urgent", 30, 0.5), Workers, now).has_value());
 }
 
+// Load: a flood of one queue whose steps ask again and again, and a second queue with few steps whose requests are long too.
+BOOST_AUTO_TEST_CASE(floodOfOneQueueLeavesTheOthersTheirShareOfProxies)
+{
+    AdviceCache cache;
+    const auto flood = queueWith("flood", 700, 10);
+    const auto other = queueWith("other", 200, 3);
+    for (int i = 0; i < 12; ++i) {
+        cache.addProxy("p" + std::to_string(i));
+    }
+    AdviceResponse response;
+    response.isAnswered = true;
+    std::vector<std::pair<AdviceRequest, TimePoint>> inFlight;
+    std::map<std::string, int> sent;
+    // Every 20 ms the flood asks first.
+    for (auto now = atMillis(0); now < atMillis(10'000); now += Millis(20)) {
+        std::erase_if(inFlight, [&](const auto &it) {
+            const bool isDone = it.second <= now;
+            if (isDone) {
+                cache.handleResponse(it.first.proxy, it.first.step, response, now);
+            }
+            return isDone;
+        });
+        for (const auto *queue : {&flood, &other}) {
+            for (int i = 0; i < 20; ++i) {
+                const auto request = cache.createRequest(queue->name + std::to_string(i), *queue, Workers, now);
+                if (request) {
+                    ++sent[queue->name];
+                    inFlight.emplace_back(*request, now + Millis(queue == &flood ? 730 : 209));
+                }
+            }
+        }
+    }
+    // Each queue has half of the eight proxies for long requests: 4 x 10 s / 0.73 s, and 4 x 10 s / 0.22 s.
+    BOOST_TEST(sent["other"] > 140);
+    BOOST_TEST(sent["flood"] > 40);
+}
+
 // Load: processes in three regions, one of which is near the advisor.
 BOOST_AUTO_TEST_CASE(shortRequestsUseNearProxiesAndLongOnesUseOthers)
 {
--- a/tests/fleet/LoadTest.cpp
+++ b/tests/fleet/LoadTest.cpp
@@ -205,6 +205,38 @@
     BOOST_TEST(fleet.violations().empty());
 }
 
+// Load: small tasks with accelerators of lower priority arrive all the time, and fill each gap before a gang finds whole free workers.
+BOOST_AUTO_TEST_CASE(gangOfWholeWorkersStartsAmongSmallTasks)
+{
+    constexpr std::int64_t Gpus = 8;
+    FakeFleetOptions options;
+    options.workers = 16;
+    options.capacity = {8000, 16000, Gpus};
+    FakeFleet fleet(options);
+    auto small = step(12, 900, 700);
+    small.needs = {900, 900, 1};
+    int jobs = 0;
+    const auto submitSmall = [&]() {
+        fleet.submit(withPriority(fleet.makeJob("small" + std::to_string(jobs++), {small}), 2));
+        fleet.run(Millis(60));
+    };
+    for (int i = 0; i < 40; ++i) {
+        submitSmall();
+    }
+    auto gang = step(3, 2000, 500);
+    gang.needs = {2000, 4000, Gpus};
+    gang.isGang = true;
+    const auto at = fleet.now();
+    fleet.submit(withPriority(fleet.makeJob("gang", {gang}), 1));
+    for (int i = 0; i < 40; ++i) {
+        submitSmall();
+    }
+    const auto begun = fleet.firstStart("gang.0.0.0");
+    BOOST_REQUIRE(begun);
+    BOOST_TEST((*begun - at).count() < 1500);
+    BOOST_TEST(fleet.violations().empty());
+}
+
 // Load: the log stores appends slowly; all accepted jobs still complete, and each task runs once.
 BOOST_AUTO_TEST_CASE(slowLogDelaysButLosesNothing)
 {
