Reserve proxies of the advisor by requests under way, for both lengths

Change: each length may use all proxies but a third, which is kept for the other one; long requests need theirs only while some wait. Test: shortRequestsLeaveProxiesForLongOnesThatWait.

--- a/src/fleet/AdviceCache.cpp
+++ b/src/fleet/AdviceCache.cpp
@@ -117,9 +117,15 @@
     const auto isFree = [now](const auto &it) {
         return !it.second.hasRequestInFlight && it.second.busyUntil <= now;
     };
-    const auto free = static_cast<std::size_t>(std::count_if(m_proxies.begin(), m_proxies.end(), isFree));
-    const auto reserved = isLong ? m_proxies.size() / ProxiesPerReserved : 0;
-    if (free <= reserved) {
+    // Each length may use all proxies but those that are reserved for the other one. Long requests need theirs only while some wait.
+    const auto used = static_cast<std::size_t>(std::count_if(m_proxies.begin(), m_proxies.end(), [isLong](const auto &it) {
+        return it.second.hasRequestInFlight && it.second.isLongRequest == isLong;
+    }));
+    const bool isOtherReserved = isLong || std::any_of(m_refusedAt.begin(), m_refusedAt.end(), [now](const auto &it) {
+                                     return now - it.second <= RefusalMemory;
+                                 });
+    const auto reserved = isOtherReserved ? m_proxies.size() / ProxiesPerReserved : 0;
+    if (used + reserved >= m_proxies.size() || std::none_of(m_proxies.begin(), m_proxies.end(), isFree)) {
         if (isLong) {
             m_refusedAt[queue] = now;
         }
--- a/tests/fleet/AdviceCacheTest.cpp
+++ b/tests/fleet/AdviceCacheTest.cpp
@@ -92,6 +92,35 @@
     BOOST_TEST(sent["flood"] > 40);
 }
 
+// Load: a burst of urgent steps whose answers are handled late, so that their short requests are under way all the time.
+BOOST_AUTO_TEST_CASE(shortRequestsLeaveProxiesForLongOnesThatWait)
+{
+    AdviceCache cache;
+    const auto urgent = queueWith("urgent", 30, 0.5);
+    const auto slow = queueWith("slow", 420, 6);
+    for (int i = 0; i < 9; ++i) {
+        cache.addProxy("h" + std::to_string(i));
+    }
+    std::vector<AdviceRequest> inFlight;
+    const auto sendShort = [&](TimePoint now) {
+        while (const auto request = cache.createRequest("check" + std::to_string(inFlight.size()), urgent, Workers, now)) {
+            inFlight.push_back(*request);
+        }
+    };
+    sendShort(atMillis(0));
+    BOOST_TEST(inFlight.size() == 9U);
+    BOOST_TEST(!cache.createRequest("sweep", slow, Workers, atMillis(0)).has_value());
+    AdviceResponse response;
+    response.isAnswered = true;
+    for (const auto &it : inFlight) {
+        cache.handleResponse(it.proxy, it.step, response, atMillis(100));
+    }
+    inFlight.clear();
+    sendShort(atMillis(100));
+    BOOST_TEST(inFlight.size() == 6U);
+    BOOST_TEST(cache.createRequest("sweep", slow, Workers, atMillis(100)).has_value());
+}
+
 // Load: processes in three regions, one of which is near the advisor.
 BOOST_AUTO_TEST_CASE(shortRequestsUseNearProxiesAndLongOnesUseOthers)
 {
