Keep the work of waiting gangs and advisor requests small on large fleets

Change: counters instead of walks, the check for a free proxy first, workers for a gang chosen ten times a second.

--- a/include/marjoramhaven/fleet/AdviceCache.h
+++ b/include/marjoramhaven/fleet/AdviceCache.h
@@ -51,6 +51,8 @@
     /// Returns the estimated share (0 to 1) of workers that the advisor allows for steps of a queue, from its answers so far.
     double allowedShare(const std::string &queue) const;
 
+    /// Returns false if no request of the queue can be sent now, whatever workers it names. Cheap, unlike choosing the workers.
+    bool mayRequest(const QueuePolicy &queue, TimePoint now);
     /// Creates a request about these workers, each with the start time of its incarnation, and reserves a proxy for it. Returns `std::nullopt` if there are no
     /// workers, a request for the step is blocked, or no proxy is free for a request of this length.
     std::optional<AdviceRequest>
@@ -98,15 +100,24 @@
         double allowed = 0;
     };
 
-    Proxy *chooseProxy(bool isLong, const std::string &queue, TimePoint now, std::string &name);
+    Proxy *chooseProxy(bool isLong, TimePoint now, std::string &name);
+    // Returns true if a request of this length may use one more proxy. A long one that may not is remembered as waiting.
+    bool isWithinLimits(bool isLong, const std::string &queue, TimePoint now);
     // Returns true if the queue uses its share of the proxies for long requests and another one waits for its own.
     bool hasUsedItsShare(const std::string &queue, TimePoint now) const;
+    bool isWaiting(const std::string &queue, TimePoint now) const;
+    void releaseProxy(Proxy &proxy);
 
     std::map<std::string, StepAdvice> m_steps;
     std::map<std::string, Proxy> m_proxies;
     std::map<std::string, AllowanceStats> m_allowanceStats;
-    /// When a long request of a queue last found no proxy.
+    /// Numbers of long requests under way, by queue, and of all requests by length.
+    std::map<std::string, std::size_t> m_longInFlightOf;
+    std::size_t m_longInFlight = 0;
+    std::size_t m_shortInFlight = 0;
+    /// When a long request of a queue last found no proxy, and when any did.
     std::map<std::string, TimePoint> m_refusedAt;
+    std::optional<TimePoint> m_lastRefusedAt;
 };
 
 } // namespace marjoramhaven
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -42,6 +42,9 @@
     TimePoint readySince {};
     /// Other runs are preempted for this step again no earlier than this.
     TimePoint nextPreemptAt {};
+    /// For a gang that waits: the workers that are held for it, chosen again after this time.
+    std::vector<std::string> heldWorkers;
+    TimePoint nextHoldAt {};
     /// True if advice was requested before the step became ready.
     bool isAdvicePrefetched = false;
 
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -271,7 +271,8 @@
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     // FleetPlannerGangs.cpp: workers and advice for gangs that don't fit yet
-    void holdWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    void holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const;
     void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
     std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
@@ -313,8 +314,8 @@
     std::int64_t m_batchNumber = 0;
     std::unique_ptr<Batch> m_batch;
     bool m_hasUnstoredEnds = false;
-    /// Workers whose free resources are held in this call of plan() for gangs that rank before the steps that are still to be placed.
-    std::set<const FleetWorker *> m_heldWorkers;
+    /// Number of workers that this call of plan() holds for gangs.
+    std::size_t m_heldWorkerCount = 0;
     /// Number of steps for which this call of plan() may still preempt runs.
     int m_preemptionsLeft = 0;
 };
--- a/src/fleet/AdviceCache.cpp
+++ b/src/fleet/AdviceCache.cpp
@@ -40,6 +40,7 @@
     if (it->second.hasRequestInFlight && step != m_steps.end()) {
         step->second.isRequestInFlight = false;
     }
+    releaseProxy(it->second);
     m_proxies.erase(it);
 }
 
@@ -82,55 +83,73 @@
     return (stats.allowed + PriorWorkers * PriorAllowedShare) / (stats.asked + PriorWorkers);
 }
 
+bool AdviceCache::isWaiting(const std::string &queue, TimePoint now) const
+{
+    const auto it = m_refusedAt.find(queue);
+    return it != m_refusedAt.end() && now - it->second <= RefusalMemory;
+}
+
 bool AdviceCache::hasUsedItsShare(const std::string &queue, TimePoint now) const
 {
-    std::map<std::string, std::size_t> inFlight;
-    for (const auto &[name, refusedAt] : m_refusedAt) {
-        if (now - refusedAt <= RefusalMemory) {
-            inFlight[name];
-        }
-    }
-    const bool isAlone = inFlight.empty() || (inFlight.size() == 1 && inFlight.contains(queue));
-    if (isAlone) {
+    if (!m_lastRefusedAt || now - *m_lastRefusedAt > RefusalMemory) {
         return false;
     }
-    inFlight[queue];
-    for (const auto &[name, proxy] : m_proxies) {
-        if (proxy.hasRequestInFlight && proxy.isLongRequest) {
-            ++inFlight[proxy.queue];
-        }
+    std::size_t competing = 0;
+    for (const auto &[name, count] : m_longInFlightOf) {
+        competing += count > 0 || name == queue || isWaiting(name, now) ? 1 : 0;
     }
     const auto forLongRequests = m_proxies.size() - m_proxies.size() / ProxiesPerReserved;
-    const auto share = std::max<std::size_t>(1, forLongRequests / inFlight.size());
-    const bool doesAnotherWait = std::any_of(inFlight.begin(), inFlight.end(), [&](const auto &it) {
-        const auto refused = m_refusedAt.find(it.first);
-        return it.first != queue && it.second < share && refused != m_refusedAt.end() && now - refused->second <= RefusalMemory;
+    const auto share = std::max<std::size_t>(1, forLongRequests / std::max<std::size_t>(1, competing));
+    const auto own = m_longInFlightOf.find(queue);
+    if (own == m_longInFlightOf.end() || own->second < share) {
+        return false;
+    }
+    return std::any_of(m_longInFlightOf.begin(), m_longInFlightOf.end(), [&](const auto &it) {
+        return it.first != queue && it.second < share && isWaiting(it.first, now);
     });
-    return doesAnotherWait && inFlight[queue] >= share;
 }
 
-AdviceCache::Proxy *AdviceCache::chooseProxy(bool isLong, const std::string &queue, TimePoint now, std::string &name)
+// Each length may use all proxies but those that are reserved for the other one. Long requests need theirs only while some wait.
+bool AdviceCache::isWithinLimits(bool isLong, const std::string &queue, TimePoint now)
+{
+    const bool isOtherReserved = isLong || (m_lastRefusedAt && now - *m_lastRefusedAt <= RefusalMemory);
+    const auto reserved = isOtherReserved ? m_proxies.size() / ProxiesPerReserved : 0;
+    const auto used = isLong ? m_longInFlight : m_shortInFlight;
+    if (used + reserved < m_proxies.size() && m_longInFlight + m_shortInFlight < m_proxies.size()) {
+        return !isLong || !hasUsedItsShare(queue, now);
+    }
+    if (isLong) {
+        m_longInFlightOf[queue];
+        m_refusedAt[queue] = now;
+        m_lastRefusedAt = now;
+    }
+    return false;
+}
+
+bool AdviceCache::mayRequest(const QueuePolicy &queue, TimePoint now)
+{
+    return isWithinLimits(queue.adviceBaseMs + queue.advicePerWorkerMs > LongCallMs, queue.name, now);
+}
+
+void AdviceCache::releaseProxy(Proxy &proxy)
 {
-    if (isLong && hasUsedItsShare(queue, now)) {
-        return nullptr;
+    if (!proxy.hasRequestInFlight) {
+        return;
+    }
+    proxy.hasRequestInFlight = false;
+    if (proxy.isLongRequest) {
+        --m_longInFlight;
+        --m_longInFlightOf[proxy.queue];
+    } else {
+        --m_shortInFlight;
     }
+}
+
+AdviceCache::Proxy *AdviceCache::chooseProxy(bool isLong, TimePoint now, std::string &name)
+{
     const auto isFree = [now](const auto &it) {
         return !it.second.hasRequestInFlight && it.second.busyUntil <= now;
     };
-    // Each length may use all proxies but those that are reserved for the other one. Long requests need theirs only while some wait.
-    const auto used = static_cast<std::size_t>(std::count_if(m_proxies.begin(), m_proxies.end(), [isLong](const auto &it) {
-        return it.second.hasRequestInFlight && it.second.isLongRequest == isLong;
-    }));
-    const bool isOtherReserved = isLong || std::any_of(m_refusedAt.begin(), m_refusedAt.end(), [now](const auto &it) {
-                                     return now - it.second <= RefusalMemory;
-                                 });
-    const auto reserved = isOtherReserved ? m_proxies.size() / ProxiesPerReserved : 0;
-    if (used + reserved >= m_proxies.size() || std::none_of(m_proxies.begin(), m_proxies.end(), isFree)) {
-        if (isLong) {
-            m_refusedAt[queue] = now;
-        }
-        return nullptr;
-    }
     Proxy *best = nullptr;
     for (auto &it : m_proxies) {
         if (!isFree(it)) {
@@ -156,10 +175,16 @@
     const auto expectedMs = queue.adviceBaseMs + queue.advicePerWorkerMs * static_cast<double>(workersWithStart.size());
     std::string name;
     const bool isLong = expectedMs > LongCallMs;
-    auto *proxy = chooseProxy(isLong, queue.name, now, name);
+    auto *proxy = isWithinLimits(isLong, queue.name, now) ? chooseProxy(isLong, now, name) : nullptr;
     if (proxy == nullptr) {
         return std::nullopt;
     }
+    if (isLong) {
+        ++m_longInFlight;
+        ++m_longInFlightOf[queue.name];
+    } else {
+        ++m_shortInFlight;
+    }
     proxy->hasRequestInFlight = true;
     proxy->isLongRequest = isLong;
     proxy->step = step;
@@ -188,7 +213,7 @@
     const auto sender = m_proxies.find(proxy);
     if (sender != m_proxies.end() && sender->second.step == step) {
         auto &it = sender->second;
-        it.hasRequestInFlight = false;
+        releaseProxy(it);
         it.busyUntil = response.isBusy ? now + PauseAfterBusy : now;
         const auto newestMs = std::max(0.0, static_cast<double>((now - it.requestedAt).count()) - it.expectedMs);
         it.extraLatencyMs = it.extraLatencyMs == 0 ? newestMs : it.extraLatencyMs + LatencySmoothing * (newestMs - it.extraLatencyMs);
--- a/src/fleet/FleetPlannerAdvice.cpp
+++ b/src/fleet/FleetPlannerAdvice.cpp
@@ -62,10 +62,10 @@
 bool FleetPlanner::requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now)
 {
     const auto name = pending.name();
-    if (m_advice.isRequestBlocked(name, now)) {
+    const auto &queue = queueOf(*pending.job);
+    if (!m_advice.mayRequest(queue, now) || m_advice.isRequestBlocked(name, now)) {
         return false;
     }
-    const auto &queue = queueOf(*pending.job);
     const auto perWorker = runsPerWorker(*pending.step);
     std::vector<FleetWorker *> expired;
     std::vector<FleetWorker *> unknown;
--- a/src/fleet/FleetPlannerGangs.cpp
+++ b/src/fleet/FleetPlannerGangs.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t HeldWorkersDivisor = 4;
 // A gang asks about further workers until it knows of this many allowed ones for each of its tasks, so that some of them become free soon.
 constexpr std::size_t AllowedWorkersPerTask = 2;
+// Interval at which a waiting gang asks for advice and chooses the workers to hold; both look at all workers.
+constexpr Millis HoldInterval {100};
 
 // Returns the largest part of a resource of the worker that runs would have to free before a task with these needs fits; 0 if it fits now.
 double missingShare(const FleetWorker &worker, const FleetResources &needs)
@@ -37,19 +39,43 @@
     const auto needs = reservedResources(*pending.spec);
     std::vector<FleetWorker *> out;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
-        return isLargeEnough(*it, needs) && !m_heldWorkers.contains(it) && isEligible(*it, pending);
+        return isLargeEnough(*it, needs) && !it->isHeld && isEligible(*it, pending);
     });
     return out;
 }
 
 // Small tasks fill each gap before a gang finds all its gaps at the same time. So the workers that need to free the least for the gang are kept from steps that
 // rank behind it, until it starts.
-void FleetPlanner::holdWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
+void FleetPlanner::holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const bool isWorthless = std::get<0>(pending.rank);
-    if (isWorthless) {
+    const auto limit = workers.size() / HeldWorkersDivisor;
+    auto &step = *pending.step;
+    if (now >= step.nextHoldAt) {
+        step.nextHoldAt = now + HoldInterval;
+        if (queueOf(*pending.job).needsAdvice) {
+            requestGangAdvice(pending, workers, now);
+        }
+        step.heldWorkers.clear();
+        if (!isWorthless && m_heldWorkerCount + 1 < limit) {
+            step.heldWorkers = chooseWorkersForGang(pending, workers, now);
+        }
+    }
+    if (m_heldWorkerCount + step.heldWorkers.size() > limit) {
         return;
     }
+    for (const auto &it : step.heldWorkers) {
+        const auto worker = m_workers.find(it);
+        if (worker != m_workers.end() && !worker->second.isHeld) {
+            worker->second.isHeld = true;
+            ++m_heldWorkerCount;
+        }
+    }
+}
+
+// Returns the workers to hold, or none if there are not enough for the whole gang.
+std::vector<std::string> FleetPlanner::chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const
+{
     const auto name = pending.name();
     const auto needs = reservedResources(*pending.spec);
     auto candidates = workersForGang(pending, workers);
@@ -61,10 +87,11 @@
     for (auto *it : candidates) {
         byMissing.emplace_back(missingShare(*it, needs), it);
     }
-    std::sort(byMissing.begin(), byMissing.end(), [](const auto &a, const auto &b) {
-        return std::pair(a.first, &a.second->report.id) < std::pair(b.first, &b.second->report.id);
+    // Workers stay in the order of their ids where they are equal, so that the choice does not change without need.
+    std::stable_sort(byMissing.begin(), byMissing.end(), [](const auto &a, const auto &b) {
+        return a.first < b.first;
     });
-    std::vector<const FleetWorker *> chosen;
+    std::vector<std::string> out;
     std::int64_t tasks = 0;
     for (const auto &[missing, worker] : byMissing) {
         if (tasks >= static_cast<std::int64_t>(pending.waiting.size())) {
@@ -72,12 +99,9 @@
         }
         const auto slots = std::max<std::int64_t>(1, worker->slotsFor(needs));
         tasks += pending.spec->maxPerWorker > 0 ? std::min<std::int64_t>(slots, pending.spec->maxPerWorker) : slots;
-        chosen.push_back(worker);
-    }
-    const bool isEnough = tasks >= static_cast<std::int64_t>(pending.waiting.size());
-    if (isEnough && m_heldWorkers.size() + chosen.size() <= workers.size() / HeldWorkersDivisor) {
-        m_heldWorkers.insert(chosen.begin(), chosen.end());
+        out.push_back(worker->report.id);
     }
+    return tasks >= static_cast<std::int64_t>(pending.waiting.size()) ? out : std::vector<std::string> {};
 }
 
 // The advisor's verdict on a worker does not change, only its ticket expires. So a gang asks until it knows enough workers, whether they have room or not, and
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -100,9 +100,10 @@
         return a.rank < b.rank;
     });
     m_preemptionsLeft = MaxPreemptingSteps;
-    m_heldWorkers.clear();
+    m_heldWorkerCount = 0;
     std::vector<FleetWorker *> usable;
     for (auto &[id, worker] : m_workers) {
+        worker.isHeld = false;
         if (isUsable(worker, now)) {
             usable.push_back(&worker);
         }
@@ -132,7 +133,7 @@
     const auto &queue = queueOf(*pending.job);
     std::vector<FleetWorker *> withRoom;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
-        return it->hasRoomFor(needs) && !m_heldWorkers.contains(it) && isEligible(*it, pending);
+        return it->hasRoomFor(needs) && !it->isHeld && isEligible(*it, pending);
     });
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
     if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
@@ -158,9 +159,6 @@
         return;
     }
     if (pending.spec->isGang) {
-        if (queue.needsAdvice) {
-            requestGangAdvice(pending, workers, now);
-        }
         holdWorkersForGang(pending, workers, now);
         return;
     }
