Avoid workers that are slower than others, and move what can be moved

Cause: the planner knew refusals, silence and failures of workers, but not their speed. Best fit sent jobs to slow workers while others stood idle.

--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -38,6 +38,8 @@
 struct FleetStep {
     std::vector<FleetTask> tasks;
     int doneCount = 0;
+    /// Durations of the finished runs on the clocks of their workers, in milliseconds.
+    std::vector<double> durationsMs;
     /// Start of the current wait: when the step became ready, or when tasks of it last began to wait again.
     TimePoint readySince {};
     /// Other runs are preempted for this step again no earlier than this.
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -15,6 +15,7 @@
 #include "marjoramhaven/fleet/FleetClients.h"
 #include "marjoramhaven/fleet/FleetJobState.h"
 #include "marjoramhaven/fleet/FleetWorker.h"
+#include "marjoramhaven/fleet/WorkerSpeeds.h"
 #include "marjoramhaven/telemetry/EventLog.h"
 
 namespace marjoramhaven {
@@ -37,6 +38,8 @@
     Preempted,
     /// A worker reported a run that the planner does not know.
     Orphaned,
+    /// Its worker is slow, and the rest of the task takes less time elsewhere.
+    SlowWorker,
 };
 
 template<>
@@ -51,6 +54,7 @@
         {StopReason::Stuck, "stuck"},
         {StopReason::Preempted, "preempted"},
         {StopReason::Orphaned, "foreign"},
+        {StopReason::SlowWorker, "slow-worker"},
     };
 };
 
@@ -82,6 +86,12 @@
     bool isListed = false;
     std::string ticket;
     std::string checkpoint;
+    /// Checkpoint with which the run started; empty if it started from the beginning.
+    std::string startedFromCheckpoint;
+    /// The worker's clock when it confirmed the start, in milliseconds; 0 if that is not known.
+    std::int64_t startedClockMs = 0;
+    /// The run's duration is compared with that of others again no earlier than this.
+    TimePoint nextSpeedCheckAt {};
     /// Progress in percent as the worker last reported it; 100 for a long-running task that is fully serving.
     int percent = 0;
     TimePoint percentChangedAt {};
@@ -261,6 +271,10 @@
     void throttleBestEffortRuns(FleetWorker &worker, TimePoint now);
     void setRunSpeed(FleetRun &run, int percent, TimePoint now);
     int unavailableCount(const FleetStep &step) const;
+    // FleetPlannerSpeed.cpp: workers that are slower than others
+    void observeFinishedRun(const FleetRun &run, FleetStep &step, TimePoint now);
+    void observeRunningRun(FleetRun &run, const FleetWorker &worker, const FleetStep &step, const StepSpec &spec, TimePoint now);
+    void moveFromSlowWorker(FleetRun &run, const StepSpec &spec, double tookMs, double usualMs, TimePoint now);
     // FleetPlannerPlacement.cpp: placement of tasks on workers
     std::vector<PendingStep> pendingSteps(TimePoint now);
     bool needsSpeculativeRun(const FleetTask &task) const;
@@ -309,6 +323,10 @@
     std::map<RunKey, FleetRun> m_runs;
     std::map<std::string, FleetWorker> m_workers;
     AdviceCache m_advice;
+    WorkerSpeeds m_speeds;
+    /// Moves of runs from slow workers since the time below.
+    int m_recentMoves = 0;
+    TimePoint m_movesCountedSince {};
     /// Number of the planner's own events so far: polls sent, and changes of runs that answers caused. Unlike times, it is never equal for two events.
     std::int64_t m_sequence = 0;
     std::int64_t m_batchNumber = 0;
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -96,6 +96,8 @@
     std::map<RunKey, RunAllocation> allocations;
     /// Sum of the resources in `allocations`.
     FleetResources used;
+    /// True if the worker was slow when plan() began.
+    bool isSlow = false;
     /// True while plan() holds the free resources for a gang that ranks before the steps that are still to be placed.
     bool isHeld = false;
     /// No runs start here before this time, because the worker refused a request, did not answer or had failing runs.
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-// Returns true if the task's only run is on a worker that does not answer.
+// Returns true if the task's only run is on a worker that does not answer or is slow.
 bool FleetPlanner::needsSpeculativeRun(const FleetTask &task) const
 {
     if (task.isDone || task.activeAttempts.size() != 1) {
@@ -35,7 +35,7 @@
     }
     const auto run = m_runs.find({task.id, task.activeAttempts.front()});
     const auto worker = run == m_runs.end() ? m_workers.end() : m_workers.find(run->second.worker);
-    return worker != m_workers.end() && worker->second.failedPolls > 0 && run->second.state == RunState::Running;
+    return worker != m_workers.end() && run->second.state == RunState::Running && (worker->second.failedPolls > 0 || worker->second.isSlow);
 }
 
 FleetPlanner::PendingStepRank FleetPlanner::rankOf(const PendingStep &pending, TimePoint now)
@@ -104,6 +104,7 @@
     std::vector<FleetWorker *> usable;
     for (auto &[id, worker] : m_workers) {
         worker.isHeld = false;
+        worker.isSlow = m_speeds.isSlow(id, now);
         if (isUsable(worker, now)) {
             usable.push_back(&worker);
         }
@@ -232,7 +233,7 @@
     const auto &spec = *pending.spec;
     const auto needs = reservedResources(spec);
     FleetWorker *best = nullptr;
-    std::tuple<bool, bool, std::int64_t> bestRank;
+    std::tuple<bool, bool, bool, std::int64_t> bestRank;
     for (auto *it : candidates) {
         if (!it->hasRoomFor(needs) || (spec.maxPerWorker > 0 && perWorker[it->report.id] >= spec.maxPerWorker)) {
             continue;
@@ -241,7 +242,7 @@
         const bool isFar = !spec.preferredRack.empty() && !it->hasLabel(spec.preferredRack);
         const auto left = it->report.capacity.cpuMilli - it->used.cpuMilli - needs.cpuMilli;
         // Best fit keeps large free blocks for large tasks; best-effort tasks go to the worker with the most free CPU.
-        const std::tuple rank(hasFailed, isFar, spec.isBestEffort ? -left : left);
+        const std::tuple rank(hasFailed, it->isSlow, isFar, spec.isBestEffort ? -left : left);
         if (best == nullptr || rank < bestRank) {
             best = it;
             bestRank = rank;
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -43,6 +43,7 @@
     setState(run, RunState::Planned, now);
     run.percentChangedAt = now;
     run.checkpoint = task.checkpoint;
+    run.startedFromCheckpoint = task.checkpoint;
     task.lastAttempt = attempt;
     task.activeAttempts.push_back(attempt);
     const auto &spec = job.spec(task.id.step);
@@ -117,6 +118,7 @@
         // A worker that has restarted lists the run in its new incarnation or not at all.
         setState(*run, isOtherIncarnation ? RunState::Unconfirmed : RunState::Running, now);
         run->percentChangedAt = now;
+        run->startedClockMs = isOtherIncarnation ? 0 : response.workerClockMs;
         return;
     case WorkerCallOutcome::Unknown:
         worker.unansweredStarts.emplace_back(now, key);
@@ -286,6 +288,9 @@
                     {"end", std::string(nameOf(end))},
                     {"ran_ms", isKnown ? (now - run->stateSince).count() : std::int64_t(-1)}});
     const bool isPreempted = isKnown && run->stopReason == StopReason::Preempted;
+    if (isKnown && end == RunEnd::Done && job != nullptr && job->find(key.task) != nullptr) {
+        observeFinishedRun(*run, *job->findStep(key.task.occurrence, key.task.step), now);
+    }
     if (isKnown) {
         removeRun(key);
     }
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -127,6 +127,7 @@
     worker.isInventoried = false;
     worker.nextPollAt = now;
     worker.recentFailures.clear();
+    m_speeds.forget(worker.report.id);
 }
 
 void FleetPlanner::stopUnansweredStarts(FleetWorker &worker)
@@ -321,6 +322,9 @@
     if (!row.checkpoint.empty()) {
         run->checkpoint = row.checkpoint;
     }
+    if (task != nullptr && !task->isDone) {
+        observeRunningRun(*run, worker, *job->findStep(row.task.occurrence, row.task.step), job->spec(row.task.step), now);
+    }
     const bool isNotNeeded = job == nullptr || job->isEnded() || task == nullptr || task->isDone;
     if (isNotNeeded && run->stopReason == StopReason::None && (task == nullptr || !job->spec(row.task.step).isGang)) {
         requestStop(*run, StopReason::NotNeeded, now);
