--- a/tests/fleet/WorkerSpeedsTest.cpp
+++ b/tests/fleet/WorkerSpeedsTest.cpp
@@ -29,14 +29,16 @@
     };
 }
 
-// Submits jobs of four tasks one after the other, and returns the mean time in milliseconds until they are completed.
-double meanCompletionMs(FakeFleet &fleet, int jobs)
+// Submits jobs of six tasks one after the other, two on each of three workers, and returns the mean time in milliseconds until they are completed.
+double meanCompletionMs(FakeFleet &fleet, const std::string &name, int jobs)
 {
     double sum = 0;
     for (int i = 0; i < jobs; ++i) {
-        const auto id = "j" + std::to_string(i);
+        const auto id = name + std::to_string(i);
         const auto at = fleet.now();
-        fleet.submit(fleet.makeJob(id, {step(4, 300)}));
+        auto spread = step(6, 300);
+        spread.maxPerWorker = 2;
+        fleet.submit(fleet.makeJob(id, {spread}));
         BOOST_REQUIRE(fleet.runUntil(
             [&]() {
                 return fleet.stateOf(id) == FleetJobState::Completed;
@@ -99,9 +101,9 @@
     slowDown(fleet, [](int worker) {
         return worker == 0;
     });
-    meanCompletionMs(fleet, 6);
+    meanCompletionMs(fleet, "early", 6);
     // Every task on the slow worker takes 1.8 s.
-    BOOST_TEST(meanCompletionMs(fleet, 10) < 900);
+    BOOST_TEST(meanCompletionMs(fleet, "late", 10) < 900);
     BOOST_TEST(fleet.violations().empty());
 }
 
@@ -127,7 +129,7 @@
     slowDown(fleet, [](int worker) {
         return worker == 0;
     });
-    meanCompletionMs(fleet, 4);
+    meanCompletionMs(fleet, "early", 4);
     auto sweep = step(24, 2000);
     sweep.needs = {2000, 500, 0};
     sweep.checkpoints = true;
