--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -25,8 +25,6 @@
     std::vector<std::int64_t> activeAttempts;
     /// The next run starts no earlier than this.
     TimePoint notBefore {};
-    /// Number of runs that were preempted for tasks of higher priority.
-    int preemptionCount = 0;
     /// Ids of the workers on which a run failed.
     std::set<std::string> failedOn;
 
--- a/src/fleet/FleetPlannerGangs.cpp
+++ b/src/fleet/FleetPlannerGangs.cpp
@@ -7,10 +7,14 @@
 
 namespace {
 
-// Gangs that wait for room hold at most one in this many of the workers; the others stay free for steps that fit.
-constexpr std::size_t HeldWorkersDivisor = 4;
+// Gangs that wait for room hold at most one in this many of the workers that they may use; the others stay free for steps that fit. A single gang may hold
+// more, so that one in a small fleet can hold any.
+constexpr std::size_t HeldWorkersDivisor = 8;
+constexpr std::size_t FirstGangDivisor = 4;
 // A gang asks about further workers until it knows of this many allowed ones for each of its tasks, so that some of them become free soon.
 constexpr std::size_t AllowedWorkersPerTask = 2;
+// Held workers are partly idle, so a gang holds some only if it has found no room by itself within this time.
+constexpr Millis HoldDelay {1500};
 // Interval at which a waiting gang asks for advice and chooses the workers to hold; both look at all workers.
 constexpr Millis HoldInterval {100};
 
@@ -49,7 +53,6 @@
 void FleetPlanner::holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const bool isWorthless = std::get<0>(pending.rank);
-    const auto limit = workers.size() / HeldWorkersDivisor;
     auto &step = *pending.step;
     if (now >= step.nextHoldAt) {
         step.nextHoldAt = now + HoldInterval;
@@ -57,13 +60,10 @@
             requestGangAdvice(pending, workers, now);
         }
         step.heldWorkers.clear();
-        if (!isWorthless && m_heldWorkerCount + 1 < limit) {
+        if (!isWorthless && now - step.readySince >= HoldDelay) {
             step.heldWorkers = chooseWorkersForGang(pending, workers, now);
         }
     }
-    if (m_heldWorkerCount + step.heldWorkers.size() > limit) {
-        return;
-    }
     for (const auto &it : step.heldWorkers) {
         const auto worker = m_workers.find(it);
         if (worker != m_workers.end() && !worker->second.isHeld) {
@@ -79,6 +79,10 @@
     const auto name = pending.name();
     const auto needs = reservedResources(*pending.spec);
     auto candidates = workersForGang(pending, workers);
+    const auto limit = candidates.size() / (m_heldWorkerCount == 0 ? FirstGangDivisor : HeldWorkersDivisor);
+    if (m_heldWorkerCount >= limit) {
+        return {};
+    }
     std::erase_if(candidates, [&](const FleetWorker *it) {
         const auto verdict = m_advice.verdict(name, it->report.id, it->startedUnixMs, now);
         return queueOf(*pending.job).needsAdvice && verdict != AdviceCache::Verdict::Allowed && verdict != AdviceCache::Verdict::Expired;
@@ -101,7 +105,8 @@
         tasks += pending.spec->maxPerWorker > 0 ? std::min<std::int64_t>(slots, pending.spec->maxPerWorker) : slots;
         out.push_back(worker->report.id);
     }
-    return tasks >= static_cast<std::int64_t>(pending.waiting.size()) ? out : std::vector<std::string> {};
+    const bool isEnough = tasks >= static_cast<std::int64_t>(pending.waiting.size());
+    return isEnough && m_heldWorkerCount + out.size() <= limit ? out : std::vector<std::string> {};
 }
 
 // The advisor's verdict on a worker does not change, only its ticket expires. So a gang asks until it knows enough workers, whether they have room or not, and
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -16,8 +16,7 @@
 constexpr std::size_t FailedJobsToAvoid = 2;
 constexpr Millis AvoidAfterFailures {4000};
 // While urgent tasks keep arriving, a preempted task that starts again at once is soon preempted again and only wastes its start and its stop.
-constexpr Millis PauseAfterPreemption {200};
-constexpr int MaxPreemptionPauseDoublings = 3;
+constexpr Millis PauseAfterPreemption {100};
 
 } // namespace
 
@@ -302,8 +301,7 @@
     const auto &spec = job->spec(key.task.step);
     markDirty(*job);
     if (isPreempted) {
-        const auto doublings = std::min(task->preemptionCount++, MaxPreemptionPauseDoublings);
-        task->notBefore = std::max(task->notBefore, now + PauseAfterPreemption * (1 << doublings));
+        task->notBefore = std::max(task->notBefore, now + PauseAfterPreemption);
     }
     if (isKnown && !checkpoint.empty() && !task->isDone) {
         task->checkpoint = checkpoint;
