--- a/include/marjoramhaven/fleet/AdviceCache.h
+++ b/include/marjoramhaven/fleet/AdviceCache.h
@@ -22,7 +22,8 @@
 ///
 /// The advisor handles one request at a time for each calling machine, so requests are distributed over the processes of the system, called advisor proxies
 /// here. Long requests leave some proxies free for short ones, so that urgent steps never wait behind them. Short requests go through the proxies with the
-/// lowest network latency to the advisor, and long ones, for which that latency matters little, through the others.
+/// lowest network latency to the advisor, and long ones, for which that latency matters little, through the others. Queues that compete for the proxies of long
+/// requests get equal shares of them, so that a flood of one queue leaves the others theirs.
 class AdviceCache
 {
 public:
@@ -50,6 +51,8 @@
     /// Returns the estimated share (0 to 1) of workers that the advisor allows for steps of a queue, from its answers so far.
     double allowedShare(const std::string &queue) const;
 
+    /// Returns false if no request of the queue can be sent now, whatever workers it names. Cheap, unlike choosing the workers.
+    bool mayRequest(const QueuePolicy &queue, TimePoint now);
     /// Creates a request about these workers, each with the start time of its incarnation, and reserves a proxy for it. Returns `std::nullopt` if there are no
     /// workers, a request for the step is blocked, or no proxy is free for a request of this length.
     std::optional<AdviceRequest>
@@ -81,7 +84,9 @@
 
     struct Proxy {
         bool hasRequestInFlight = false;
+        bool isLongRequest = false;
         std::string step;
+        std::string queue;
         TimePoint busyUntil {};
         TimePoint requestedAt {};
         /// Expected processing time of the request in flight inside the advisor, in milliseconds.
@@ -96,10 +101,23 @@
     };
 
     Proxy *chooseProxy(bool isLong, TimePoint now, std::string &name);
+    // Returns true if a request of this length may use one more proxy. A long one that may not is remembered as waiting.
+    bool isWithinLimits(bool isLong, const std::string &queue, TimePoint now);
+    // Returns true if the queue uses its share of the proxies for long requests and another one waits for its own.
+    bool hasUsedItsShare(const std::string &queue, TimePoint now) const;
+    bool isWaiting(const std::string &queue, TimePoint now) const;
+    void releaseProxy(Proxy &proxy);
 
     std::map<std::string, StepAdvice> m_steps;
     std::map<std::string, Proxy> m_proxies;
     std::map<std::string, AllowanceStats> m_allowanceStats;
+    /// Numbers of long requests under way, by queue, and of all requests by length.
+    std::map<std::string, std::size_t> m_longInFlightOf;
+    std::size_t m_longInFlight = 0;
+    std::size_t m_shortInFlight = 0;
+    /// When a long request of a queue last found no proxy, and when any did.
+    std::map<std::string, TimePoint> m_refusedAt;
+    std::optional<TimePoint> m_lastRefusedAt;
 };
 
 } // namespace marjoramhaven
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -15,6 +15,7 @@
 #include "marjoramhaven/fleet/FleetClients.h"
 #include "marjoramhaven/fleet/FleetJobState.h"
 #include "marjoramhaven/fleet/FleetWorker.h"
+#include "marjoramhaven/fleet/WorkerSpeeds.h"
 #include "marjoramhaven/telemetry/EventLog.h"
 
 namespace marjoramhaven {
@@ -37,6 +38,8 @@
     Preempted,
     /// A worker reported a run that the planner does not know.
     Orphaned,
+    /// Its worker is slow, and the rest of the task takes less time elsewhere.
+    SlowWorker,
 };
 
 template<>
@@ -51,6 +54,7 @@
         {StopReason::Stuck, "stuck"},
         {StopReason::Preempted, "preempted"},
         {StopReason::Orphaned, "foreign"},
+        {StopReason::SlowWorker, "slow-worker"},
     };
 };
 
@@ -76,13 +80,23 @@
     RunState state = RunState::Planned;
     /// When the run entered this state.
     TimePoint stateSince {};
+    /// Position among the planner's own events at which the run entered this state. Only a list that was requested after it can prove that the run is gone.
+    std::int64_t stateSequence = 0;
     /// Whether the worker has listed the run. An answer to the start request alone does not tell which incarnation of the worker gave it.
     bool isListed = false;
     std::string ticket;
     std::string checkpoint;
+    /// Checkpoint with which the run started; empty if it started from the beginning.
+    std::string startedFromCheckpoint;
+    /// The worker's clock when it confirmed the start, in milliseconds; 0 if that is not known.
+    std::int64_t startedClockMs = 0;
+    /// The run's duration is compared with that of others again no earlier than this.
+    TimePoint nextSpeedCheckAt {};
     /// Progress in percent as the worker last reported it; 100 for a long-running task that is fully serving.
     int percent = 0;
     TimePoint percentChangedAt {};
+    /// The worker's clock in its first list with this percentage, in milliseconds; 0 before the first list.
+    std::int64_t percentChangedClockMs = 0;
     /// See RunningRunInfo::usage.
     double usage = 0;
     /// Speed limit that the worker has confirmed, in percent of full speed.
@@ -92,7 +106,8 @@
     StopReason stopReason = StopReason::None;
     bool isStopInFlight = false;
     bool isStopAnswered = false;
-    TimePoint stopAnsweredAt {};
+    /// Position among the planner's own events of the answer to the stop request.
+    std::int64_t stopAnsweredSequence = 0;
     TimePoint nextStopAt {};
 };
 
@@ -163,6 +178,8 @@
     void jobCancelled(const std::string &job, TimePoint now);
     /// Adds a worker or updates its description.
     void workerReported(const WorkerReport &report, TimePoint now);
+    /// Records that the entry of a worker can't be read. The worker gets no new runs until a readable entry arrives; its current runs go on.
+    void workerEntryUnreadable(const std::string &worker, TimePoint now);
     /// Records that the platform's list no longer contains a worker.
     void workerUnlisted(const std::string &worker, TimePoint now);
     /// Applies a new configuration to all jobs.
@@ -177,8 +194,7 @@
     void handleStartResponse(const StartRunRequest &request, const WorkerResponse &response, TimePoint now);
     void handleStopResponse(const StopRunRequest &request, const WorkerResponse &response, TimePoint now);
     void handleThrottleResponse(const ThrottleRunRequest &request, const WorkerResponse &response, TimePoint now);
-    /// Handles the answer to a poll that was sent at `sentAt`.
-    void handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint sentAt, TimePoint now);
+    void handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint now);
     void handleAdviceResponse(const AdviceRequest &request, const AdviceResponse &response, TimePoint now);
 
     /// Returns the changes to store next, or an empty batch if there are none. The previous batch must have been stored.
@@ -224,6 +240,8 @@
     void releaseIfIdle(FleetJob &job);
     // FleetPlannerRuns.cpp: life cycle of runs
     FleetRun *findRun(const RunKey &key);
+    // Enters a state; the lists of polls that were sent before prove nothing about the run any more.
+    void setState(FleetRun &run, RunState state, TimePoint now);
     FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now);
     void sendStart(FleetRun &run, TimePoint now);
     void requestStop(FleetRun &run, StopReason reason, TimePoint now);
@@ -240,9 +258,11 @@
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker);
-    void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, TimePoint sentAt, TimePoint now);
+    void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
     void reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now);
-    void reconcileMissingRun(FleetWorker &worker, FleetRun &run, TimePoint sentAt, TimePoint now);
+    void reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now);
+    // Returns true if an entry names another address or service for the incarnation that the worker itself has confirmed.
+    static bool contradicts(const WorkerReport &report, const FleetWorker &worker);
     void sendPollIfDue(FleetWorker &worker, TimePoint now);
     // FleetPlannerMonitoring.cpp: periodic checks of workers and runs
     void checkWorker(FleetWorker &worker, TimePoint now);
@@ -251,6 +271,10 @@
     void throttleBestEffortRuns(FleetWorker &worker, TimePoint now);
     void setRunSpeed(FleetRun &run, int percent, TimePoint now);
     int unavailableCount(const FleetStep &step) const;
+    // FleetPlannerSpeed.cpp: workers that are slower than others
+    void observeFinishedRun(const FleetRun &run, FleetStep &step, TimePoint now);
+    void observeRunningRun(FleetRun &run, const FleetWorker &worker, const FleetStep &step, const StepSpec &spec, TimePoint now);
+    void moveFromSlowWorker(FleetRun &run, const StepSpec &spec, double tookMs, double usualMs, TimePoint now);
     // FleetPlannerPlacement.cpp: placement of tasks on workers
     std::vector<PendingStep> pendingSteps(TimePoint now);
     bool needsSpeculativeRun(const FleetTask &task) const;
@@ -260,6 +284,12 @@
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
+    // FleetPlannerGangs.cpp: workers and advice for gangs that don't fit yet
+    void holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const;
+    void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
+    std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
     FleetWorker *
     chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
     std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
@@ -293,9 +323,17 @@
     std::map<RunKey, FleetRun> m_runs;
     std::map<std::string, FleetWorker> m_workers;
     AdviceCache m_advice;
+    WorkerSpeeds m_speeds;
+    /// Moves of runs from slow workers since the time below.
+    int m_recentMoves = 0;
+    TimePoint m_movesCountedSince {};
+    /// Number of the planner's own events so far: polls sent, and changes of runs that answers caused. Unlike times, it is never equal for two events.
+    std::int64_t m_sequence = 0;
     std::int64_t m_batchNumber = 0;
     std::unique_ptr<Batch> m_batch;
     bool m_hasUnstoredEnds = false;
+    /// Number of workers that this call of plan() holds for gangs.
+    std::size_t m_heldWorkerCount = 0;
     /// Number of steps for which this call of plan() may still preempt runs.
     int m_preemptionsLeft = 0;
 };
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -67,6 +67,8 @@
     WorkerReport report;
     /// True while the platform's list contains the worker.
     bool isListed = false;
+    /// True while the newest entry under the worker's id can't be read or contradicts what the worker says of itself.
+    bool isEntryUnreadable = false;
     /// When the worker disappeared from the platform's list.
     TimePoint unlistedSince {};
     /// Start of the incarnation that last listed its runs, in milliseconds since the Unix epoch; 0 before the first list.
@@ -79,7 +81,13 @@
     /// Polls without an answer since the last answered one.
     int failedPolls = 0;
     bool isPollInFlight = false;
+    /// PollWorkerRequest::sequence of the newest poll.
+    std::int64_t pollSequence = 0;
+    /// True while a poll is under way that was sent to an earlier incarnation. It acknowledges the ends of that one, and would delete those of the present one.
+    bool isEarlierPollInFlight = false;
     TimePoint nextPollAt {};
+    /// The worker's clock in its newest list, in milliseconds; 0 before the first list of this incarnation.
+    std::int64_t lastListClockMs = 0;
     /// Number of the last ended run that is stored; the worker may discard ended runs up to it.
     std::int64_t lastStoredEnd = 0;
     /// Number of the last ended run that the planner has processed.
@@ -88,6 +96,10 @@
     std::map<RunKey, RunAllocation> allocations;
     /// Sum of the resources in `allocations`.
     FleetResources used;
+    /// True if the worker was slow when plan() began.
+    bool isSlow = false;
+    /// True while plan() holds the free resources for a gang that ranks before the steps that are still to be placed.
+    bool isHeld = false;
     /// No runs start here before this time, because the worker refused a request, did not answer or had failing runs.
     TimePoint avoidUntil {};
     /// Start requests whose timeout passed without an answer; the worker may still carry them out, also in a new incarnation.
--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -17,6 +17,8 @@
     Leadership,
     /// Accepted jobs and cancellations, written by the processes that serve API callers.
     Jobs,
+    /// The same records, written here while the part of the log that holds the jobs topic does not answer.
+    JobsAlternate,
     /// Progress of jobs, written only by the leader.
     Progress,
     /// Configuration and commands of the operators; read only.
@@ -27,6 +29,9 @@
     Status,
 };
 
+/// Sorts after every key, so that the log answers a load from here with its end offset and no records.
+inline constexpr char KeyAfterAll[] = "\x7f";
+
 /// One record of a topic.
 struct KeyedRecord {
     std::string key;
@@ -79,6 +84,8 @@
 /// Answer to an append.
 struct AppendResult {
     AppendOutcome outcome = AppendOutcome::Unknown;
+    /// True if the log itself has answered. An append can also be refused because it could not be sent.
+    bool isAnswered = false;
     /// Offset of the first record, if the append was stored.
     std::int64_t offset = 0;
     /// End of the topic, if the log's answer contains it.
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -12,9 +12,9 @@
 #include "marjoramhaven/fleet/PlannerElection.h"
 #include "marjoramhaven/fleetnode/ConfigurationCopyPolicy.h"
 #include "marjoramhaven/fleetnode/ConfigurationState.h"
+#include "marjoramhaven/fleetnode/JobRecordStore.h"
 #include "marjoramhaven/fleetnode/PlannerHost.h"
 #include "marjoramhaven/fleetnode/ProgressReader.h"
-#include "marjoramhaven/fleetnode/RecordWriter.h"
 #include "marjoramhaven/fleetnode/TopicFollower.h"
 #include "marjoramhaven/telemetry/Metrics.h"
 #include "marjoramhaven/wire/PeerHub.h"
@@ -53,6 +53,9 @@
     void beginStop();
     /// Returns true when no client request is pending in this process and it has handed over leadership.
     bool isIdle() const;
+    /// Gives up the planner after an event handler has thrown an exception, since the planner's state may be half changed. The next leader, which may be this
+    /// process again, rebuilds it from the log and the workers.
+    void recoverFromError(const std::string &reason);
     /// Sets the gauges that describe this process's current view of the fleet.
     void updateGauges();
 
@@ -129,7 +132,7 @@
     PlannerElection m_election;
     TopicFollower m_operatorFollower;
     TopicFollower m_leadershipFollower;
-    RecordWriter m_writer;
+    JobRecordStore m_jobRecords;
     QTimer m_ticker;
     ConfigurationState m_configuration;
     /// Whether the newest configuration in the log can't be read, so that the one in force is not the newest.
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -39,7 +39,7 @@
     , m_election(ownLeadershipRecord(m_settings), ElectionTimings {})
     , m_operatorFollower(m_platform.log, StateTopic::Operator, LongPollWait, Millis(0), CatchUp::SkipToNewest)
     , m_leadershipFollower(m_platform.log, StateTopic::Leadership, LongPollWait, Millis(0))
-    , m_writer(m_platform.log, StateTopic::Jobs)
+    , m_jobRecords(m_platform.log)
     , m_configuration(m_settings.bounds.configurationApply)
     , m_nextCall(randomCallNumber())
 {
@@ -48,7 +48,7 @@
     };
     m_leadershipFollower.onReachabilityChanged = [this](bool isReachable, const std::string & /*reason*/) {
         m_isLogReachable = isReachable;
-        m_writer.setLogReachable(isReachable, monotonicNow());
+        m_jobRecords.setLogReachable(isReachable, monotonicNow());
         sendHeartbeats();
     };
     m_operatorFollower.onReachabilityChanged = [this](bool isReachable, const std::string &reason) {
@@ -139,9 +139,19 @@
     appendLeadershipIfDue(monotonicNow());
 }
 
+void FleetNode::recoverFromError(const std::string &reason)
+{
+    m_events.write("unexpected_error", {{"reason", reason}, {"leading", static_cast<std::int64_t>(m_planner != nullptr)}});
+    m_metrics.count("unexpected_errors_total");
+    if (m_planner) {
+        m_election.dropLeadership(monotonicNow());
+        stopPlanner("an event handler failed: " + reason);
+    }
+}
+
 bool FleetNode::isIdle() const
 {
-    return m_pendingQueries.empty() && m_storeCalls.empty() && m_writer.pendingCount() == 0 && m_election.isWithdrawn();
+    return m_pendingQueries.empty() && m_storeCalls.empty() && m_jobRecords.pendingCount() == 0 && m_election.isWithdrawn();
 }
 
 void FleetNode::updateGauges()
@@ -155,7 +165,7 @@
     m_metrics.gauge("log_answer_age_ms", static_cast<double>((now - m_leadershipFollower.lastAnswerAt()).count()));
     m_metrics.gauge("peers_linked", static_cast<double>(m_hub.linkedPeers().size()));
     m_metrics.gauge("questions_waiting", static_cast<double>(m_pendingQueries.size()));
-    m_metrics.gauge("records_waiting", static_cast<double>(m_writer.pendingCount() + m_storeCalls.size()));
+    m_metrics.gauge("records_waiting", static_cast<double>(m_jobRecords.pendingCount() + m_storeCalls.size()));
     m_metrics.gauge("runs", m_planner ? static_cast<double>(m_planner->planner().runCount()) : 0);
     m_metrics.gauge("workers", m_planner ? static_cast<double>(m_planner->planner().workers().size()) : 0);
 }
@@ -252,14 +262,17 @@
             continue;
         }
         if (!it.key.starts_with(NodeKeyPrefix)) {
-            leadershipRecords.emplace_back(it.offset, *record);
+            // A claim is older than each heartbeat that names it.
+            if (record->claimOffset < it.offset) {
+                leadershipRecords.emplace_back(it.offset, *record);
+            }
         } else if (record->node != m_settings.name) {
             m_unlinkedSince[record->node] = now;
             m_hub.addPeers({{record->node, record->host, record->port}});
         }
     }
     m_isLogReachable = true;
-    m_writer.setLogReachable(true, now);
+    m_jobRecords.setLogReachable(true, now);
     m_election.observeLogLatency(m_leadershipFollower.loadLatency());
     m_election.handleRecords(leadershipRecords, m_leadershipFollower.nextOffset(), now);
     applyLeadership();
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -265,7 +265,7 @@
         return;
     }
     call->isDirectStoreStarted = true;
-    m_writer.store(call->record, call->deadline, [this, call](SubmitResult answer) {
+    m_jobRecords.store(call->record, call->deadline, [this, call](SubmitResult answer) {
         if (answer.outcome == SubmitOutcome::Accepted) {
             notifyPlannerOfStored(call->record);
         }
@@ -313,6 +313,8 @@
         return;
     }
     call->mayBeStored = outcome != SubmitOutcome::Refused;
+    // The planner gives up a record only when the log does not answer it. That may be so for this process too.
+    m_jobRecords.suspectLog(monotonicNow());
     fallBackToDirectStore(call);
 }
 
--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -36,7 +36,16 @@
 
 void MemoryLog::append(AppendRequest request, std::function<void(const AppendResult &)> done)
 {
-    if (isUnresponsive || bytesOf(request) > maxAnsweredAppendBytes) {
+    if (isUnreachable) {
+        runLater(&m_context, appendDelay, [done = std::move(done)]() {
+            AppendResult out;
+            out.outcome = AppendOutcome::Refused;
+            out.reason = "connection refused";
+            done(out);
+        });
+        return;
+    }
+    if (isLost(request.topic) || bytesOf(request) > maxAnsweredAppendBytes) {
         runLater(&m_context, request.timeout, [done = std::move(done)]() {
             AppendResult out;
             out.reason = "timeout";
@@ -47,6 +56,7 @@
     runLater(&m_context, appendDelay, [this, request = std::move(request), done = std::move(done)]() {
         auto &topicRecords = m_topics[request.topic];
         AppendResult out;
+        out.isAnswered = true;
         out.offset = static_cast<std::int64_t>(topicRecords.size());
         if (isRefusing) {
             out.outcome = AppendOutcome::Refused;
@@ -74,7 +84,7 @@
 
 void MemoryLog::read(StateTopic topic, std::int64_t from, Millis wait, Millis timeout, std::function<void(const ReadResult &)> done)
 {
-    if (isUnresponsive) {
+    if (isLost(topic)) {
         runLater(&m_context, timeout, [done = std::move(done)]() {
             done({});
         });
@@ -108,7 +118,7 @@
 
 void MemoryLog::newest(StateTopic topic, const std::string &afterKey, Millis timeout, std::function<void(const NewestResult &)> done)
 {
-    if (isUnresponsive) {
+    if (isLost(topic)) {
         runLater(&m_context, timeout, [done = std::move(done)]() {
             done({});
         });
