--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -16,7 +16,7 @@
     }
 }
 
-__attribute__((section(".preinit_array"), used)) void (*const ignoreReloadSignalFirst)(int, char **, char **) = ignoreReloadSignal;
+__attribute__((section(".preinit_array"), used)) void (*const IgnoreReloadSignalFirst)(int, char **, char **) = ignoreReloadSignal;
 
 } // namespace
 
