--- a/tests/fleetnode/TopicFollowerTest.cpp
+++ b/tests/fleetnode/TopicFollowerTest.cpp
@@ -56,7 +56,34 @@
 
 BOOST_AUTO_TEST_SUITE(Follower)
 
-// The log leaves calls unanswered for seconds, and then answers new ones at once.
+// A refresh is overtaken by the regular reads, which deliver a record and then its deletion. What was deleted must not come back.
+BOOST_AUTO_TEST_CASE(refreshThatWasOvertakenBringsNoDeletedRecordBack)
+{
+    FollowedTopic topic;
+    topic.log.put(StateTopic::Jobs, "a", "1");
+    BOOST_REQUIRE(topic.waitForKeys(1, 1000));
+    topic.log.put(StateTopic::Jobs, "b", "1");
+    topic.log.readDelays[StateTopic::Jobs] = Millis(400);
+    bool isRefreshed = false;
+    topic.follower.refresh([&isRefreshed](bool /*isUpToDate*/) {
+        isRefreshed = true;
+    });
+    topic.log.readDelays.clear();
+    BOOST_REQUIRE(topic.waitForKeys(2, 300));
+    AppendRequest deletion;
+    deletion.topic = StateTopic::Jobs;
+    deletion.records.push_back({"b", std::nullopt, 0});
+    topic.log.append(std::move(deletion), [](const AppendResult & /*result*/) {});
+    BOOST_REQUIRE(topic.waitForKeys(3, 300));
+    BOOST_REQUIRE(waitFor(
+        [&isRefreshed]() {
+            return isRefreshed;
+        },
+        1000));
+    BOOST_TEST(topic.keys.size() == 3U);
+}
+
+// The log leaves calls unanswered for seconds// The log leaves calls unanswered for seconds, and then answers new ones at once.
 BOOST_AUTO_TEST_CASE(logThatAnswersAgainIsNoticedBeforeOldReadsTimeOut)
 {
     FollowedTopic topic;
