--- a/tests/fleet/EvidenceTest.cpp
+++ b/tests/fleet/EvidenceTest.cpp
@@ -8,14 +8,23 @@
 namespace {
 
 // Reaches the point at which the task "j.0.0.0" has a start request under way.
-StartRunRequest startTask(PlannerScript &script, std::int64_t estimateMs = 4000)
+StartRunRequest startTask(PlannerScript &script)
 {
-    script.submit("j", estimateMs);
+    script.submit("j", 4000);
     script.planAndStore();
     BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
     return script.port.starts.front();
 }
 
+// Reaches the point at which the task runs and the next poll of its worker is under way.
+StartRunRequest runTask(PlannerScript &script)
+{
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, script.done(), script.now);
+    script.advance(Millis(25));
+    return start;
+}
+
 } // namespace
 
 // What answers of workers prove, in each order in which they may arrive. Guards against work that is started again elsewhere while it still runs.
@@ -28,8 +37,8 @@
     const auto start = startTask(script);
     script.advance(Millis(25));
     const auto poll = script.lastPoll(start.worker.id);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
-    script.planner.handlePollResponse(poll, script.list(start.worker.id, {}), script.now);
+    script.planner.handleStartResponse(start, script.done(), script.now);
+    script.planner.handlePollResponse(poll, script.list({}), script.now);
     script.planAndStore();
     BOOST_TEST(script.port.starts.size() == 1U);
     BOOST_TEST(script.planner.runCount() == 1U);
@@ -38,10 +47,8 @@
 BOOST_AUTO_TEST_CASE(listRequestedAfterTheAnswerToAStartProvesThatTheRunIsGone)
 {
     PlannerScript script;
-    const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
-    script.advance(Millis(25));
-    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {}), script.now);
+    const auto start = runTask(script);
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({}), script.now);
     script.planAndStore();
     BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
     BOOST_TEST(script.port.starts.back().attempt == 2);
@@ -54,16 +61,16 @@
     const auto start = startTask(script);
     script.planner.handleStartResponse(start, {}, script.now);
     script.advance(Millis(25));
-    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {}), script.now);
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({}), script.now);
     BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
     script.advance(Millis(25));
     const auto poll = script.lastPoll(start.worker.id);
-    script.planner.handleStopResponse(script.port.stops.front(), script.done(start.worker.id), script.now);
-    script.planner.handlePollResponse(poll, script.list(start.worker.id, {}), script.now);
+    script.planner.handleStopResponse(script.port.stops.front(), script.done(), script.now);
+    script.planner.handlePollResponse(poll, script.list({}), script.now);
     script.planAndStore();
     BOOST_TEST(script.port.starts.size() == 1U);
     script.advance(Millis(25));
-    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {}), script.now);
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({}), script.now);
     script.planAndStore();
     BOOST_TEST(script.port.starts.size() == 2U);
 }
@@ -72,10 +79,8 @@
 BOOST_AUTO_TEST_CASE(incompleteListDoesNotProveThatARunIsGone)
 {
     PlannerScript script;
-    const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
-    script.advance(Millis(25));
-    auto list = script.list(start.worker.id, {});
+    const auto start = runTask(script);
+    auto list = script.list({});
     list.isComplete = false;
     script.planner.handlePollResponse(script.lastPoll(start.worker.id), list, script.now);
     script.planAndStore();
@@ -86,10 +91,8 @@
 BOOST_AUTO_TEST_CASE(pauseOfThePlannerDoesNotMakeARunLookStuck)
 {
     PlannerScript script;
-    const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
-    script.advance(Millis(25));
-    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+    const auto start = runTask(script);
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({{start.task, 1, "", 10, 0}}), script.now);
     script.now += Millis(4000);
     script.planner.tick(0, script.now);
     BOOST_TEST(script.port.stops.empty());
@@ -99,10 +102,8 @@
 BOOST_AUTO_TEST_CASE(pauseOfTheWorkerDoesNotMakeARunLookStuck)
 {
     PlannerScript script;
-    const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
-    script.advance(Millis(25));
-    auto list = script.list(start.worker.id, {{start.task, 1, "", 10, 0}});
+    const auto start = runTask(script);
+    auto list = script.list({{start.task, 1, "", 10, 0}});
     script.planner.handlePollResponse(script.lastPoll(start.worker.id), list, script.now);
     script.advance(Millis(25));
     script.now += Millis(4000);
@@ -116,10 +117,10 @@
 {
     PlannerScript script;
     const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.planner.handleStartResponse(start, script.done(), script.now);
     for (int i = 0; i < 4; ++i) {
         script.advance(Millis(950));
-        script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+        script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({{start.task, 1, "", 10, 0}}), script.now);
     }
     script.planner.tick(0, script.now);
     BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
@@ -129,10 +130,8 @@
 BOOST_AUTO_TEST_CASE(entryAloneDoesNotProveThatAWorkerHasRestarted)
 {
     PlannerScript script;
-    const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
-    script.advance(Millis(25));
-    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 5, 0}}), script.now);
+    const auto start = runTask(script);
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({{start.task, 1, "", 5, 0}}), script.now);
     auto entry = script.entry(start.worker.id);
     entry.startedUnixMs += 1000;
     script.planner.workerReported(entry, script.now);
@@ -140,7 +139,7 @@
     BOOST_TEST(script.port.starts.size() == 1U);
     const auto poll = script.lastPoll(start.worker.id);
     BOOST_TEST(poll.acknowledged == 0);
-    script.planner.handlePollResponse(poll, script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+    script.planner.handlePollResponse(poll, script.list({{start.task, 1, "", 10, 0}}), script.now);
     script.planAndStore();
     BOOST_TEST(script.port.starts.size() == 1U);
     BOOST_TEST(script.port.stops.empty());
@@ -158,7 +157,7 @@
     const auto poll = script.lastPoll("w0");
     BOOST_TEST(poll.sequence > earlierPoll.sequence);
     BOOST_TEST(poll.acknowledged == 0);
-    auto list = script.list("w0", {});
+    auto list = script.list({});
     list.startedUnixMs = entry.startedUnixMs;
     script.planner.handlePollResponse(poll, list, script.now);
     script.submit("j", 1000);
@@ -172,14 +171,12 @@
 BOOST_AUTO_TEST_CASE(listOfALaterIncarnationEndsTheRunsOfTheEarlierOne)
 {
     PlannerScript script;
-    const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
-    script.advance(Millis(25));
-    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list(start.worker.id, {{start.task, 1, "", 10, 0}}), script.now);
+    const auto start = runTask(script);
+    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({{start.task, 1, "", 10, 0}}), script.now);
     auto entry = script.entry(start.worker.id);
     entry.startedUnixMs += 1000;
     script.planner.workerReported(entry, script.now);
-    auto list = script.list(start.worker.id, {});
+    auto list = script.list({});
     list.startedUnixMs = entry.startedUnixMs;
     script.planner.handlePollResponse(script.lastPoll(start.worker.id), list, script.now);
     script.planAndStore();
@@ -191,7 +188,7 @@
 {
     PlannerScript script;
     const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.planner.handleStartResponse(start, script.done(), script.now);
     auto entry = script.entry(start.worker.id);
     entry.port += 1;
     script.planner.workerReported(entry, script.now);
@@ -204,7 +201,7 @@
 {
     PlannerScript script(1);
     const auto start = startTask(script);
-    script.planner.handleStartResponse(start, script.done(start.worker.id), script.now);
+    script.planner.handleStartResponse(start, script.done(), script.now);
     script.planner.workerEntryUnreadable(start.worker.id, script.now);
     script.submit("k", 1000);
     script.planAndStore();
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -34,7 +34,7 @@
             const auto id = "w" + std::to_string(i);
             planner.workerReported(entry(id), now);
             planner.tick(0, now);
-            planner.handlePollResponse(lastPoll(id), list(id, {}), now);
+            planner.handlePollResponse(lastPoll(id), list({}), now);
         }
     }
 
@@ -87,9 +87,11 @@
         return it == port.polls.rend() ? PollWorkerRequest {} : *it;
     }
 
-    WorkerResponse done(const std::string & /*worker*/) const { return {WorkerCallOutcome::Done, millisOf(now), "done"}; }
+    /// The answer of a worker that has carried out a start or a stop.
+    WorkerResponse done() const { return {WorkerCallOutcome::Done, millisOf(now), "done"}; }
 
-    PollWorkerResponse list(const std::string & /*worker*/, std::vector<RunningRunInfo> running) const
+    /// The answer of a worker that lists these runs and no ended ones.
+    PollWorkerResponse list(std::vector<RunningRunInfo> running) const
     {
         PollWorkerResponse out;
         out.outcome = WorkerCallOutcome::Done;
