Log how often a call was sent and which records an append did not store

The lines about refused appends, claims, heartbeats and starts gave an outcome, but not whether it was the answer to a first or to a second sending, and a refused submission could not be joined with the append that it was about, which another process may have made.

CallResult, AppendResult and WorkerResponse now say how often the request was sent; claim_answered, heartbeat_not_stored, progress_not_stored and start_refused log it. records_not_stored is a new line of the process that made the append, with the keys, the outcome and the reason. A submission that is refused while the log does not answer says whether an append of it was refused before.

No decision depends on the new fields.

--- a/include/marjoramhaven/fleet/FleetClients.h
+++ b/include/marjoramhaven/fleet/FleetClients.h
@@ -110,6 +110,8 @@
     /// The worker's clock in milliseconds; 0 if the answer does not contain it.
     std::int64_t workerClockMs = 0;
     std::string reason;
+    /// How often the request was sent; 0 if it was not, or if the worker is not reached over a network.
+    int sendings = 0;
 };
 
 /// Why a run ended.
--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -91,6 +91,8 @@
     /// End of the topic, if the log's answer contains it.
     std::int64_t end = 0;
     std::string reason;
+    /// How often the request was sent; 0 if it was not, or if the log is not reached over a network.
+    int sendings = 0;
 };
 
 /// Answer to a read of the records from an offset on.
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -105,6 +105,7 @@
     // Stores a record through the planner, which combines the records of all processes in its appends. Appends the record directly when the planner can't be
     // reached or does not answer.
     void storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done);
+    void logUnstoredRecords(const std::vector<std::string> &keys, const AppendResult &result);
     // Returns true for the acceptance of a job that the planner of this process knows: a retried submission whose record is already stored.
     bool isAlreadyStored(const std::string &key) const;
     void storeDirectly(const std::shared_ptr<StoreCall> &call);
--- a/include/marjoramhaven/fleetnode/JobRecordStore.h
+++ b/include/marjoramhaven/fleetnode/JobRecordStore.h
@@ -12,8 +12,13 @@
 class JobRecordStore
 {
 public:
+    using NotStored = std::function<void(const std::vector<std::string> &keys, const AppendResult &result)>;
+
     explicit JobRecordStore(StateLog &log);
 
+    /// Sets a function that is called with the keys of the records of each append that the log did not confirm, and its result.
+    void setNotStoredHandler(const NotStored &handler);
+
     /// Stores a record. Calls back exactly once, by the deadline, unless this object is destroyed before.
     void store(KeyedRecord record, TimePoint deadline, RecordWriter::Done done);
     /// Reports whether the log answers the other calls of this process.
--- a/include/marjoramhaven/fleetnode/RecordWriter.h
+++ b/include/marjoramhaven/fleetnode/RecordWriter.h
@@ -38,6 +38,8 @@
     bool isLogUnresponsive() const { return m_breaker.isOpen(); }
     /// Called when appends begin to get no answers, while records may wait.
     std::function<void()> onUnresponsive;
+    /// Called with the keys of the records of an append that the log did not confirm, and its result.
+    std::function<void(const std::vector<std::string> &keys, const AppendResult &result)> onNotStored;
     /// Returns the number of records whose result is still open.
     std::size_t pendingCount() const { return m_pendingCount; }
 
--- a/include/marjoramhaven/http/PooledHttpClient.h
+++ b/include/marjoramhaven/http/PooledHttpClient.h
@@ -42,6 +42,8 @@
     bool hasResponse = false;
     /// True when the request certainly never reached the server.
     bool isUnsent = false;
+    /// How often the request was sent. When it was sent twice, the response is that to the second sending, and the first may have been carried out.
+    int sendings = 0;
     int status = 0;
     std::string body;
     /// Why there is no response.
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -107,7 +107,8 @@
                         {"attempt", request.attempt},
                         {"worker", request.worker.id},
                         {"outcome", std::string(nameOf(response.outcome))},
-                        {"reason", response.reason}});
+                        {"reason", response.reason},
+                        {"sendings", static_cast<std::int64_t>(response.sendings)}});
     }
     if (run == nullptr || run->state != RunState::Starting) {
         return;
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -59,6 +59,9 @@
                         {"newest_known", m_configuration.newestKnownVersion()},
                         {"proof_age_ms", configurationProofAgeMs(monotonicNow())}});
     };
+    m_jobRecords.setNotStoredHandler([this](const std::vector<std::string> &keys, const AppendResult &result) {
+        logUnstoredRecords(keys, result);
+    });
     m_leadershipFollower.onRecords = [this](const std::vector<KeyedRecord> &records) {
         handleLeadershipRecords(records);
     };
@@ -296,7 +299,10 @@
     m_platform.log.append(std::move(request), [this, isClaim](const AppendResult &result) {
         if (isClaim || result.outcome != AppendOutcome::Stored) {
             m_events.write(isClaim ? "claim_answered" : "heartbeat_not_stored",
-                           {{"outcome", std::string(nameOf(result.outcome))}, {"offset", result.offset}, {"reason", result.reason}});
+                           {{"outcome", std::string(nameOf(result.outcome))},
+                            {"offset", result.offset},
+                            {"reason", result.reason},
+                            {"sendings", static_cast<std::int64_t>(result.sendings)}});
         }
         m_election.handleAppendResult(result, monotonicNow());
         applyLeadership();
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -20,6 +20,8 @@
 constexpr Millis FallbackReadRetention {4000};
 // Within this time, an accepted job has stored progress or is known to its planner.
 constexpr Millis AcceptedJobRetention {60'000};
+// Most keys that one line of the event log names.
+constexpr std::size_t MaxLoggedKeys = 16;
 
 } // namespace
 
@@ -259,6 +261,20 @@
     }
 }
 
+void FleetNode::logUnstoredRecords(const std::vector<std::string> &keys, const AppendResult &result)
+{
+    std::string text;
+    for (std::size_t i = 0; i < std::min(keys.size(), MaxLoggedKeys); ++i) {
+        text += (i == 0 ? "" : " ") + keys[i];
+    }
+    m_events.write("records_not_stored",
+                   {{"keys", text},
+                    {"count", static_cast<std::int64_t>(keys.size())},
+                    {"outcome", std::string(nameOf(result.outcome))},
+                    {"reason", result.reason},
+                    {"sendings", static_cast<std::int64_t>(result.sendings)}});
+}
+
 void FleetNode::storeDirectly(const std::shared_ptr<StoreCall> &call)
 {
     if (call->isDirectStoreStarted) {
--- a/src/fleetnode/JobRecordStore.cpp
+++ b/src/fleetnode/JobRecordStore.cpp
@@ -23,6 +23,12 @@
     };
 }
 
+void JobRecordStore::setNotStoredHandler(const NotStored &handler)
+{
+    m_main.onNotStored = handler;
+    m_alternate.onNotStored = handler;
+}
+
 void JobRecordStore::store(KeyedRecord record, TimePoint deadline, RecordWriter::Done done)
 {
     const auto call = std::make_shared<Call>(Call {std::move(record), deadline, std::move(done)});
--- a/src/fleetnode/PlannerHostStore.cpp
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -163,7 +163,11 @@
         }
         return;
     }
-    m_services.events.write("progress_not_stored", {{"sequence", sequence}, {"outcome", std::string(nameOf(result.outcome))}, {"reason", result.reason}});
+    m_services.events.write("progress_not_stored",
+                            {{"sequence", sequence},
+                             {"outcome", std::string(nameOf(result.outcome))},
+                             {"reason", result.reason},
+                             {"sendings", static_cast<std::int64_t>(result.sendings)}});
     if (result.outcome == AppendOutcome::Fenced) {
         supersede("the progress topic has a writer with a newer epoch");
     } else {
--- a/src/fleetnode/RecordWriter.cpp
+++ b/src/fleetnode/RecordWriter.cpp
@@ -2,6 +2,7 @@
 
 #include <QTimer>
 #include <algorithm>
+#include <iterator>
 
 namespace marjoramhaven {
 
@@ -103,7 +104,8 @@
         return !it->mayBeStored;
     });
     for (const auto &it : unsent) {
-        answer(it, SubmitOutcome::Refused, "the log does not answer", std::clamp(unresponsiveFor, MinClientRetryAfter, MaxClientRetryAfter));
+        const auto reason = it->reason.empty() ? "the log does not answer" : "the log does not answer, and refused the last append: " + it->reason;
+        answer(it, SubmitOutcome::Refused, reason, std::clamp(unresponsiveFor, MinClientRetryAfter, MaxClientRetryAfter));
     }
 }
 
@@ -185,6 +187,13 @@
 void RecordWriter::handleAppendResult(const std::vector<EntryPtr> &entries, const AppendResult &result)
 {
     const auto now = monotonicNow();
+    if (result.outcome != AppendOutcome::Stored && onNotStored) {
+        std::vector<std::string> keys;
+        std::transform(entries.begin(), entries.end(), std::back_inserter(keys), [](const EntryPtr &it) {
+            return it->record.key;
+        });
+        onNotStored(keys, result);
+    }
     for (const auto &it : entries) {
         if (result.outcome == AppendOutcome::Stored) {
             answer(it, SubmitOutcome::Accepted, {}, Millis(0));
--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -129,6 +129,7 @@
         m_isReused = m_isConnected;
         m_hasResponseBytes = false;
         m_mayHaveArrived = false;
+        m_sendings = 0;
         armTimer(m_pending->deadline);
         prepareRequest();
         if (m_isConnected) {
@@ -198,6 +199,7 @@
     void send()
     {
         m_mayHaveArrived = true;
+        ++m_sendings;
         http::async_write(m_socket, m_request, [self = this->shared_from_this(), pending = m_pending](const boost::system::error_code &ec, std::size_t) {
             if (self->m_pending != pending) {
                 return;
@@ -278,6 +280,7 @@
 
     void finish(CallResult result, bool keepAlive)
     {
+        result.sendings = m_sendings;
         const auto pending = std::move(m_pending);
         m_pending = nullptr;
         m_timer.cancel();
@@ -302,6 +305,7 @@
     bool m_hasResponseBytes = false;
     // True once any byte of the call was sent, on this or an earlier connection.
     bool m_mayHaveArrived = false;
+    int m_sendings = 0;
 };
 
 void PooledHttpClient::Loop::dispatch(const std::shared_ptr<PendingCall> &pending)
