A refusal of a repeated append doesn't stand for its first sending

Cause: the HTTP client sends a call once more on a new connection when a kept-alive one breaks, since the server may have closed it while it was idle. It may as well have carried the request out and lost the answer with the connection. The decoder took the answer to the second sending for that of the call: 503 became "not stored, and never will be", 412 "the topic does not end there", while the first sending had stored the records.

CallResult names the two questions that decoders ask: isUnsent() is now derived from the number of sendings, and mayHaveBeenCarriedOutBefore() says that a response was not that to the first.

--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -49,7 +49,7 @@
     EndMismatch,
     /// Not stored, because a writer with a later epoch has taken over.
     Fenced,
-    /// No answer: the records may be stored, may be stored later, or may be lost.
+    /// No conclusive answer: the records may be stored, may be stored later, or may be lost.
     Unknown,
 };
 
--- a/include/marjoramhaven/http/PooledHttpClient.h
+++ b/include/marjoramhaven/http/PooledHttpClient.h
@@ -38,16 +38,20 @@
 
 /// The result of a call.
 struct CallResult {
-    /// True when a complete response was received. When false, it is unknown whether the call took effect, unless isUnsent is true.
+    /// True when a complete response was received. When false, it is unknown whether the call took effect, unless isUnsent() is true.
     bool hasResponse = false;
-    /// True when the request certainly never reached the server.
-    bool isUnsent = false;
     /// How often the request was sent. When it was sent twice, the response is that to the second sending, and the first may have been carried out.
     int sendings = 0;
     int status = 0;
     std::string body;
     /// Why there is no response.
     std::string error;
+
+    /// Returns whether the request certainly never reached the server.
+    bool isUnsent() const { return sendings == 0; }
+    /// Returns whether an earlier sending of the request, whose response was lost, may have been carried out. A refusal then does not say that nothing was
+    /// done.
+    bool mayHaveBeenCarriedOutBefore() const { return sendings > 1; }
 };
 
 /// An HTTP client with a pool of kept-alive connections for each server and its own I/O thread. It needs a fraction of the processor time of
--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -128,7 +128,6 @@
         m_pending = std::move(pending);
         m_isReused = m_isConnected;
         m_hasResponseBytes = false;
-        m_mayHaveArrived = false;
         m_sendings = 0;
         armTimer(m_pending->deadline);
         prepareRequest();
@@ -198,7 +197,6 @@
 
     void send()
     {
-        m_mayHaveArrived = true;
         ++m_sendings;
         http::async_write(m_socket, m_request, [self = this->shared_from_this(), pending = m_pending](const boost::system::error_code &ec, std::size_t) {
             if (self->m_pending != pending) {
@@ -273,7 +271,6 @@
     void fail(const std::string &reason)
     {
         CallResult result;
-        result.isUnsent = !m_mayHaveArrived;
         result.error = reason;
         finish(std::move(result), false);
     }
@@ -303,8 +300,7 @@
     bool m_isConnected = false;
     bool m_isReused = false;
     bool m_hasResponseBytes = false;
-    // True once any byte of the call was sent, on this or an earlier connection.
-    bool m_mayHaveArrived = false;
+    // How often the pending call was sent, on this or an earlier connection.
     int m_sendings = 0;
 };
 
@@ -323,7 +319,6 @@
         if (pending->deadline <= std::chrono::steady_clock::now()) {
             host.waiting.pop_front();
             CallResult expired;
-            expired.isUnsent = true;
             expired.error = "no connection became free within the time limit of the call";
             deliver(pending, expired);
             continue;
--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -230,11 +230,11 @@
     BOOST_TEST(results[0].hasResponse);
     BOOST_TEST(results[0].sendings == 1);
     BOOST_TEST(!results[1].hasResponse);
-    BOOST_TEST(!results[1].isUnsent);
+    BOOST_TEST(!results[1].isUnsent());
     BOOST_TEST(results[1].sendings == 1);
     // No server listens any more, so the request can't have reached one.
     callAndWait();
-    BOOST_TEST(results[2].isUnsent);
+    BOOST_TEST(results[2].isUnsent());
     BOOST_TEST(results[2].sendings == 0);
 }
 
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -139,7 +139,7 @@
         }
         return;
     }
-    const bool isRefused = result.isUnsent || (result.hasResponse && (result.status == 503 || result.status == 429));
+    const bool isRefused = result.isUnsent() || (result.hasResponse && (result.status == 503 || result.status == 429));
     job.mayBeStored = job.mayBeStored || !isRefused;
     if (attempt < MaxAttempts) {
         submitLater(id, attempt + 1, Millis(static_cast<std::int64_t>(randomBelow(MaxRetryDelayMs))));
