--- a/include/marjoramhaven/fleet/FleetClients.h
+++ b/include/marjoramhaven/fleet/FleetClients.h
@@ -37,7 +37,7 @@
     Unhealthy,
     /// Refused: the request is malformed.
     Invalid,
-    /// No answer: the request may have been carried out, may be carried out later, or may be lost.
+    /// No conclusive answer: the request may have been carried out, may be carried out later, or may be lost.
     Unknown,
     /// The request certainly never reached the worker.
     Unsent,
