--- a/tests/adapter/RepeatedCallTest.cpp
+++ b/tests/adapter/RepeatedCallTest.cpp
@@ -149,6 +149,23 @@
     BOOST_TEST(nameOf(fixture.append().outcome) == nameOf(AppendOutcome::EndMismatch));
 }
 
+// Guards against a submission that is refused and runs: the log, or something before it, answered its append with a status that promises nothing.
+BOOST_AUTO_TEST_CASE(onlyAnExplicitRefusalSaysThatNothingWasStored)
+{
+    for (const auto status : {302, 500, 501, 502, 504}) {
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_TEST(nameOf(Fixture(std::deque<ScriptedAnswer> {{status}}).append().outcome) == nameOf(AppendOutcome::Unknown));
+        }
+    }
+    for (const auto status : {400, 403, 404, 405, 411, 413, 429, 503, 507}) {
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            BOOST_TEST(nameOf(Fixture(std::deque<ScriptedAnswer> {{status}}).append().outcome) == nameOf(AppendOutcome::Refused));
+        }
+    }
+}
+
 // Guards against a task that runs twice at a time: the worker carried out the first sending of its start and refused the second, and the task was started on
 // another worker.
 BOOST_AUTO_TEST_CASE(refusalOfARepeatedStartDoesNotSayThatNothingRuns)
