Test: faults beside workers that refuse calls at their first or second sending

FakeFleet lets a worker refuse a share of its starts, stops, throttles and polls as unhealthy. Half of the refusals of calls that are sent again answer a second sending, whose first was carried out or not; their outcome is unknown. The new case plays every pair of faults while three of six workers refuse half of their calls: kills and freezes of the planner, an outage of the log, silent, restarted and draining workers, delayed requests, lost answers, cancellations, and unhealthy workers.

A late request is carried out only by the incarnation that it was sent to, as before.

--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -70,6 +70,7 @@
             }));
         m_isUnresponsive.push_back(false);
         m_isListed.push_back(true);
+        m_refusedRequestShares.push_back(0);
     }
     openPlanner();
     tick();
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -68,6 +68,13 @@
     void setDelayedRequestShare(double share);
     /// Lets this share of the workers' responses get lost after the request was carried out.
     void setLostResponseShare(double share);
+    /// Lets a worker refuse this share of its requests as unhealthy. Half of the refusals answer a second sending: the channel of the first one broke, after
+    /// the worker had carried it out or before.
+    void setRefusedRequestShare(int worker, double share)
+    {
+        m_hasFaults = m_hasFaults || share > 0;
+        m_refusedRequestShares[static_cast<std::size_t>(worker)] = share;
+    }
 
     /// Returns the violations of the scheduler's guarantees so far, one line each.
     const std::vector<std::string> &violations() const { return m_violations; }
@@ -116,6 +123,7 @@
     std::vector<std::unique_ptr<FleetWorkerModel>> m_workers;
     std::vector<bool> m_isUnresponsive;
     std::vector<bool> m_isListed;
+    std::vector<double> m_refusedRequestShares;
     std::map<std::string, FleetJobRequest> m_requests;
     std::vector<std::string> m_cancelled;
     std::map<std::string, JobRecord> m_records;
--- a/tests/fleet/FakeFleetPlanner.h
+++ b/tests/fleet/FakeFleetPlanner.h
@@ -83,6 +83,10 @@
             });
             return;
         }
+        if (fleet.chance(fleet.m_refusedRequestShares[i])) {
+            refuse<Response>(i, request, finish);
+            return;
+        }
         const bool isResponseLost = fleet.chance(fleet.m_lostResponseShare);
         fleet.after(fleet.m_options.delay, [this, i, request, finish, isResponseLost]() {
             if (fleet.m_isUnresponsive[i]) {
@@ -97,6 +101,28 @@
         });
     }
 
+    // Lets an unhealthy worker refuse a request, at its first or its second sending.
+    template<typename Response>
+    void refuse(std::size_t i, std::function<Response(FleetWorkerModel &)> request, std::function<void(const Response &)> finish)
+    {
+        Response refusal;
+        refusal.reason = "status 503";
+        const bool isSecondSending = fleet.chance(0.5);
+        refusal.outcome = isSecondSending ? WorkerCallOutcome::Unknown : WorkerCallOutcome::Unhealthy;
+        const bool isFirstCarriedOut = isSecondSending && fleet.chance(0.5);
+        fleet.after(fleet.m_options.delay, [this, i, request, finish, refusal, isFirstCarriedOut]() {
+            if (fleet.m_isUnresponsive[i]) {
+                return;
+            }
+            if (isFirstCarriedOut) {
+                request(*fleet.m_workers[i]);
+            }
+            fleet.after(fleet.m_options.delay * 2, [finish, refusal]() {
+                finish(refusal);
+            });
+        });
+    }
+
     std::shared_ptr<PlannerProcess> self() { return shared_from_this(); }
 
     void sendStart(const StartRunRequest &request, Millis timeout) override
@@ -162,6 +188,14 @@
         fleet.after(timeout, [finish]() {
             finish(PollWorkerResponse {});
         });
+        if (fleet.chance(fleet.m_refusedRequestShares[i])) {
+            PollWorkerResponse refusal;
+            refusal.outcome = WorkerCallOutcome::Unhealthy;
+            fleet.after(fleet.m_options.delay * 2, [finish, refusal]() {
+                finish(refusal);
+            });
+            return;
+        }
         // A restart of the worker closes its connections.
         fleet.after(fleet.m_options.delay, [this, i, request, finish, startedUnixMs = fleet.m_workers[i]->report().startedUnixMs]() {
             if (!fleet.m_isUnresponsive[i] && fleet.m_workers[i]->report().startedUnixMs == startedUnixMs) {
--- a/tests/fleet/FaultsTest.cpp
+++ b/tests/fleet/FaultsTest.cpp
@@ -27,6 +27,7 @@
     RequestsDelayed,
     ResponsesLost,
     JobsCancelled,
+    WorkersUnhealthy,
 };
 
 constexpr Fault AllFaults[] = {Fault::PlannerKilled,
@@ -37,7 +38,19 @@
                                Fault::WorkerDraining,
                                Fault::RequestsDelayed,
                                Fault::ResponsesLost,
-                               Fault::JobsCancelled};
+                               Fault::JobsCancelled,
+                               Fault::WorkersUnhealthy};
+
+// Workers that the fault makes unhealthy; the others take over their tasks.
+constexpr int UnhealthyWorkers = 3;
+constexpr double RefusedShare = 0.5;
+
+void setUnhealthy(FakeFleet &fleet, double refusedShare)
+{
+    for (int i = 0; i < UnhealthyWorkers; ++i) {
+        fleet.setRefusedRequestShare(i, refusedShare);
+    }
+}
 
 StepSpec randomStep(std::mt19937_64 &random)
 {
@@ -92,11 +105,17 @@
             fleet.cancel("j" + std::to_string(i));
         }
         return;
+    case Fault::WorkersUnhealthy:
+        setUnhealthy(fleet, RefusedShare);
+        fleet.run(Millis(5000));
+        setUnhealthy(fleet, 0);
+        return;
     }
 }
 
-// Simulates a fixed load with these faults. Returns the first violation, or else the first job that did not end, or else an empty string.
-std::string runScenario(const std::vector<Fault> &faults, std::uint64_t seed)
+// Simulates a fixed load with these faults, on workers that are unhealthy meanwhile if `refusedShare` is not 0. Returns the first violation, or else the first
+// job that did not end, or else an empty string.
+std::string runScenario(const std::vector<Fault> &faults, std::uint64_t seed, double refusedShare = 0)
 {
     FakeFleetOptions options;
     options.seed = seed;
@@ -108,6 +127,7 @@
     fleet.queue.advicePerWorkerMs = 1;
     fleet.queue.ticketValidityMs = 2000;
     std::vector<Fault> remainingFaults = faults;
+    setUnhealthy(fleet, refusedShare);
     constexpr int Jobs = 12;
     for (int i = 0; i < Jobs; ++i) {
         std::vector<StepSpec> steps {randomStep(random)};
@@ -123,6 +143,7 @@
             remainingFaults.pop_back();
         }
     }
+    setUnhealthy(fleet, 0);
     const auto haveAllJobsEnded = [&]() {
         for (int i = 0; i < Jobs; ++i) {
             const auto state = fleet.stateOf("j" + std::to_string(i));
@@ -191,4 +212,17 @@
     }
 }
 
+// Guards against a task that runs twice: workers refuse starts, stops and polls at their first or second sending, while other faults occur.
+BOOST_AUTO_TEST_CASE(faultsBesideUnhealthyWorkersCauseNoViolation)
+{
+    for (const auto first : AllFaults) {
+        for (const auto second : AllFaults) {
+            for (std::uint64_t seed = 1; seed <= (seedCount() + 2) / 3; ++seed) {
+                const auto result = runScenario({first, second}, seed, RefusedShare);
+                BOOST_TEST(result.empty(), "faults " << static_cast<int>(first) << "+" << static_cast<int>(second) << " seed " << seed << ": " << result);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -12,12 +12,13 @@
 struct RecordingTransport : public PlannerTransport {
     std::vector<StartRunRequest> starts;
     std::vector<StopRunRequest> stops;
+    std::vector<ThrottleRunRequest> throttles;
     std::vector<PollWorkerRequest> polls;
     std::vector<AdviceRequest> advice;
 
     void sendStart(const StartRunRequest &request, Millis /*timeout*/) override { starts.push_back(request); }
     void sendStop(const StopRunRequest &request, Millis /*timeout*/) override { stops.push_back(request); }
-    void sendThrottle(const ThrottleRunRequest & /*request*/, Millis /*timeout*/) override { }
+    void sendThrottle(const ThrottleRunRequest &request, Millis /*timeout*/) override { throttles.push_back(request); }
     void sendPoll(const PollWorkerRequest &request, Millis /*timeout*/) override { polls.push_back(request); }
     void sendAdviceRequest(const AdviceRequest &request) override { advice.push_back(request); }
     void fencedByWorker(const std::string & /*worker*/) override { }
@@ -29,6 +30,8 @@
 public:
     explicit PlannerScript(int workers = 2)
     {
+        queue.service = "svc";
+        queue.maxAttempts = 3;
         planner.startPlanning(now);
         for (int i = 0; i < workers; ++i) {
             const auto id = "w" + std::to_string(i);
@@ -47,14 +50,18 @@
 
     void submit(const std::string &id, std::int64_t estimateMs)
     {
-        FleetJobRequest request;
-        request.id = id;
-        request.queue.service = "svc";
-        request.queue.maxAttempts = 3;
         StepSpec step;
         step.taskCount = 1;
         step.needs = {500, 500, 0};
         step.estimateMs = estimateMs;
+        submitStep(id, step);
+    }
+
+    void submitStep(const std::string &id, const StepSpec &step)
+    {
+        FleetJobRequest request;
+        request.id = id;
+        request.queue = queue;
         request.steps.push_back(step);
         planner.jobAccepted(request, now);
     }
@@ -87,6 +94,15 @@
         return it == port.polls.rend() ? PollWorkerRequest {} : *it;
     }
 
+    /// Answers the newest poll of a worker with the runs of the incarnation that started then, and sends the next poll.
+    void answerPoll(const std::string &worker, std::vector<RunningRunInfo> running, std::int64_t startedUnixMs = 1)
+    {
+        auto answer = list(std::move(running));
+        answer.startedUnixMs = startedUnixMs;
+        planner.handlePollResponse(lastPoll(worker), answer, now);
+        advance(Millis(25));
+    }
+
     /// The answer of a worker that has carried out a start or a stop.
     WorkerResponse done() const { return {WorkerCallOutcome::Done, millisOf(now), "done"}; }
 
@@ -101,6 +117,8 @@
         return out;
     }
 
+    /// The queue of all jobs that are submitted from now on.
+    QueuePolicy queue;
     TimePoint now = atMillis(100'000);
     EventLog events {"test", -1};
     RecordingTransport port;
