--- /dev/null
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -0,0 +1,78 @@
+#include <boost/test/unit_test.hpp>
+
+#include "PlannerScript.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+const WorkerResponse NoAnswer {};
+const WorkerResponse Unhealthy {WorkerCallOutcome::Unhealthy, 0, "status 503"};
+
+// Places the task "j.0.0.0" and returns its start request, which is under way to "w0".
+StartRunRequest startTask(PlannerScript &script)
+{
+    script.submit("j", 4000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    BOOST_REQUIRE_EQUAL(script.port.starts.front().worker.id, "w0");
+    return script.port.starts.front();
+}
+
+// Lets the timeout of a start request pass, after which the planner doesn't send it again.
+void loseAnswer(PlannerScript &script, const StartRunRequest &start)
+{
+    script.advance(Millis(600));
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.advance(Millis(25));
+}
+
+// Answers polls of "w0" with empty lists until the planner stops the run there, and returns that request.
+StopRunRequest awaitStop(PlannerScript &script, std::int64_t startedUnixMs = 1)
+{
+    const auto before = script.port.stops.size();
+    for (int i = 0; i < 3 && script.port.stops.size() == before; ++i) {
+        script.answerPoll("w0", {}, startedUnixMs);
+    }
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 1);
+    return script.port.stops.back();
+}
+
+// Reaches the point at which the start on "w0" was not answered, its stop was confirmed, and a second attempt runs on "w1".
+void moveTask(PlannerScript &script)
+{
+    loseAnswer(script, startTask(script));
+    script.planner.handleStopResponse(awaitStop(script), script.done(), script.now);
+    script.answerPoll("w0", {});
+    script.answerPoll("w0", {});
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    BOOST_REQUIRE_EQUAL(script.port.starts.back().worker.id, "w1");
+    script.planner.handleStartResponse(script.port.starts.back(), script.done(), script.now);
+}
+
+} // namespace
+
+// What the planner does about a start whose outcome it doesn't know. Guards against a task that runs twice, in each order in which answers may arrive.
+BOOST_AUTO_TEST_SUITE(UnansweredStarts)
+
+// Guards against a task that runs twice: the worker restarts, refuses the stop of a start that is under way since before, and then carries out that start.
+BOOST_AUTO_TEST_CASE(refusedStopOfAnUnansweredStartIsSentAgainToTheNextIncarnation)
+{
+    PlannerScript script;
+    moveTask(script);
+    const auto before = script.port.stops.size();
+    script.answerPoll("w0", {}, 2);
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 1);
+    script.planner.handleStopResponse(script.port.stops.back(), Unhealthy, script.now);
+    script.advance(Millis(200));
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 2);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+    BOOST_TEST(script.port.stops.back().worker.id == "w0");
+    script.planner.handleStopResponse(script.port.stops.back(), script.done(), script.now);
+    script.advance(Millis(200));
+    BOOST_TEST(script.port.stops.size() == before + 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
