Send the stop of an unanswered start again until the new incarnation confirms it

What callers may see: a task that must run once runs twice at a time (rule TWICE).

Cause: a start whose outcome is unknown may be carried out seconds later. Once the worker has confirmed its stop, the task is placed elsewhere, since the worker refuses stopped attempts from then on. A restart under the same id forgets that, so the planner stops such starts again in the new incarnation, but it sent this stop once and ignored its answer. If it was refused or lost, the new incarnation carried out the start, beside the run elsewhere.

Change: the worker's unanswered starts say whether the new incarnation has still to confirm the stop. After an answer of another worker at its address, the stops wait until the worker is known again.

Evidence: UnansweredStarts/refusedStopOfAnUnansweredStartIsSentAgainToTheNextIncarnation failed with 2 stops where 3 were expected, and passes now.

Not closed by this: the new incarnation may carry out the start before the first stop reaches it.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -257,7 +257,8 @@
     FleetWorker &findOrCreateWorker(const std::string &worker);
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
-    void stopUnansweredStarts(FleetWorker &worker);
+    static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, TimePoint now);
+    void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
     void reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now);
     void reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now);
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -62,6 +62,17 @@
     TimePoint placedAt {};
 };
 
+/// A start request that its worker may carry out later than its answer came, also in a new incarnation.
+struct UnansweredStart {
+    RunKey key;
+    /// When the planner learned that the outcome of the request is not known.
+    TimePoint since {};
+    /// True if the worker has restarted since, and its new incarnation has not confirmed that the run is stopped.
+    bool mustStop = false;
+    bool isStopInFlight = false;
+    TimePoint nextStopAt {};
+};
+
 /// State of one worker as the planner knows it.
 struct FleetWorker {
     WorkerReport report;
@@ -102,8 +113,8 @@
     bool isHeld = false;
     /// No runs start here before this time, because the worker refused a request, did not answer or had failing runs.
     TimePoint avoidUntil {};
-    /// Start requests whose timeout passed without an answer; the worker may still carry them out, also in a new incarnation.
-    std::vector<std::pair<TimePoint, RunKey>> unansweredStarts;
+    /// Start requests at least one sending of which was not answered; the worker may still carry them out, also in a new incarnation.
+    std::vector<UnansweredStart> unansweredStarts;
     /// Jobs whose runs failed here recently, newest last.
     std::vector<std::pair<TimePoint, std::string>> recentFailures;
 
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -59,8 +59,9 @@
         return now - it.first > FailureWindow;
     });
     std::erase_if(worker.unansweredStarts, [now](const auto &it) {
-        return now - it.first > MaxExecutionDelay;
+        return now - it.since > MaxExecutionDelay;
     });
+    stopUnansweredStarts(worker, now);
     sendPollIfDue(worker, now);
     const bool isSilent = worker.failedPolls > 0 || worker.report.host.empty();
     if (isSilent && !worker.allocations.empty() && worker.lease.hasCertainlyExpired(now)) {
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -224,6 +224,13 @@
     const RunKey key {request.task, request.attempt};
     auto *run = findRun(key);
     if (run == nullptr) {
+        for (auto &it : findOrCreateWorker(request.worker.id).unansweredStarts) {
+            if (it.key == key) {
+                it.isStopInFlight = false;
+                it.mustStop = it.mustStop && response.outcome != WorkerCallOutcome::Done;
+                it.nextStopAt = now + StopRetryDelay;
+            }
+        }
         return;
     }
     run->isStopInFlight = false;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -112,9 +112,12 @@
         }
     }
     markRunsLost(worker, "worker restarted", unlisted, now);
-    if (startedUnixMs != 0) {
-        stopUnansweredStarts(worker);
+    for (auto &it : worker.unansweredStarts) {
+        it.mustStop = true;
+        it.isStopInFlight = false;
+        it.nextStopAt = now;
     }
+    stopUnansweredStarts(worker, now);
     worker.startedUnixMs = startedUnixMs;
     worker.lease.reset();
     if (!unlisted.empty()) {
@@ -130,11 +133,24 @@
     m_speeds.forget(worker.report.id);
 }
 
-void FleetPlanner::stopUnansweredStarts(FleetWorker &worker)
+void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, TimePoint now)
 {
-    for (const auto &[at, key] : worker.unansweredStarts) {
-        if (findRun(key) == nullptr) {
-            m_port.sendStop({worker.target(), key.task, key.attempt, m_fencingToken}, UnansweredStopTimeout);
+    std::erase_if(worker.unansweredStarts, [&key](const auto &it) {
+        return it.key == key;
+    });
+    worker.unansweredStarts.push_back({key, now});
+}
+
+void FleetPlanner::stopUnansweredStarts(FleetWorker &worker, TimePoint now)
+{
+    if (worker.startedUnixMs == 0) {
+        return;
+    }
+    for (auto &it : worker.unansweredStarts) {
+        // A run that the planner still knows is stopped by itself, if at all.
+        if (it.mustStop && !it.isStopInFlight && now >= it.nextStopAt && findRun(it.key) == nullptr) {
+            it.isStopInFlight = true;
+            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, m_fencingToken}, UnansweredStopTimeout);
         }
     }
 }
