--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -75,4 +75,59 @@
     BOOST_TEST(script.port.stops.size() == before + 2);
 }
 
+// Guards against a task that runs twice: the worker is gone from the platform's list for long, and is back under its id while the start is still under way.
+BOOST_AUTO_TEST_CASE(unansweredStartIsRememberedWhileItsWorkerIsNotListed)
+{
+    PlannerScript script;
+    moveTask(script);
+    const auto before = script.port.stops.size();
+    script.planner.workerUnlisted("w0", script.now);
+    script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+    script.now += Millis(9000);
+    script.planner.tick(0, script.now);
+    script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+    script.advance(Millis(25));
+    auto entry = script.entry("w0");
+    entry.startedUnixMs = 2;
+    script.planner.workerReported(entry, script.now);
+    script.advance(Millis(100));
+    script.answerPoll("w0", {}, 2);
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 1);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+}
+
+// Guards against a task that starts again after it is done: a call that was sent twice and confirmed once may be carried out once more, by the next
+// incarnation.
+BOOST_AUTO_TEST_CASE(startThatWasSentTwiceAndConfirmedIsStoppedInTheNextIncarnation)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    auto answer = script.done();
+    answer.sendings = 2;
+    script.planner.handleStartResponse(start, answer, script.now);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {{start.task, 1, "", 10, 0}});
+    script.answerPoll("w0", {}, 2);
+    script.advance(Millis(25));
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+}
+
+// Guards against a task that starts again after it is done: its end is listed before its start request counts as not answered.
+BOOST_AUTO_TEST_CASE(unansweredStartOfARunThatHasEndedIsStoppedInTheNextIncarnation)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.advance(Millis(25));
+    auto list = script.list({});
+    list.ended.push_back({1, start.task, 1, RunEnd::Done, ""});
+    script.planner.handlePollResponse(script.lastPoll("w0"), list, script.now);
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.advance(Millis(400));
+    script.answerPoll("w0", {}, 2);
+    script.advance(Millis(25));
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
