Remember each start that its worker may still carry out

What callers may see: a task runs twice at a time, or again after it is done (rule TWICE).

Cause: the planner remembers unanswered starts, to stop them in a new incarnation of the worker, but not all of them: - A start that was sent twice and confirmed once was not remembered, though its first sending may be carried out later. - The outcome unknown of a start was dropped if its run had been listed as ended before. - A worker that is off the platform's list for 8 s was forgotten with its unanswered starts, which may be carried out within 13 s.

Change: a start is remembered if its outcome is unknown or if it was sent more than once, whatever the state of its run, and a worker is kept while it has such starts.

Evidence: three cases of UnansweredStarts failed, with 1 stop where 2 were expected and twice with none where 1 was expected. They pass now.

--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -71,7 +71,8 @@
         stopRunsOnDrainingWorker(worker, now);
     }
     const bool isUnlisted = !worker.isListed || worker.isEntryUnreadable;
-    if (isUnlisted && worker.allocations.empty() && now - worker.unlistedSince > UnlistedRetention && !worker.isPollInFlight) {
+    const bool isIdle = worker.allocations.empty() && worker.unansweredStarts.empty() && !worker.isPollInFlight;
+    if (isUnlisted && isIdle && now - worker.unlistedSince > UnlistedRetention) {
         m_workers.erase(id);
     }
 }
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -110,6 +110,10 @@
                         {"reason", response.reason},
                         {"sendings", static_cast<std::int64_t>(response.sendings)}});
     }
+    // The answer to a second sending doesn't tell what becomes of the first.
+    if (response.outcome == WorkerCallOutcome::Unknown || response.sendings > 1) {
+        rememberUnansweredStart(worker, key, now);
+    }
     if (run == nullptr || run->state != RunState::Starting) {
         return;
     }
@@ -121,7 +125,6 @@
         run->startedClockMs = isOtherIncarnation ? 0 : response.workerClockMs;
         return;
     case WorkerCallOutcome::Unknown:
-        worker.unansweredStarts.emplace_back(now, key);
         setState(*run, RunState::Unconfirmed, now);
         worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
         worker.nextPollAt = std::min(worker.nextPollAt, now);
