--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -96,6 +96,63 @@
     BOOST_TEST(script.port.stops.back().attempt == 1);
 }
 
+// Guards against a task that runs twice: only the incarnation that has ended had confirmed the stop, and the next one carries the start out.
+BOOST_AUTO_TEST_CASE(stopConfirmedByAnEarlierIncarnationDoesNotProveThatTheRunIsGone)
+{
+    PlannerScript script;
+    loseAnswer(script, startTask(script));
+    const auto stop = awaitStop(script);
+    script.answerPoll("w0", {}, 2);
+    script.planner.handleStopResponse(stop, script.done(), script.now);
+    script.advance(Millis(200));
+    script.answerPoll("w0", {}, 2);
+    script.answerPoll("w0", {}, 2);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_REQUIRE_GE(script.port.stops.size(), 2U);
+    script.planner.handleStopResponse(script.port.stops.back(), script.done(), script.now);
+    script.answerPoll("w0", {}, 2);
+    script.answerPoll("w0", {}, 2);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+}
+
+// Guards against a task that runs twice: the worker restarts before the answer to its start is known, and the request is carried out once more afterwards.
+BOOST_AUTO_TEST_CASE(startConfirmedByAnEarlierIncarnationIsStoppedInTheNextOneBeforeTheTaskMoves)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {}, 2);
+    auto answer = script.done();
+    answer.sendings = 2;
+    script.planner.handleStartResponse(start, answer, script.now);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {}, 2);
+    script.answerPoll("w0", {}, 2);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_TEST(script.port.stops.size() == 1U);
+}
+
+// Guards against a task that runs twice: leases granted by the clock of an incarnation that has ended are cut to the longest lease, which outlasts the
+// planner's estimate.
+BOOST_AUTO_TEST_CASE(clockOfAnEarlierIncarnationDoesNotMoveTheLeasesOfTheNextOne)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.advance(Millis(25));
+    auto list = script.list({});
+    list.startedUnixMs = 2;
+    list.workerClockMs = 50;
+    script.planner.handlePollResponse(script.lastPoll("w0"), list, script.now);
+    script.planner.handleStartResponse(start, script.done(), script.now);
+    script.advance(Millis(25));
+    const auto poll = script.lastPoll("w0");
+    BOOST_TEST(poll.leaseUntilMs > 0);
+    BOOST_TEST(poll.leaseUntilMs <= list.workerClockMs + 25 + PlannerLimits {}.lease.count());
+}
+
 // Guards against a task that starts again after it is done: a call that was sent twice and confirmed once may be carried out once more, by the next
 // incarnation.
 BOOST_AUTO_TEST_CASE(startThatWasSentTwiceAndConfirmedIsStoppedInTheNextIncarnation)
