An answer of an earlier incarnation proves nothing about the next one

What callers may see: a task that must run once runs twice at a time (rule TWICE).

Cause: answers to starts and stops were taken for those of the worker's present incarnation, also if the call had been sent before the restart became known. - A late confirmation of a stop counted as proof that the new incarnation refuses the start, which it didn't know of. - A late confirmation of a start made the run count as confirmed, so its absence from the next list moved the task without a stop. - The clock in such an answer moved the estimate of the new incarnation's clock forward by the whole life of the old one. Leases granted by it were cut to the longest lease by the worker (10 s), while the planner took them to end after 5 s.

Change: a start and a stop carry the incarnation that they are meant for, which is not sent. A confirmation counts only if no restart became known since.

--- a/include/marjoramhaven/fleet/FleetClients.h
+++ b/include/marjoramhaven/fleet/FleetClients.h
@@ -71,6 +71,8 @@
     std::int64_t fencingToken = 0;
     std::string checkpoint;
     std::string ticket;
+    /// Start of the incarnation that the request is meant for, in milliseconds since the Unix epoch. Not sent to the worker.
+    std::int64_t workerStartedUnixMs = 0;
 };
 
 /// Requests a worker to stop a run.
@@ -79,6 +81,8 @@
     FleetTaskId task;
     std::int64_t attempt = 0;
     std::int64_t fencingToken = 0;
+    /// Start of the incarnation that the request is meant for, in milliseconds since the Unix epoch. Not sent to the worker.
+    std::int64_t workerStartedUnixMs = 0;
 };
 
 /// Requests a worker to limit a run to a percentage of its full speed.
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -85,6 +85,7 @@
     request.fencingToken = m_fencingToken;
     request.checkpoint = run.checkpoint;
     request.ticket = run.ticket;
+    request.workerStartedUnixMs = run.workerStartedUnixMs;
     m_port.sendStart(request, StartTimeout);
 }
 
@@ -93,12 +94,14 @@
     const RunKey key {request.task, request.attempt};
     auto *run = findRun(key);
     auto &worker = findOrCreateWorker(request.worker.id);
-    const bool isOtherIncarnation = response.workerClockMs > 0 && worker.lease.isFromEarlierIncarnation(response.workerClockMs, now);
-    if (isOtherIncarnation) {
+    // The worker has restarted since the request was sent, so the answer and its clock may be those of the earlier incarnation.
+    const bool isRestartKnown = run != nullptr && run->workerStartedUnixMs != request.workerStartedUnixMs;
+    const bool isClockBack = response.workerClockMs > 0 && !isRestartKnown && worker.lease.isFromEarlierIncarnation(response.workerClockMs, now);
+    if (isClockBack) {
         m_events.write("worker_clock_back", {{"worker", request.worker.id}, {"clock_ms", response.workerClockMs}});
         worker.isInventoried = false;
         worker.nextPollAt = now;
-    } else if (response.workerClockMs > 0 && run != nullptr && worker.startedUnixMs == run->workerStartedUnixMs) {
+    } else if (response.workerClockMs > 0 && run != nullptr && worker.startedUnixMs == request.workerStartedUnixMs) {
         worker.lease.observe(response.workerClockMs, now);
     }
     if (response.outcome != WorkerCallOutcome::Done) {
@@ -120,9 +123,9 @@
     switch (response.outcome) {
     case WorkerCallOutcome::Done:
         // A worker that has restarted lists the run in its new incarnation or not at all.
-        setState(*run, isOtherIncarnation ? RunState::Unconfirmed : RunState::Running, now);
+        setState(*run, isClockBack || isRestartKnown ? RunState::Unconfirmed : RunState::Running, now);
         run->percentChangedAt = now;
-        run->startedClockMs = isOtherIncarnation ? 0 : response.workerClockMs;
+        run->startedClockMs = run->state == RunState::Running ? response.workerClockMs : 0;
         return;
     case WorkerCallOutcome::Unknown:
         setState(*run, RunState::Unconfirmed, now);
@@ -219,7 +222,7 @@
         return;
     }
     run.isStopInFlight = true;
-    m_port.sendStop({findOrCreateWorker(run.worker).target(), run.key.task, run.key.attempt, m_fencingToken}, StopTimeout);
+    m_port.sendStop({findOrCreateWorker(run.worker).target(), run.key.task, run.key.attempt, m_fencingToken, run.workerStartedUnixMs}, StopTimeout);
 }
 
 void FleetPlanner::handleStopResponse(const StopRunRequest &request, const WorkerResponse &response, TimePoint now)
@@ -227,10 +230,11 @@
     const RunKey key {request.task, request.attempt};
     auto *run = findRun(key);
     if (run == nullptr) {
-        for (auto &it : findOrCreateWorker(request.worker.id).unansweredStarts) {
+        auto &worker = findOrCreateWorker(request.worker.id);
+        for (auto &it : worker.unansweredStarts) {
             if (it.key == key) {
                 it.isStopInFlight = false;
-                it.mustStop = it.mustStop && response.outcome != WorkerCallOutcome::Done;
+                it.mustStop = it.mustStop && (response.outcome != WorkerCallOutcome::Done || request.workerStartedUnixMs != worker.startedUnixMs);
                 it.nextStopAt = now + StopRetryDelay;
             }
         }
@@ -238,7 +242,7 @@
     }
     run->isStopInFlight = false;
     auto &worker = findOrCreateWorker(run->worker);
-    if (response.outcome == WorkerCallOutcome::Done) {
+    if (response.outcome == WorkerCallOutcome::Done && request.workerStartedUnixMs == run->workerStartedUnixMs) {
         run->isStopAnswered = true;
         run->stopAnsweredSequence = ++m_sequence;
         worker.nextPollAt = std::min(worker.nextPollAt, now);
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -117,8 +117,8 @@
         it.isStopInFlight = false;
         it.nextStopAt = now;
     }
-    stopUnansweredStarts(worker, now);
     worker.startedUnixMs = startedUnixMs;
+    stopUnansweredStarts(worker, now);
     worker.lease.reset();
     if (!unlisted.empty()) {
         // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease.
@@ -150,7 +150,7 @@
         // A run that the planner still knows is stopped by itself, if at all.
         if (it.mustStop && !it.isStopInFlight && now >= it.nextStopAt && findRun(it.key) == nullptr) {
             it.isStopInFlight = true;
-            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, m_fencingToken}, UnansweredStopTimeout);
+            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, m_fencingToken, worker.startedUnixMs}, UnansweredStopTimeout);
         }
     }
 }
