--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -187,4 +187,39 @@
     BOOST_TEST(script.port.stops.back().attempt == 1);
 }
 
+// Guards against a task that stands still for good: the request that paced it to 0 percent was carried out, but its answer was lost.
+BOOST_AUTO_TEST_CASE(runWhoseThrottleWasNotAnsweredIsSpedUpAgain)
+{
+    PlannerScript script(1);
+    StepSpec serving;
+    serving.taskCount = 1;
+    serving.needs = {500, 400, 0};
+    serving.isLongRunning = true;
+    serving.latencyTargetMs = 100;
+    StepSpec filling;
+    filling.taskCount = 1;
+    filling.needs = {500, 400, 0};
+    filling.estimateMs = 60'000;
+    filling.isBestEffort = true;
+    script.submitStep("s", serving);
+    script.submitStep("f", filling);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    for (const auto &it : script.port.starts) {
+        script.planner.handleStartResponse(it, script.done(), script.now);
+    }
+    script.advance(Millis(25));
+    const auto listWithTail = [&](double tailMs) {
+        return std::vector<RunningRunInfo> {{{"s", 0, 0, 0}, 1, "", 100, tailMs}, {{"f", 0, 0, 0}, 1, "", 10, 500}};
+    };
+    script.answerPoll("w0", listWithTail(95));
+    BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 1U);
+    BOOST_TEST(script.port.throttles.back().percent == 0);
+    script.planner.handleThrottleResponse(script.port.throttles.back(), NoAnswer, script.now);
+    script.advance(Millis(1000));
+    script.answerPoll("w0", listWithTail(20));
+    BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 2U);
+    BOOST_TEST(script.port.throttles.back().percent > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
