Throttle a run again whose speed is not known

What callers may see: a best-effort task stands still and its job doesn't end.

Cause: the planner took the speed that the worker last confirmed for the one in force. A throttle to 0 percent whose answer was lost left it at 100, and no request to speed the run up again was due, as it seemed to run at full speed. After a takeover every run counted as running at 100 percent.

Change: the speed of a run is unknown after a throttle without a confirmation and after a takeover, and the next throttle is then sent in any case.

Evidence: UnansweredStarts/runWhoseThrottleWasNotAnsweredIsSpedUpAgain failed with 1 throttle request where 2 were expected, and passes now. The takeover has no test of its own. It costs one request for each best-effort run that a new planner inherits.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -99,8 +99,10 @@
     std::int64_t percentChangedClockMs = 0;
     /// See RunningRunInfo::usage.
     double usage = 0;
-    /// Speed limit that the worker has confirmed, in percent of full speed.
+    /// Speed limit that the worker last confirmed, in percent of full speed.
     int speedPercent = 100;
+    /// False if another speed limit may be in force: the last request was not confirmed, or an earlier planner may have sent some.
+    bool isSpeedKnown = true;
     TimePoint speedChangedAt {};
     bool isThrottleInFlight = false;
     StopReason stopReason = StopReason::None;
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -52,6 +52,7 @@
             run.worker = it.worker;
             run.workerStartedUnixMs = it.workerStartedUnixMs;
             run.state = RunState::Inherited;
+            run.isSpeedKnown = false;
             run.stateSince = now;
             auto &worker = findOrCreateWorker(it.worker);
             const auto &spec = job->spec(row.step);
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -175,7 +175,7 @@
 
 void FleetPlanner::setRunSpeed(FleetRun &run, int percent, TimePoint now)
 {
-    if (run.speedPercent == percent || run.isThrottleInFlight) {
+    if ((run.speedPercent == percent && run.isSpeedKnown) || run.isThrottleInFlight) {
         return;
     }
     m_events.write("run_paced",
@@ -195,7 +195,8 @@
         return;
     }
     run->isThrottleInFlight = false;
-    if (response.outcome == WorkerCallOutcome::Done) {
+    run->isSpeedKnown = response.outcome == WorkerCallOutcome::Done;
+    if (run->isSpeedKnown) {
         run->speedPercent = request.percent;
         run->percentChangedAt = now;
     }
