--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -99,8 +99,10 @@
     std::int64_t percentChangedClockMs = 0;
     /// See RunningRunInfo::usage.
     double usage = 0;
-    /// Speed limit that the worker has confirmed, in percent of full speed.
+    /// Speed limit that the worker last confirmed, in percent of full speed.
     int speedPercent = 100;
+    /// False if another speed limit may be in force: the last request was not confirmed, or an earlier planner may have sent some.
+    bool isSpeedKnown = true;
     TimePoint speedChangedAt {};
     bool isThrottleInFlight = false;
     StopReason stopReason = StopReason::None;
@@ -257,7 +259,8 @@
     FleetWorker &findOrCreateWorker(const std::string &worker);
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
-    void stopUnansweredStarts(FleetWorker &worker);
+    static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, TimePoint now);
+    void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
     void reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now);
     void reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now);
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -59,8 +59,9 @@
         return now - it.first > FailureWindow;
     });
     std::erase_if(worker.unansweredStarts, [now](const auto &it) {
-        return now - it.first > MaxExecutionDelay;
+        return now - it.since > MaxExecutionDelay;
     });
+    stopUnansweredStarts(worker, now);
     sendPollIfDue(worker, now);
     const bool isSilent = worker.failedPolls > 0 || worker.report.host.empty();
     if (isSilent && !worker.allocations.empty() && worker.lease.hasCertainlyExpired(now)) {
@@ -70,7 +71,8 @@
         stopRunsOnDrainingWorker(worker, now);
     }
     const bool isUnlisted = !worker.isListed || worker.isEntryUnreadable;
-    if (isUnlisted && worker.allocations.empty() && now - worker.unlistedSince > UnlistedRetention && !worker.isPollInFlight) {
+    const bool isIdle = worker.allocations.empty() && worker.unansweredStarts.empty() && !worker.isPollInFlight;
+    if (isUnlisted && isIdle && now - worker.unlistedSince > UnlistedRetention) {
         m_workers.erase(id);
     }
 }
@@ -173,7 +175,7 @@
 
 void FleetPlanner::setRunSpeed(FleetRun &run, int percent, TimePoint now)
 {
-    if (run.speedPercent == percent || run.isThrottleInFlight) {
+    if ((run.speedPercent == percent && run.isSpeedKnown) || run.isThrottleInFlight) {
         return;
     }
     m_events.write("run_paced",
@@ -193,7 +195,8 @@
         return;
     }
     run->isThrottleInFlight = false;
-    if (response.outcome == WorkerCallOutcome::Done) {
+    run->isSpeedKnown = response.outcome == WorkerCallOutcome::Done;
+    if (run->isSpeedKnown) {
         run->speedPercent = request.percent;
         run->percentChangedAt = now;
     }
--- /dev/null
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -0,0 +1,225 @@
+#include <boost/test/unit_test.hpp>
+
+#include "PlannerScript.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+const WorkerResponse NoAnswer {};
+const WorkerResponse Unhealthy {WorkerCallOutcome::Unhealthy, 0, "status 503"};
+
+// Places the task "j.0.0.0" and returns its start request, which is under way to "w0".
+StartRunRequest startTask(PlannerScript &script)
+{
+    script.submit("j", 4000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    BOOST_REQUIRE_EQUAL(script.port.starts.front().worker.id, "w0");
+    return script.port.starts.front();
+}
+
+// Lets the timeout of a start request pass, after which the planner doesn't send it again.
+void loseAnswer(PlannerScript &script, const StartRunRequest &start)
+{
+    script.advance(Millis(600));
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.advance(Millis(25));
+}
+
+// Answers polls of "w0" with empty lists until the planner stops the run there, and returns that request.
+StopRunRequest awaitStop(PlannerScript &script, std::int64_t startedUnixMs = 1)
+{
+    const auto before = script.port.stops.size();
+    for (int i = 0; i < 3 && script.port.stops.size() == before; ++i) {
+        script.answerPoll("w0", {}, startedUnixMs);
+    }
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 1);
+    return script.port.stops.back();
+}
+
+// Reaches the point at which the start on "w0" was not answered, its stop was confirmed, and a second attempt runs on "w1".
+void moveTask(PlannerScript &script)
+{
+    loseAnswer(script, startTask(script));
+    script.planner.handleStopResponse(awaitStop(script), script.done(), script.now);
+    script.answerPoll("w0", {});
+    script.answerPoll("w0", {});
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    BOOST_REQUIRE_EQUAL(script.port.starts.back().worker.id, "w1");
+    script.planner.handleStartResponse(script.port.starts.back(), script.done(), script.now);
+}
+
+} // namespace
+
+// What the planner does about a start whose outcome it doesn't know. Guards against a task that runs twice, in each order in which answers may arrive.
+BOOST_AUTO_TEST_SUITE(UnansweredStarts)
+
+// Guards against a task that runs twice: the worker restarts, refuses the stop of a start that is under way since before, and then carries out that start.
+BOOST_AUTO_TEST_CASE(refusedStopOfAnUnansweredStartIsSentAgainToTheNextIncarnation)
+{
+    PlannerScript script;
+    moveTask(script);
+    const auto before = script.port.stops.size();
+    script.answerPoll("w0", {}, 2);
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 1);
+    script.planner.handleStopResponse(script.port.stops.back(), Unhealthy, script.now);
+    script.advance(Millis(200));
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 2);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+    BOOST_TEST(script.port.stops.back().worker.id == "w0");
+    script.planner.handleStopResponse(script.port.stops.back(), script.done(), script.now);
+    script.advance(Millis(200));
+    BOOST_TEST(script.port.stops.size() == before + 2);
+}
+
+// Guards against a task that runs twice: the worker is gone from the platform's list for long, and is back under its id while the start is still under way.
+BOOST_AUTO_TEST_CASE(unansweredStartIsRememberedWhileItsWorkerIsNotListed)
+{
+    PlannerScript script;
+    moveTask(script);
+    const auto before = script.port.stops.size();
+    script.planner.workerUnlisted("w0", script.now);
+    script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+    script.now += Millis(9000);
+    script.planner.tick(0, script.now);
+    script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+    script.advance(Millis(25));
+    auto entry = script.entry("w0");
+    entry.startedUnixMs = 2;
+    script.planner.workerReported(entry, script.now);
+    script.advance(Millis(100));
+    script.answerPoll("w0", {}, 2);
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 1);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+}
+
+// Guards against a task that runs twice: only the incarnation that has ended had confirmed the stop, and the next one carries the start out.
+BOOST_AUTO_TEST_CASE(stopConfirmedByAnEarlierIncarnationDoesNotProveThatTheRunIsGone)
+{
+    PlannerScript script;
+    loseAnswer(script, startTask(script));
+    const auto stop = awaitStop(script);
+    script.answerPoll("w0", {}, 2);
+    script.planner.handleStopResponse(stop, script.done(), script.now);
+    script.advance(Millis(200));
+    script.answerPoll("w0", {}, 2);
+    script.answerPoll("w0", {}, 2);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_REQUIRE_GE(script.port.stops.size(), 2U);
+    script.planner.handleStopResponse(script.port.stops.back(), script.done(), script.now);
+    script.answerPoll("w0", {}, 2);
+    script.answerPoll("w0", {}, 2);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+}
+
+// Guards against a task that runs twice: the worker restarts before the answer to its start is known, and the request is carried out once more afterwards.
+BOOST_AUTO_TEST_CASE(startConfirmedByAnEarlierIncarnationIsStoppedInTheNextOneBeforeTheTaskMoves)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {}, 2);
+    auto answer = script.done();
+    answer.sendings = 2;
+    script.planner.handleStartResponse(start, answer, script.now);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {}, 2);
+    script.answerPoll("w0", {}, 2);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_TEST(script.port.stops.size() == 1U);
+}
+
+// Guards against a task that runs twice: leases granted by the clock of an incarnation that has ended are cut to the longest lease, which outlasts the
+// planner's estimate.
+BOOST_AUTO_TEST_CASE(clockOfAnEarlierIncarnationDoesNotMoveTheLeasesOfTheNextOne)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.advance(Millis(25));
+    auto list = script.list({});
+    list.startedUnixMs = 2;
+    list.workerClockMs = 50;
+    script.planner.handlePollResponse(script.lastPoll("w0"), list, script.now);
+    script.planner.handleStartResponse(start, script.done(), script.now);
+    script.advance(Millis(25));
+    const auto poll = script.lastPoll("w0");
+    BOOST_TEST(poll.leaseUntilMs > 0);
+    BOOST_TEST(poll.leaseUntilMs <= list.workerClockMs + 25 + PlannerLimits {}.lease.count());
+}
+
+// Guards against a task that starts again after it is done: a call that was sent twice and confirmed once may be carried out once more, by the next
+// incarnation.
+BOOST_AUTO_TEST_CASE(startThatWasSentTwiceAndConfirmedIsStoppedInTheNextIncarnation)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    auto answer = script.done();
+    answer.sendings = 2;
+    script.planner.handleStartResponse(start, answer, script.now);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {{start.task, 1, "", 10, 0}});
+    script.answerPoll("w0", {}, 2);
+    script.advance(Millis(25));
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+}
+
+// Guards against a task that starts again after it is done: its end is listed before its start request counts as not answered.
+BOOST_AUTO_TEST_CASE(unansweredStartOfARunThatHasEndedIsStoppedInTheNextIncarnation)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.advance(Millis(25));
+    auto list = script.list({});
+    list.ended.push_back({1, start.task, 1, RunEnd::Done, ""});
+    script.planner.handlePollResponse(script.lastPoll("w0"), list, script.now);
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.advance(Millis(400));
+    script.answerPoll("w0", {}, 2);
+    script.advance(Millis(25));
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+    BOOST_TEST(script.port.stops.back().attempt == 1);
+}
+
+// Guards against a task that stands still for good: the request that paced it to 0 percent was carried out, but its answer was lost.
+BOOST_AUTO_TEST_CASE(runWhoseThrottleWasNotAnsweredIsSpedUpAgain)
+{
+    PlannerScript script(1);
+    StepSpec serving;
+    serving.taskCount = 1;
+    serving.needs = {500, 400, 0};
+    serving.isLongRunning = true;
+    serving.latencyTargetMs = 100;
+    StepSpec filling;
+    filling.taskCount = 1;
+    filling.needs = {500, 400, 0};
+    filling.estimateMs = 60'000;
+    filling.isBestEffort = true;
+    script.submitStep("s", serving);
+    script.submitStep("f", filling);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    for (const auto &it : script.port.starts) {
+        script.planner.handleStartResponse(it, script.done(), script.now);
+    }
+    script.advance(Millis(25));
+    const auto listWithTail = [&](double tailMs) {
+        return std::vector<RunningRunInfo> {{{"s", 0, 0, 0}, 1, "", 100, tailMs}, {{"f", 0, 0, 0}, 1, "", 10, 500}};
+    };
+    script.answerPoll("w0", listWithTail(95));
+    BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 1U);
+    BOOST_TEST(script.port.throttles.back().percent == 0);
+    script.planner.handleThrottleResponse(script.port.throttles.back(), NoAnswer, script.now);
+    script.advance(Millis(1000));
+    script.answerPoll("w0", listWithTail(20));
+    BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 2U);
+    BOOST_TEST(script.port.throttles.back().percent > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
