Tests: a second attempt is refused while the first may be stored

A client whose first attempt got no answer in time sends the job again under the same id. When the log refuses the second append, the attempt is answered 503, which promises that the job never runs, though the first append may be stored.

--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -190,6 +190,28 @@
     BOOST_TEST(fleet.platform.startCount() == 0);
 }
 
+// Guards against a second attempt that is answered 503, which promises that the job never runs, while the first attempt stored it without an answer.
+BOOST_AUTO_TEST_CASE(secondAttemptIsNotRefusedWhenTheFirstWasStoredWithoutAnAnswer)
+{
+    Fleet fleet(2);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.setLosingAppendAnswers(true);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000d0", Job).status == 504);
+    fleet.platform.setLosingAppendAnswers(false);
+    fleet.platform.setStoreDown(true);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000d0", Job).status == 504);
+    fleet.platform.setStoreDown(false);
+    BOOST_TEST(waitFor(
+        [&]() {
+            return fleet.platform.startCount() > 0;
+        },
+        8000));
+}
+
 BOOST_AUTO_TEST_CASE(configurationVersionNeverDecreases)
 {
     Fleet fleet(1);
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -213,7 +213,10 @@
     if (m_isStoreDown) {
         respond(json(503, Json::object()));
     } else if (request.path == "/v1/log-append") {
-        respond(append(request));
+        const auto answer = append(request);
+        if (!m_isLosingAppendAnswers) {
+            respond(answer);
+        }
         answerDueRequests();
     } else if (request.path == "/v1/log-newest") {
         respond(newest(request));
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -36,6 +36,8 @@
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
     /// Takes the store down or up. While it is down, every call to it gets status 503.
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
+    /// While true, the store carries out appends but does not answer them.
+    void setLosingAppendAnswers(bool isLosing) { m_isLosingAppendAnswers = isLosing; }
     /// Compacts a topic: reads from any offset before its present end get status 410, and only the newest record of each key can be fetched.
     void compact(const std::string &topic);
     /// Publishes another port for a worker, such as that of a proxy.
@@ -90,6 +92,7 @@
     int m_storePort = 0;
     int m_advisorPort = 0;
     bool m_isStoreDown = false;
+    bool m_isLosingAppendAnswers = false;
     std::map<std::string, Topic> m_topics;
     std::vector<PendingRead> m_pendingReads;
     std::vector<PendingPoll> m_pendingPolls;
