Don't refuse a second attempt while another one may have stored the job

What callers saw: the first attempt of a submission is answered 504, as its append had no answer in time. The second, with the same id, is answered 503, which promises that the job never runs. The job runs if the first append was stored.

Cause: each attempt was decided by itself. What an earlier attempt, or one under way at the same time, had left unknown was not kept, neither in the process that took the request nor in the planner's process that appends for others. A job that this process had accepted was not recognised either, unless it ran the planner.

A later attempt for a job that this process accepted is accepted. StoreCall holds the state of the planner's part and of the direct part in place of four booleans, and whether the record may be stored follows from both, so that a refusal of one part can't settle the other.

What remains: a process knows only its own attempts and those that peers passed to it. A second attempt at a process that neither took the first nor appended for it, and that reaches no such planner, can still be refused.

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -16,6 +16,7 @@
 #include "marjoramhaven/fleetnode/PlannerHost.h"
 #include "marjoramhaven/fleetnode/ProgressReader.h"
 #include "marjoramhaven/fleetnode/TopicFollower.h"
+#include "marjoramhaven/fleetnode/UnresolvedRecords.h"
 #include "marjoramhaven/telemetry/Metrics.h"
 #include "marjoramhaven/wire/PeerHub.h"
 
@@ -105,8 +106,10 @@
     // Stores a record through the planner, which combines the records of all processes in its appends. Appends the record directly when the planner can't be
     // reached or does not answer.
     void storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done);
+    // Begins an attempt to store a record. Returns a function that ends it and passes its outcome on, with that of other attempts taken into account.
+    RecordWriter::Done beginAttempt(const std::string &key, RecordWriter::Done done);
     void logUnstoredRecords(const std::vector<std::string> &keys, const AppendResult &result);
-    // Returns true for the acceptance of a job that the planner of this process knows: a retried submission whose record is already stored.
+    // Returns true for the acceptance of a job that this process or its planner knows: a retried submission whose record is already stored.
     bool isAlreadyStored(const std::string &key) const;
     void storeDirectly(const std::shared_ptr<StoreCall> &call);
     void fallBackToDirectStore(const std::shared_ptr<StoreCall> &call);
@@ -133,6 +136,7 @@
     PlannerElection m_election;
     TopicFollower m_operatorFollower;
     TopicFollower m_leadershipFollower;
+    UnresolvedRecords m_unresolvedRecords;
     JobRecordStore m_jobRecords;
     QTimer m_ticker;
     ConfigurationState m_configuration;
--- a/src/fleetnode/FleetNodeCalls.h
+++ b/src/fleetnode/FleetNodeCalls.h
@@ -31,21 +31,31 @@
 
 /// A client's record that the planner is asked to store, and that this process appends itself if the planner can't.
 struct FleetNode::StoreCall {
+    /// State of one of the two ways to store the record.
+    enum class Part {
+        NotStarted,
+        UnderWay,
+        /// Not stored this way, and never will be.
+        Refused,
+        /// Ended without an answer: the record may be stored, now or later.
+        Unknown,
+    };
+
     KeyedRecord record;
     TimePoint deadline;
     /// When this process appends the record itself if the planner has not answered.
     TimePoint directStoreAt;
     RecordWriter::Done done;
     bool isAnswered = false;
-    /// True while the planner may have stored the record, or may still store it.
-    bool mayBeStored = false;
-    bool isDirectStoreStarted = false;
-    /// True while the planner may still answer.
-    bool isAwaitingPlanner = false;
-    /// True when the direct append was refused, so that only the planner can still store the record.
-    bool isDirectRefused = false;
+    /// What the planner was asked, and what this process appends itself. Each settles only its own part.
+    Part planner = Part::NotStarted;
+    Part direct = Part::NotStarted;
     /// The process whose planner was asked.
     std::string peer;
+
+    /// Returns true while one of the parts may have stored the record, or may still store it.
+    bool mayBeStored() const { return isOpen(planner) || isOpen(direct); }
+    static bool isOpen(Part part) { return part == Part::UnderWay || part == Part::Unknown; }
 };
 
 /// Returns the record with which this process registers itself and claims leadership. Each call generates a new incarnation id.
--- a/src/fleetnode/FleetNodePeers.cpp
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -175,12 +175,13 @@
     }
     const auto deadline = monotonicNow() + Millis(ask.budgetMs);
     const KeyedRecord record {ask.key, ask.value, 0};
-    m_jobRecords.store(record, deadline, [this, from, record, call = ask.call](const SubmitResult &answer) {
+    auto done = beginAttempt(record.key, [this, from, record, call = ask.call](const SubmitResult &answer) {
         if (answer.outcome == SubmitOutcome::Accepted) {
             notifyPlannerOfStored(record);
         }
         m_hub.send(from, FleetStoreResponseMessage {call, std::string(nameOf(answer.outcome)), answer.reason});
     });
+    m_jobRecords.store(record, deadline, std::move(done));
 }
 
 void FleetNode::requestAdvice(const AdviceRequest &request, std::function<void(const AdviceResponse &)> done)
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -234,17 +234,30 @@
     }
 }
 
+RecordWriter::Done FleetNode::beginAttempt(const std::string &key, RecordWriter::Done done)
+{
+    m_unresolvedRecords.begin(key);
+    return [this, key, done = std::move(done)](SubmitResult answer) {
+        answer.outcome = m_unresolvedRecords.end(key, answer.outcome, monotonicNow());
+        done(answer);
+    };
+}
+
 void FleetNode::storeRecord(KeyedRecord record, Millis budget, RecordWriter::Done done)
 {
     if (isAlreadyStored(record.key)) {
         done({SubmitOutcome::Accepted, Millis(0), {}});
         return;
     }
+    done = beginAttempt(record.key, std::move(done));
     const auto now = monotonicNow();
     const auto deadline = now + budget - ResponseMargin;
     const auto directStoreDelay = std::max(budget - DirectStoreReserve, budget / 2);
-    auto call =
-        std::make_shared<StoreCall>(StoreCall {std::move(record), deadline, now + directStoreDelay, std::move(done), false, false, false, false, false, {}});
+    const auto call = std::make_shared<StoreCall>();
+    call->record = std::move(record);
+    call->deadline = deadline;
+    call->directStoreAt = now + directStoreDelay;
+    call->done = std::move(done);
     if (m_planner || m_isLeaderLogUnreachable || !isLinkedToLeader()) {
         storeDirectly(call);
         return;
@@ -252,8 +265,7 @@
     const auto number = m_nextCall++;
     const FleetStoreRequestMessage ask {number, call->record.key, call->record.value.value_or(""), (deadline - now - ResponseMargin).count()};
     if (m_hub.send(m_election.leader()->node, ask)) {
-        call->mayBeStored = true;
-        call->isAwaitingPlanner = true;
+        call->planner = StoreCall::Part::UnderWay;
         call->peer = m_election.leader()->node;
         m_storeCalls[number] = call;
     } else {
@@ -277,17 +289,17 @@
 
 void FleetNode::storeDirectly(const std::shared_ptr<StoreCall> &call)
 {
-    if (call->isDirectStoreStarted) {
+    if (call->direct != StoreCall::Part::NotStarted) {
         return;
     }
-    call->isDirectStoreStarted = true;
-    m_jobRecords.store(call->record, call->deadline, [this, call](SubmitResult answer) {
+    call->direct = StoreCall::Part::UnderWay;
+    m_jobRecords.store(call->record, call->deadline, [this, call](const SubmitResult &answer) {
         if (answer.outcome == SubmitOutcome::Accepted) {
             notifyPlannerOfStored(call->record);
         }
-        call->isDirectRefused = answer.outcome == SubmitOutcome::Refused;
-        if (!call->isDirectRefused || !call->isAwaitingPlanner) {
-            completeStoreCall(*call, std::move(answer));
+        call->direct = answer.outcome == SubmitOutcome::Refused ? StoreCall::Part::Refused : StoreCall::Part::Unknown;
+        if (call->direct != StoreCall::Part::Refused || call->planner != StoreCall::Part::UnderWay) {
+            completeStoreCall(*call, answer);
         }
     });
 }
@@ -297,7 +309,7 @@
     if (call.isAnswered) {
         return;
     }
-    if (answer.outcome == SubmitOutcome::Refused && call.mayBeStored) {
+    if (answer.outcome == SubmitOutcome::Refused && call.mayBeStored()) {
         answer.outcome = SubmitOutcome::Unknown;
     }
     call.isAnswered = true;
@@ -308,7 +320,7 @@
 {
     for (const auto &[number, call] : m_storeCalls) {
         if (call->peer == peer) {
-            call->isAwaitingPlanner = false;
+            call->planner = StoreCall::Part::Unknown;
             fallBackToDirectStore(call);
         }
     }
@@ -323,12 +335,11 @@
     const auto call = it->second;
     m_storeCalls.erase(it);
     const auto outcome = valueOf<SubmitOutcome>(answer.verdict);
-    call->isAwaitingPlanner = false;
     if (outcome == SubmitOutcome::Accepted) {
         completeStoreCall(*call, {SubmitOutcome::Accepted, Millis(0), {}});
         return;
     }
-    call->mayBeStored = outcome != SubmitOutcome::Refused;
+    call->planner = outcome == SubmitOutcome::Refused ? StoreCall::Part::Refused : StoreCall::Part::Unknown;
     // The planner gives up a record only when the log does not answer it. That may be so for this process too.
     m_jobRecords.suspectLog(monotonicNow());
     fallBackToDirectStore(call);
@@ -337,7 +348,7 @@
 // Called when the planner will not answer any more: appends the record directly, or refuses it when the direct append was already refused.
 void FleetNode::fallBackToDirectStore(const std::shared_ptr<StoreCall> &call)
 {
-    if (call->isDirectRefused) {
+    if (call->direct == StoreCall::Part::Refused) {
         completeStoreCall(*call, {SubmitOutcome::Refused, ClientRetryAfter, "neither the planner nor this process reaches the log"});
     } else {
         storeDirectly(call);
@@ -367,7 +378,11 @@
 bool FleetNode::isAlreadyStored(const std::string &key) const
 {
     const std::string prefix = acceptanceKey({});
-    return m_planner && m_planner->isOpen() && key.starts_with(prefix) && m_planner->hasJob(key.substr(prefix.size()));
+    if (!key.starts_with(prefix)) {
+        return false;
+    }
+    const auto job = key.substr(prefix.size());
+    return m_recentlyAccepted.contains(job) || (m_planner && m_planner->isOpen() && m_planner->hasJob(job));
 }
 
 } // namespace marjoramhaven
