Tests: a cancellation that may be stored is answered 503

The store carries out the append of a cancellation without an answer. The DELETE is answered 503, "the cancellation is not stored", and so is a second one while the store is down: [503 != 504] twice. A DELETE whose record was never sent is refused as before.

--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -212,6 +212,24 @@
         8000));
 }
 
+// Guards against a cancellation that is answered 503, as not stored, though the append had no answer and the job is cancelled.
+BOOST_AUTO_TEST_CASE(cancellationThatMayBeStoredIsNotRefused)
+{
+    Fleet fleet(2);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.setLosingAppendAnswers(true);
+    BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e0").status == 504);
+    fleet.platform.setLosingAppendAnswers(false);
+    fleet.platform.setStoreDown(true);
+    BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e0").status == 504);
+    // One that was never sent is refused.
+    BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e1").status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(configurationVersionNeverDecreases)
 {
     Fleet fleet(1);
