Answer 504 to a cancellation that may be stored

What callers saw: a DELETE whose record may be stored is answered 503, "the cancellation is not stored", with a Retry-After. The job may be cancelled all the same.

Cause: FleetNode::cancel turned the outcome of the append, which tells refused from unknown, into a query's outcome that does not.

Change: a cancellation has the same outcomes as a submission, and both are answered by one function: 503 with Retry-After only for a record that is certainly not stored, 504 for one that may be. A query has no effect, so its 503 stays.

Before: the first DELETE, whose append was carried out without an answer, and the second one, while the store is down, got 503 [503 != 504].

--- a/include/marjoramhaven/fleet/JobService.h
+++ b/include/marjoramhaven/fleet/JobService.h
@@ -8,13 +8,13 @@
 
 namespace marjoramhaven {
 
-/// Outcome of a job submission.
+/// Outcome of a job submission, or of a cancellation.
 enum class SubmitOutcome {
-    /// The job is stored.
+    /// The request is stored.
     Accepted,
-    /// The job is not stored and never will be; the caller may retry after the given time.
+    /// The request is not stored and never will be; the caller may retry after the given time.
     Refused,
-    /// The job may be stored, now or later; the caller retries with the same id.
+    /// The request may be stored, now or later; the caller retries with the same id.
     Unknown,
 };
 
@@ -27,14 +27,14 @@
     };
 };
 
-/// Answer to a job submission.
+/// Answer to a job submission, or to a cancellation.
 struct SubmitResult {
     SubmitOutcome outcome = SubmitOutcome::Unknown;
     Millis retryAfter {0};
     std::string reason;
 };
 
-/// Outcome of a query for a job's state, or of a cancellation.
+/// Outcome of a query for a job's state.
 enum class QueryOutcome {
     Known,
     NoSuchJob,
@@ -42,7 +42,7 @@
     Unavailable,
 };
 
-/// Answer to a query for a job's state, or to a cancellation.
+/// Answer to a query for a job's state.
 struct QueryResult {
     QueryOutcome outcome = QueryOutcome::Unavailable;
     FleetJobState state = FleetJobState::Queued;
@@ -95,7 +95,7 @@
     virtual RouteResult route(const std::string &host, const std::string &path, TimePoint now) = 0;
     virtual void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitResult &)> done) = 0;
     virtual void query(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) = 0;
-    virtual void cancel(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) = 0;
+    virtual void cancel(const std::string &job, Millis budget, std::function<void(const SubmitResult &)> done) = 0;
     virtual void pending(const QueuePolicy &queue, Millis budget, std::function<void(const PendingJobsResult &)> done) = 0;
 };
 
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -65,7 +65,7 @@
     RouteResult route(const std::string &host, const std::string &path, TimePoint now) override;
     void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitResult &)> done) override;
     void query(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) override;
-    void cancel(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) override;
+    void cancel(const std::string &job, Millis budget, std::function<void(const SubmitResult &)> done) override;
     void pending(const QueuePolicy &queue, Millis budget, std::function<void(const PendingJobsResult &)> done) override;
 
 private:
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -114,7 +114,7 @@
     startQuery(pendingQuery);
 }
 
-void FleetNode::cancel(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done)
+void FleetNode::cancel(const std::string &job, Millis budget, std::function<void(const SubmitResult &)> done)
 {
     storeRecord({cancellationKey(job), std::string("1"), 0}, budget, [this, job, done = std::move(done)](const SubmitResult &answer) {
         m_events.write("cancel",
@@ -125,10 +125,7 @@
                         {"source", m_configuration.source()},
                         {"newest_known", m_configuration.newestKnownVersion()},
                         {"proof_age_ms", configurationProofAgeMs(monotonicNow())}});
-        QueryResult out;
-        out.outcome = answer.outcome == SubmitOutcome::Accepted ? QueryOutcome::Known : QueryOutcome::Unavailable;
-        out.state = FleetJobState::Cancelled;
-        done(out);
+        done(answer);
     });
 }
 
--- a/tests/adapter/ClientApiServerTest.cpp
+++ b/tests/adapter/ClientApiServerTest.cpp
@@ -27,7 +27,7 @@
             done({});
         });
     }
-    void cancel(const std::string & /*job*/, Millis /*budget*/, std::function<void(const QueryResult &)> done) override { done({}); }
+    void cancel(const std::string & /*job*/, Millis /*budget*/, std::function<void(const SubmitResult &)> done) override { done({}); }
     void pending(const QueuePolicy & /*queue*/, Millis /*budget*/, std::function<void(const PendingJobsResult &)> done) override { done({}); }
 
     std::vector<Millis> budgets;
