Tests: a stopping process refuses an attempt whose earlier one may be stored

The store carries out the append of a submission without an answer, and the submission is answered 504. When the process stops, it refuses the second attempt at once, as it refuses every request that it has no time for: [503 != 504].

--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -212,6 +212,22 @@
         8000));
 }
 
+// Guards against a second attempt that a stopping process refuses at once, while the first attempt may be stored.
+BOOST_AUTO_TEST_CASE(stoppingProcessDoesNotRefuseAnAttemptWhenAnEarlierOneMayBeStored)
+{
+    Fleet fleet(1);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.setLosingAppendAnswers(true);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f0", Job).status == 504);
+    fleet.nodes[0]->api.setEnd(monotonicNow());
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f0", Job).status == 504);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f1", Job).status == 503);
+}
+
 // Guards against a cancellation that is answered 503, as not stored, though the append had no answer and the job is cancelled.
 BOOST_AUTO_TEST_CASE(cancellationThatMayBeStoredIsNotRefused)
 {
