--- a/include/marjoramhaven/fleet/JobService.h
+++ b/include/marjoramhaven/fleet/JobService.h
@@ -94,6 +94,8 @@
     /// Looks up the queue with the longest prefix of the path under the host.
     virtual RouteResult route(const std::string &host, const std::string &path, TimePoint now) = 0;
     virtual void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitResult &)> done) = 0;
+    /// Returns true when an earlier submission of the job is stored, or may be, so that a refusal would wrongly tell the caller that the job never runs.
+    virtual bool mayBeStored(const std::string &job, TimePoint now) const = 0;
     virtual void query(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) = 0;
     virtual void cancel(const std::string &job, Millis budget, std::function<void(const SubmitResult &)> done) = 0;
     virtual void pending(const QueuePolicy &queue, Millis budget, std::function<void(const PendingJobsResult &)> done) = 0;
--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -64,6 +64,7 @@
     const FleetConfiguration *configuration() const { return m_configuration.configuration(); }
     RouteResult route(const std::string &host, const std::string &path, TimePoint now) override;
     void submit(FleetJobRequest request, Millis budget, std::function<void(const SubmitResult &)> done) override;
+    bool mayBeStored(const std::string &job, TimePoint now) const override;
     void query(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done) override;
     void cancel(const std::string &job, Millis budget, std::function<void(const SubmitResult &)> done) override;
     void pending(const QueuePolicy &queue, Millis budget, std::function<void(const PendingJobsResult &)> done) override;
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -76,6 +76,12 @@
     });
 }
 
+bool FleetNode::mayBeStored(const std::string &job, TimePoint now) const
+{
+    const auto key = acceptanceKey(job);
+    return isAlreadyStored(key) || m_unresolvedRecords.mayBeStored(key, now);
+}
+
 void FleetNode::query(const std::string &job, Millis budget, std::function<void(const QueryResult &)> done)
 {
     auto pendingQuery = std::make_shared<PendingQuery>();
--- a/tests/adapter/ClientApiServerTest.cpp
+++ b/tests/adapter/ClientApiServerTest.cpp
@@ -20,6 +20,7 @@
 
     RouteResult route(const std::string & /*host*/, const std::string & /*path*/, TimePoint /*now*/) override { return {RouteOutcome::Found, &m_queue}; }
     void submit(FleetJobRequest /*request*/, Millis /*budget*/, std::function<void(const SubmitResult &)> done) override { done({}); }
+    bool mayBeStored(const std::string & /*job*/, TimePoint /*now*/) const override { return false; }
     void query(const std::string & /*job*/, Millis budget, std::function<void(const QueryResult &)> done) override
     {
         budgets.push_back(budget);
