--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -190,6 +190,62 @@
     BOOST_TEST(fleet.platform.startCount() == 0);
 }
 
+// Guards against a second attempt that is answered 503, which promises that the job never runs, while the first attempt stored it without an answer.
+BOOST_AUTO_TEST_CASE(secondAttemptIsNotRefusedWhenTheFirstWasStoredWithoutAnAnswer)
+{
+    Fleet fleet(2);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.setLosingAppendAnswers(true);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000d0", Job).status == 504);
+    fleet.platform.setLosingAppendAnswers(false);
+    fleet.platform.setStoreDown(true);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000d0", Job).status == 504);
+    fleet.platform.setStoreDown(false);
+    BOOST_TEST(waitFor(
+        [&]() {
+            return fleet.platform.startCount() > 0;
+        },
+        8000));
+}
+
+// Guards against a second attempt that a stopping process refuses at once, while the first attempt may be stored.
+BOOST_AUTO_TEST_CASE(stoppingProcessDoesNotRefuseAnAttemptWhenAnEarlierOneMayBeStored)
+{
+    Fleet fleet(1);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.setLosingAppendAnswers(true);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f0", Job).status == 504);
+    fleet.nodes[0]->api.setEnd(monotonicNow());
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f0", Job).status == 504);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f1", Job).status == 503);
+}
+
+// Guards against a cancellation that is answered 503, as not stored, though the append had no answer and the job is cancelled.
+BOOST_AUTO_TEST_CASE(cancellationThatMayBeStoredIsNotRefused)
+{
+    Fleet fleet(2);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    fleet.platform.setLosingAppendAnswers(true);
+    BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e0").status == 504);
+    fleet.platform.setLosingAppendAnswers(false);
+    fleet.platform.setStoreDown(true);
+    BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e0").status == 504);
+    // One that was never sent is refused.
+    BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e1").status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(configurationVersionNeverDecreases)
 {
     Fleet fleet(1);
