--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -11,8 +11,10 @@
 #include "marjoramhaven/http/HttpClient.h"
 #include "marjoramhaven/http/HttpServer.h"
 #include "marjoramhaven/http/PooledHttpClient.h"
+#include "support/ScriptedServer.h"
 
 using namespace marjoramhaven;
+using namespace marjoramhaven::test;
 
 namespace {
 
@@ -54,6 +56,39 @@
     int port = 0;
 };
 
+// Calls one server through a pool, one call at a time.
+class PooledCaller
+{
+public:
+    explicit PooledCaller(int port)
+    {
+        outgoing.method = "POST";
+        outgoing.host = "127.0.0.1";
+        outgoing.port = port;
+        outgoing.target = "/x";
+        outgoing.body = "{}";
+        outgoing.timeout = Millis(5000);
+    }
+
+    CallResult call()
+    {
+        CallResult out;
+        QEventLoop loop;
+        m_httpClient.call(outgoing, [&](const CallResult &result) {
+            out = result;
+            loop.quit();
+        });
+        loop.exec();
+        return out;
+    }
+
+    OutgoingCall outgoing;
+
+private:
+    QObject m_context;
+    PooledHttpClient m_httpClient {m_context, 2};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Http)
@@ -238,4 +273,33 @@
     BOOST_TEST(results[2].sendings == 0);
 }
 
+// Guards against calls of unknown outcome: a request was sent on a connection that the server had closed while it was idle.
+BOOST_AUTO_TEST_CASE(connectionThatTheServerClosedWhileIdleIsNotUsedAgain)
+{
+    ScriptedServer server({{.closesAfterwards = true}, {}});
+    PooledCaller caller(server.port());
+    caller.outgoing.mayResend = false;
+    BOOST_TEST(caller.call().hasResponse);
+    BOOST_TEST(waitFor([&]() {
+        return server.closedCount() == 1;
+    }));
+    const auto second = caller.call();
+    BOOST_TEST(second.hasResponse, second.error);
+    BOOST_TEST(second.sendings == 1);
+    BOOST_TEST(server.connectionCount() == 2);
+}
+
+// Guards against a response that is taken for that to a later request: the server sent more than one response to a request.
+BOOST_AUTO_TEST_CASE(bytesBehindAResponseAreNotTheResponseToTheNextRequest)
+{
+    const std::string strayResponse = "HTTP/1.1 299 X\r\nContent-Length: 0\r\n\r\n";
+    ScriptedServer server({{.strayBytes = strayResponse}, {}});
+    PooledCaller caller(server.port());
+    BOOST_TEST(caller.call().status == 200);
+    const auto second = caller.call();
+    BOOST_TEST(second.status == 200);
+    BOOST_TEST(second.sendings == 1);
+    BOOST_TEST(server.requestCount() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
