Look at an idle connection before it is used again

What callers saw: calls of unknown outcome. A request was sent on a connection that the server had closed while it was idle, so that it had to be sent again, or failed if it must not be. After a second sending a refusal says nothing about the first, so each such call costs an answer.

Cause: the pool did not read from idle connections. That the server had closed one showed only when the next request had been sent. Nor did it look for bytes behind a response: a second response to one request was taken for that to the next request.

Change: before an idle connection is used, one byte is peeked at without waiting. The end of the stream, an error, or a byte that belongs to no response closes the connection, and the call takes another one, with nothing sent before. A connection with bytes left in its buffer is closed at once, and one that has been idle for 10 s is closed by its timer: a network may have dropped it without telling the ends, and connections to workers that are gone no longer stay open for ever. Busy connections are used again first, so the timeout closes only those that are not needed.

What stays: a connection that breaks between the look and the sending, or while the request is on its way, is still found only afterwards.

--- a/include/marjoramhaven/http/PooledHttpClient.h
+++ b/include/marjoramhaven/http/PooledHttpClient.h
@@ -15,6 +15,9 @@
 /// A response that stops for this long is on a connection that has broken without a sign.
 inline constexpr Millis ResponseStallTimeout {1500};
 
+/// A kept-alive connection is closed when it has been idle for this long, before a network drops it without a sign.
+inline constexpr Millis IdleConnectionTimeout {10'000};
+
 /// A request to an HTTP server that is given by IP address and port.
 struct OutgoingCall {
     std::string method;
@@ -61,8 +64,9 @@
 public:
     using Done = std::function<void(const CallResult &)>;
 
-    /// Opens at most `connectionsPerHost` connections to each server. Results are delivered on the thread of `context`, which must outlive this object.
-    explicit PooledHttpClient(QObject &context, int connectionsPerHost);
+    /// Opens at most `connectionsPerHost` connections to each server, and closes those that have been idle for `idleTimeout`. Results are delivered on the
+    /// thread of `context`, which must outlive this object.
+    explicit PooledHttpClient(QObject &context, int connectionsPerHost, Millis idleTimeout = IdleConnectionTimeout);
     ~PooledHttpClient();
     PooledHttpClient(const PooledHttpClient &) = delete;
     PooledHttpClient &operator=(const PooledHttpClient &) = delete;
--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -7,9 +7,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <deque>
 #include <map>
 #include <mutex>
+#include <sys/socket.h>
 #include <thread>
 
 #include "marjoramhaven/telemetry/Log.h"
@@ -38,9 +40,10 @@
 class PooledHttpClient::Loop
 {
 public:
-    Loop(QObject &context, int connectionsPerHost)
+    Loop(QObject &context, int connectionsPerHost, Millis idleTimeout)
         : m_context(context)
         , m_connectionsPerHost(connectionsPerHost)
+        , m_idleTimeout(idleTimeout)
         , m_guard(asio::make_work_guard(m_io))
         , m_thread([this]() {
             run();
@@ -94,13 +97,15 @@
     using HostKey = std::pair<std::string, int>;
 
     void dispatch(const std::shared_ptr<PendingCall> &pending);
-    void startOn(const std::shared_ptr<Connection> &connection, const std::shared_ptr<PendingCall> &pending);
+    std::shared_ptr<Connection> takeUsableIdle(Host &host);
+    void closeIdle(const std::shared_ptr<Connection> &connection);
     void release(const std::shared_ptr<Connection> &connection, bool reusable);
     void startWaitingCalls(Host &host, const HostKey &key);
     void deliver(const std::shared_ptr<PendingCall> &pending, CallResult result);
 
     QObject &m_context;
     const int m_connectionsPerHost;
+    const Millis m_idleTimeout;
     const Log m_log {"http"};
     asio::io_context m_io {1};
     asio::executor_work_guard<asio::io_context::executor_type> m_guard;
@@ -138,6 +143,33 @@
         }
     }
 
+    // Returns whether an idle connection can carry a call: the server has neither closed it nor sent bytes that belong to no response.
+    bool isUsable()
+    {
+        char next = 0;
+        const auto n = ::recv(m_socket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    // Has the loop close the connection if no call uses it before the idle timeout.
+    void waitIdle(Millis idleTimeout)
+    {
+        m_timer.expires_after(idleTimeout);
+        m_timer.async_wait([self = this->shared_from_this()](const boost::system::error_code &ec) {
+            // A timeout that has expired may still be reported after the connection was used again.
+            if (!ec && self->m_pending == nullptr && self->m_timer.expiry() <= std::chrono::steady_clock::now()) {
+                self->m_loop.closeIdle(self);
+            }
+        });
+    }
+
+    void close()
+    {
+        m_timer.cancel();
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+
 private:
     // Replaces the time limit of the pending call.
     void armTimer(std::chrono::steady_clock::time_point at)
@@ -247,7 +279,8 @@
         CallResult result;
         result.hasResponse = true;
         result.status = static_cast<int>(m_parser->get().result_int());
-        const bool keepAlive = m_parser->get().keep_alive();
+        // Bytes behind the response belong to no request.
+        const bool keepAlive = m_parser->get().keep_alive() && m_buffer.size() == 0;
         result.body = std::move(m_parser->get().body());
         finish(std::move(result), keepAlive);
     }
@@ -282,8 +315,7 @@
         m_pending = nullptr;
         m_timer.cancel();
         if (!keepAlive) {
-            boost::system::error_code ignored;
-            m_socket.close(ignored);
+            close();
         }
         m_loop.deliver(pending, std::move(result));
         m_loop.release(this->shared_from_this(), keepAlive);
@@ -323,26 +355,49 @@
             deliver(pending, expired);
             continue;
         }
-        std::shared_ptr<Connection> connection;
-        if (!host.idle.empty()) {
-            connection = host.idle.back();
-            host.idle.pop_back();
-        } else if (host.open < m_connectionsPerHost) {
+        auto connection = takeUsableIdle(host);
+        if (connection == nullptr && host.open >= m_connectionsPerHost) {
+            return;
+        }
+        if (connection == nullptr) {
             connection = std::make_shared<Connection>(*this, key);
             ++host.open;
-        } else {
-            return;
         }
         host.waiting.pop_front();
         connection->run(pending);
     }
 }
 
+// Returns an idle connection that can carry a call, or null. Closes those that can't.
+std::shared_ptr<PooledHttpClient::Loop::Connection> PooledHttpClient::Loop::takeUsableIdle(Host &host)
+{
+    while (!host.idle.empty()) {
+        const auto connection = host.idle.back();
+        host.idle.pop_back();
+        if (connection->isUsable()) {
+            return connection;
+        }
+        connection->close();
+        --host.open;
+    }
+    return nullptr;
+}
+
+void PooledHttpClient::Loop::closeIdle(const std::shared_ptr<Connection> &connection)
+{
+    auto &host = m_hosts[connection->key()];
+    if (std::erase(host.idle, connection) > 0) {
+        connection->close();
+        --host.open;
+    }
+}
+
 void PooledHttpClient::Loop::release(const std::shared_ptr<Connection> &connection, bool reusable)
 {
     auto &host = m_hosts[connection->key()];
     if (reusable) {
         host.idle.push_back(connection);
+        connection->waitIdle(m_idleTimeout);
     } else {
         --host.open;
     }
@@ -371,8 +426,8 @@
         Qt::QueuedConnection);
 }
 
-PooledHttpClient::PooledHttpClient(QObject &context, int connectionsPerHost)
-    : m_loop(std::make_unique<Loop>(context, connectionsPerHost))
+PooledHttpClient::PooledHttpClient(QObject &context, int connectionsPerHost, Millis idleTimeout)
+    : m_loop(std::make_unique<Loop>(context, connectionsPerHost, idleTimeout))
 {
 }
 
--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -60,7 +60,8 @@
 class PooledCaller
 {
 public:
-    explicit PooledCaller(int port)
+    explicit PooledCaller(int port, Millis idleTimeout = IdleConnectionTimeout)
+        : m_httpClient(m_context, 2, idleTimeout)
     {
         outgoing.method = "POST";
         outgoing.host = "127.0.0.1";
@@ -86,7 +87,7 @@
 
 private:
     QObject m_context;
-    PooledHttpClient m_httpClient {m_context, 2};
+    PooledHttpClient m_httpClient;
 };
 
 } // namespace
@@ -302,4 +303,19 @@
     BOOST_TEST(server.requestCount() == 2);
 }
 
+// Guards against requests that are lost on a connection that a network has dropped while it was idle, without telling the ends.
+BOOST_AUTO_TEST_CASE(connectionIsClosedWhenItHasBeenIdleForTheTimeout)
+{
+    ScriptedServer server({});
+    PooledCaller caller(server.port(), Millis(300));
+    BOOST_TEST(caller.call().hasResponse);
+    BOOST_TEST(caller.call().hasResponse);
+    BOOST_TEST(server.connectionCount() == 1);
+    BOOST_TEST(waitFor([&]() {
+        return server.closedCount() == 1;
+    }));
+    BOOST_TEST(caller.call().hasResponse);
+    BOOST_TEST(server.connectionCount() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
