--- a/tests/http/HttpTest.cpp
+++ b/tests/http/HttpTest.cpp
@@ -318,4 +318,21 @@
     BOOST_TEST(server.connectionCount() == 2);
 }
 
+// Guards against calls of unknown outcome: a request of which the server can have only a part was counted as sent.
+BOOST_AUTO_TEST_CASE(requestThatWasNotWrittenCompletelyCountsAsUnsent)
+{
+    // More than the buffers of both ends hold, so that the request can't be written before the server has read a part of it.
+    constexpr std::size_t LargeBodyBytes = 64ULL << 20;
+    ScriptedServer server({{}, {.isResetAtFirstBytes = true}, {503}});
+    PooledCaller caller(server.port());
+    BOOST_TEST(caller.call().hasResponse);
+    caller.outgoing.mayResend = false;
+    caller.outgoing.timeout = Millis(10'000);
+    caller.outgoing.body.assign(LargeBodyBytes, 'x');
+    const auto repeated = caller.call();
+    BOOST_TEST(repeated.status == 503, repeated.error);
+    BOOST_TEST(repeated.sendings == 1);
+    BOOST_TEST(server.connectionCount() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -19,6 +19,8 @@
     std::string strayBytes = {};
     /// Closes the connection once the response is sent, without announcing it in the response.
     bool closesAfterwards = false;
+    /// Resets the connection when the first bytes of the request arrive.
+    bool isResetAtFirstBytes = false;
 };
 
 /// An HTTP server on 127.0.0.1 that answers the requests that it gets, on whatever connections, with the answers of a script in turn.
@@ -52,6 +54,11 @@
             ++m_closedCount;
         });
         QObject::connect(socket, &QTcpSocket::readyRead, &m_server, [this, socket, received = QByteArray()]() mutable {
+            if (!m_script.empty() && m_script.front().isResetAtFirstBytes) {
+                m_script.pop_front();
+                socket->abort();
+                return;
+            }
             received += socket->readAll();
             if (isComplete(received)) {
                 received.clear();
