A request that was not written completely counts as unsent

What callers saw: calls of unknown outcome, and polls that failed, when a connection broke while the request was being written.

Cause: a call counted as sent from the moment at which its writing began. But a write fails only if the kernel has not taken all bytes, and a server can't carry out a request of which it has only a part: each request with a body says its length.

Change: a failed write takes its sending back. The call is then sent on a new connection whatever mayResend says, and the answer is that to its only sending; without a new connection it is unsent. A time limit that ends during a write still counts as sent, as all bytes may have been taken by then.

--- a/include/marjoramhaven/http/PooledHttpClient.h
+++ b/include/marjoramhaven/http/PooledHttpClient.h
@@ -43,7 +43,8 @@
 struct CallResult {
     /// True when a complete response was received. When false, it is unknown whether the call took effect, unless isUnsent() is true.
     bool hasResponse = false;
-    /// How often the request was sent. When it was sent twice, the response is that to the second sending, and the first may have been carried out.
+    /// How often the request may have been sent completely. When it was sent twice, the response is that to the second sending, and the first may have been
+    /// carried out.
     int sendings = 0;
     int status = 0;
     std::string body;
--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -235,6 +235,8 @@
                 return;
             }
             if (ec) {
+                // No server can carry out a request of which it has only a part.
+                --self->m_sendings;
                 self->failOrResend(ec.message());
                 return;
             }
@@ -286,10 +288,11 @@
     }
 
     // Sends the request once more on a new connection when the failed one was kept alive from an earlier call: the server may have closed it while
-    // it was idle. Fails the call when response bytes have arrived or the call must not be sent twice.
+    // it was idle. Fails the call when response bytes have arrived, or when it was sent completely and must not be sent twice.
     void failOrResend(const std::string &reason)
     {
-        if (!m_isReused || m_hasResponseBytes || !m_pending->call.mayResend) {
+        const bool maySend = m_sendings == 0 || m_pending->call.mayResend;
+        if (!m_isReused || m_hasResponseBytes || !maySend) {
             fail(reason);
             return;
         }
