Log and count the age of the leader's confirmation

Three answers now confirm it, as of the time at which their call was first sent: a claim or heartbeat that was stored, a read up to the end of the topic leadership that shows no newer claim, and a stored append to the topic progress. The gauge leadership_confirmation_age_ms has the age; leadership_unconfirmed and leadership_confirmed are logged when it passes 3 s and when it falls below. Nothing else depends on it yet.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -15,6 +15,7 @@
 #include "marjoramhaven/fleet/FleetClients.h"
 #include "marjoramhaven/fleet/FleetJobState.h"
 #include "marjoramhaven/fleet/FleetWorker.h"
+#include "marjoramhaven/fleet/LeadershipConfirmation.h"
 #include "marjoramhaven/fleet/WorkerSpeeds.h"
 #include "marjoramhaven/telemetry/EventLog.h"
 
@@ -130,6 +131,8 @@
 struct PlannerLimits {
     /// Length of the leases that the planner grants; longer than the takeover by a new leader takes, so that runs survive it.
     Millis lease {5000};
+    /// How long after a confirmation of its leadership the planner counts as confirmed; longer than the calls that confirm it take while the log is slow.
+    Millis leadershipBound {3000};
     /// Longest lease that a worker accepts, whatever the request says.
     Millis maxLease {10000};
     /// How long a worker may hold back its answer to a poll while no run ends.
@@ -172,6 +175,8 @@
 
     // Updates from the log.
 
+    /// Records that the log showed this planner's process to be the leader at `asOf`, which is when the confirming call was sent.
+    void confirmLeadership(TimePoint asOf, TimePoint now);
     /// Adds an accepted job; does nothing if it is known already.
     void jobAccepted(FleetJobRequest request, TimePoint now);
     /// Cancels a job. The cancellation may arrive before the job itself.
@@ -219,6 +224,8 @@
     bool hasUnstoredChanges() const { return !m_dirtyJobs.empty() || !m_droppedRecords.empty() || m_hasUnstoredEnds; }
     /// Returns the fencing token that this planner's requests carry.
     std::int64_t fencingToken() const { return m_fencingToken; }
+    /// Returns the time since the newest confirmation of leadership, or `std::nullopt` if there was none.
+    std::optional<Millis> confirmationAge(TimePoint now) const { return m_leadership.age(now); }
     const std::map<std::string, FleetWorker> &workers() const { return m_workers; }
     std::size_t runCount() const { return m_runs.size(); }
 
@@ -265,6 +272,7 @@
     static bool contradicts(const WorkerReport &report, const FleetWorker &worker);
     void sendPollIfDue(FleetWorker &worker, TimePoint now);
     // FleetPlannerMonitoring.cpp: periodic checks of workers and runs
+    void checkLeadership(TimePoint now);
     void checkWorker(FleetWorker &worker, TimePoint now);
     void stopRunsOnDrainingWorker(FleetWorker &worker, TimePoint now);
     void checkStuck(FleetRun &run, TimePoint now);
@@ -313,6 +321,9 @@
     const std::int64_t m_fencingToken;
     bool m_isOpen = false;
     TimePoint m_openedAt;
+    LeadershipConfirmation m_leadership;
+    /// Whether leadership was confirmed when this was last checked.
+    bool m_isConfirmed = false;
     FleetConfiguration m_configuration;
     std::map<std::string, std::unique_ptr<FleetJob>> m_jobs;
     std::set<std::string> m_activeJobs;
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -8,12 +8,10 @@
 
 #include "marjoramhaven/base/Time.h"
 #include "marjoramhaven/fleet/FleetClients.h"
+#include "marjoramhaven/fleet/LeadershipConfirmation.h"
 
 namespace marjoramhaven {
 
-/// Minimum rate of a worker's clock relative to this process's clock.
-inline constexpr double MinWorkerClockRate = 0.98;
-
 /// Estimates one worker's clock and tracks the lease granted to it. Lease ends are in milliseconds on the worker's own clock.
 class WorkerLease
 {
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -61,6 +61,9 @@
     /// Removes a process that was added by addAdvisorProxy().
     void removeAdvisorProxy(const std::string &process);
 
+    /// See FleetPlanner::confirmLeadership().
+    void confirmLeadership(TimePoint asOf) { m_planner.confirmLeadership(asOf, monotonicNow()); }
+
     /// Applies a record that was stored in the jobs topic. The record will also be read back, but perhaps much later when the log is slow.
     void recordStored(const KeyedRecord &record);
 
@@ -122,6 +125,8 @@
     RecordBatch m_unsentRecords;
     std::int64_t m_inFlightBatch = 0;
     std::int64_t m_sequence = 0;
+    /// When the append with the current sequence number was first sent.
+    TimePoint m_appendFirstSentAt {};
     AdaptiveTimeout m_appendTimes;
     TimePoint m_nextStoreAt {};
     bool m_isStoreScheduled = false;
--- a/include/marjoramhaven/fleetnode/TopicFollower.h
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -65,6 +65,8 @@
     TimePoint lastAnswerAt() const { return m_lastAnswerAt; }
     /// Returns the latest time at which the log is known to have had no record that was not passed to onRecords; std::nullopt if it is known for no time.
     std::optional<TimePoint> currentAsOf() const { return m_currentAsOf; }
+    /// Returns when the newest read was sent that returned all records up to the end of the topic; std::nullopt if there was none.
+    std::optional<TimePoint> completeReadSentAt() const { return m_completeReadSentAt; }
 
 private:
     void loadPage();
@@ -110,6 +112,7 @@
     Millis m_loadLatency {0};
     TimePoint m_lastAnswerAt {};
     std::optional<TimePoint> m_currentAsOf;
+    std::optional<TimePoint> m_completeReadSentAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -19,6 +19,7 @@
     , m_limits(limits)
     , m_fencingToken(fencingToken)
     , m_openedAt(now)
+    , m_leadership(limits.leadershipBound)
 {
 }
 
@@ -79,7 +80,7 @@
         scheduleRelease(*job);
     }
     // An earlier planner may have granted leases until now.
-    constexpr double LeaseStretch = 1 / MinWorkerClockRate;
+    constexpr double LeaseStretch = 1 / MinClockRate;
     constexpr Millis LateGrant {1500};
     const Millis longest(static_cast<std::int64_t>(static_cast<double>(m_limits.lease.count()) * LeaseStretch));
     for (auto &[id, worker] : m_workers) {
@@ -92,6 +93,12 @@
                     {"workers", static_cast<std::int64_t>(m_workers.size())}});
 }
 
+void FleetPlanner::confirmLeadership(TimePoint asOf, TimePoint now)
+{
+    m_leadership.confirm(asOf);
+    checkLeadership(now);
+}
+
 FleetJob *FleetPlanner::findJob(const std::string &job)
 {
     const auto it = m_jobs.find(job);
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -31,6 +31,7 @@
 
 void FleetPlanner::tick(std::int64_t nowUnixMs, TimePoint now)
 {
+    checkLeadership(now);
     for (const auto &id : m_activeJobs) {
         auto &job = *m_jobs.at(id);
         if (!job.isEnded() && job.request().repeatCount > 0) {
@@ -52,6 +53,17 @@
     }
 }
 
+void FleetPlanner::checkLeadership(TimePoint now)
+{
+    const bool isConfirmed = m_leadership.isValid(now);
+    if (isConfirmed == m_isConfirmed) {
+        return;
+    }
+    m_isConfirmed = isConfirmed;
+    m_events.write(isConfirmed ? "leadership_confirmed" : "leadership_unconfirmed",
+                   {{"fence", m_fencingToken}, {"age_ms", m_leadership.age(now).value_or(Millis(0)).count()}});
+}
+
 void FleetPlanner::checkWorker(FleetWorker &worker, TimePoint now)
 {
     const auto id = worker.report.id;
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -33,7 +33,7 @@
         return std::nullopt;
     }
     const auto elapsed = static_cast<double>((now - m_observedAt).count());
-    return *m_clockMs + static_cast<std::int64_t>(elapsed * MinWorkerClockRate);
+    return *m_clockMs + static_cast<std::int64_t>(elapsed * MinClockRate);
 }
 
 std::int64_t WorkerLease::grant(Millis length, TimePoint now)
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -170,6 +170,8 @@
     m_metrics.gauge("questions_waiting", static_cast<double>(m_pendingQueries.size()));
     m_metrics.gauge("records_waiting", static_cast<double>(m_jobRecords.pendingCount() + m_storeCalls.size()));
     m_metrics.gauge("runs", m_planner ? static_cast<double>(m_planner->planner().runCount()) : 0);
+    const auto confirmationAge = m_planner ? m_planner->planner().confirmationAge(now) : std::nullopt;
+    m_metrics.gauge("leadership_confirmation_age_ms", confirmationAge ? static_cast<double>(confirmationAge->count()) : -1);
     m_metrics.gauge("workers", m_planner ? static_cast<double>(m_planner->planner().workers().size()) : 0);
 }
 
@@ -279,6 +281,9 @@
     m_election.observeLogLatency(m_leadershipFollower.loadLatency());
     m_election.handleRecords(leadershipRecords, m_leadershipFollower.nextOffset(), now);
     applyLeadership();
+    if (const auto sentAt = m_leadershipFollower.completeReadSentAt(); sentAt && m_planner) {
+        m_planner->confirmLeadership(*sentAt);
+    }
     appendLeadershipIfDue(now);
 }
 
@@ -296,7 +301,7 @@
     request.expectedEnd = append->expectedEnd;
     request.timeout = ClaimTimeout;
     const bool isClaim = append->record.claimOffset < 0;
-    m_platform.log.append(std::move(request), [this, isClaim](const AppendResult &result) {
+    m_platform.log.append(std::move(request), [this, isClaim, sentAt = monotonicNow(), record = append->record](const AppendResult &result) {
         if (isClaim || result.outcome != AppendOutcome::Stored) {
             m_events.write(isClaim ? "claim_answered" : "heartbeat_not_stored",
                            {{"outcome", std::string(nameOf(result.outcome))},
@@ -306,6 +311,10 @@
         }
         m_election.handleAppendResult(result, monotonicNow());
         applyLeadership();
+        const auto claimOffset = isClaim ? result.offset : record.claimOffset;
+        if (result.outcome == AppendOutcome::Stored && m_planner && m_planner->planner().fencingToken() == claimOffset + 1) {
+            m_planner->confirmLeadership(sentAt);
+        }
     });
 }
 
--- a/src/fleetnode/PlannerHostStore.cpp
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -107,6 +107,7 @@
 {
     m_inFlightRecords = m_unsentRecords.takeNext(MaxAppendBytes);
     ++m_sequence;
+    m_appendFirstSentAt = monotonicNow();
     appendProgress();
 }
 
@@ -150,6 +151,10 @@
         m_appendTimes.recordResponse(monotonicNow() - sentAt);
     }
     m_services.metrics.count("progress_appends_total{outcome=\"" + std::string(nameOf(result.outcome)) + "\"}");
+    if (result.outcome == AppendOutcome::Stored) {
+        // The next leader fences this topic before it plans. The answer to a repeated sending may be that of the first one.
+        confirmLeadership(m_appendFirstSentAt);
+    }
     if (result.outcome == AppendOutcome::Stored && !m_unsentRecords.isEmpty()) {
         appendNextRecords();
         return;
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -89,6 +89,7 @@
     // The pages are not a snapshot. Reading continues at the end offset of the first page, so that changes made during the load are read again.
     m_next = m_loadEnd;
     m_currentAsOf = m_loadSentAt;
+    m_completeReadSentAt = m_loadSentAt;
     m_isLoading = false;
     m_isLoaded = true;
     m_consecutiveFailures = 0;
@@ -195,6 +196,7 @@
         // A read that ended without a record shows that there was none until the end of its wait, unless the log answered early.
         const bool hasWaited = result.records.empty() && m_lastAnswerAt >= sentAt + waited;
         m_currentAsOf = hasWaited ? sentAt + waited : sentAt;
+        m_completeReadSentAt = sentAt;
     }
     onRecords(filterNewer(records));
 }
