Tests: leases of a leader that can't confirm its leadership

The models of the fleet get a cut around a planner and some workers, a rate of the workers' clocks and heartbeats; the faults get a file of their own.

--- a/include/marjoramhaven/standin/FleetWorkerModel.h
+++ b/include/marjoramhaven/standin/FleetWorkerModel.h
@@ -36,6 +36,8 @@
     Millis gangTimeout {3000};
     /// A long-running task reports 0 percent for this long after its start, then 100 percent.
     Millis warmUp {400};
+    /// Rate of the worker's clock.
+    double clockRate = 1;
 };
 
 /// Start or end of a run, as observed by the worker itself.
--- a/src/standin/FleetWorkerModel.cpp
+++ b/src/standin/FleetWorkerModel.cpp
@@ -38,7 +38,7 @@
 
 std::int64_t FleetWorkerModel::clockAt(TimePoint now) const
 {
-    return (now - m_instanceStartedAt).count() + 1;
+    return static_cast<std::int64_t>(static_cast<double>((now - m_instanceStartedAt).count()) * m_times.clockRate) + 1;
 }
 
 bool FleetWorkerModel::acceptFencingToken(std::int64_t fencingToken)
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -12,7 +12,7 @@
 constexpr int WorkersPerRack = 3;
 constexpr Millis TickEvery {20};
 constexpr Millis ReportEvery {500};
-constexpr Millis RegistrationDelay {15};
+constexpr Millis HeartbeatEvery {400};
 
 std::string stepOf(const FleetTaskId &task)
 {
@@ -33,6 +33,8 @@
     queue.maxAttempts = 3;
     queue.slackFactor = 2;
     queue.objectiveMs = 500;
+    FleetWorkerTimes workerTimes;
+    workerTimes.clockRate = options.workerClockRate;
     for (int i = 0; i < options.workers; ++i) {
         WorkerReport report;
         report.id = "w" + std::to_string(i);
@@ -46,7 +48,7 @@
         report.startedUnixMs = 1 + i;
         m_workers.push_back(std::make_unique<FleetWorkerModel>(
             report,
-            FleetWorkerTimes {},
+            workerTimes,
             [this](const FleetTaskId &task) -> std::optional<TaskBehaviour> {
                 const auto it = m_requests.find(task.job);
                 if (it == m_requests.end()) {
@@ -142,9 +144,32 @@
             process->planner->workerReported(m_workers[i]->reportAt(m_now), m_now);
         }
     }
+    process->planner->confirmLeadership(m_now, m_now);
     process->planner->startPlanning(m_now);
 }
 
+bool FakeFleet::canReach(const PlannerProcess &process, std::size_t worker) const
+{
+    const bool isCutOff = m_cutOffWorkers.contains(worker);
+    return !m_isUnresponsive[worker] && isCutOff == (m_cutOffPlanner.get() == &process);
+}
+
+bool FakeFleet::hasLog(const PlannerProcess &process) const
+{
+    return m_isLogUp && m_cutOffPlanner.get() != &process;
+}
+
+void FakeFleet::confirmLeadership(const std::shared_ptr<PlannerProcess> &process)
+{
+    after(m_options.appendDelay, [this, process, sentAt = m_now]() {
+        if (hasLog(*process) && process->planner->fencingToken() == m_fencingToken) {
+            process->receive([this, process, sentAt]() {
+                process->planner->confirmLeadership(sentAt, m_now);
+            });
+        }
+    });
+}
+
 void FakeFleet::tick()
 {
     for (auto &it : m_workers) {
@@ -152,26 +177,39 @@
     }
     checkGangs();
     checkCapacity();
-    const auto process = m_planner;
-    if (process && !process->isFrozen && !process->isDead) {
-        const bool isReportTime = (m_now - TimePoint {}) % ReportEvery < TickEvery;
-        for (std::size_t i = 0; isReportTime && i < m_workers.size(); ++i) {
-            if (m_isListed[i] && !m_isUnresponsive[i]) {
-                process->planner->workerReported(m_workers[i]->reportAt(m_now), m_now);
-            }
-        }
-        process->planner->tick(0, m_now);
-        process->planner->plan(m_now);
-        storeBatch(process);
+    tickPlanner(m_planner);
+    if (m_cutOffPlanner != m_planner) {
+        tickPlanner(m_cutOffPlanner);
     }
     after(TickEvery, [this]() {
         tick();
     });
 }
 
+void FakeFleet::tickPlanner(const std::shared_ptr<PlannerProcess> &process)
+{
+    if (!process || process->isFrozen || process->isDead) {
+        return;
+    }
+    const auto isTimeFor = [this](Millis interval) {
+        return (m_now - TimePoint {}) % interval < TickEvery;
+    };
+    for (std::size_t i = 0; isTimeFor(ReportEvery) && i < m_workers.size(); ++i) {
+        if (m_isListed[i] && canReach(*process, i)) {
+            process->planner->workerReported(m_workers[i]->reportAt(m_now), m_now);
+        }
+    }
+    if (isTimeFor(HeartbeatEvery)) {
+        confirmLeadership(process);
+    }
+    process->planner->tick(0, m_now);
+    process->planner->plan(m_now);
+    storeBatch(process);
+}
+
 void FakeFleet::storeBatch(const std::shared_ptr<PlannerProcess> &process)
 {
-    if (process->isStoring || !m_isLogUp || !process->planner->hasUnstoredChanges()) {
+    if (process->isStoring || !hasLog(*process) || !process->planner->hasUnstoredChanges()) {
         return;
     }
     const auto batch = process->planner->takeBatch(m_now);
@@ -180,7 +218,7 @@
     }
     process->isStoring = true;
     const auto fencingToken = process->planner->fencingToken();
-    after(m_options.appendDelay, [this, process, batch, fencingToken]() {
+    after(m_options.appendDelay, [this, process, batch, fencingToken, sentAt = m_now]() {
         if (fencingToken != m_writerFence) {
             process->isDead = true;
             return;
@@ -189,7 +227,8 @@
             m_records[it.job] = it;
         }
         process->isStoring = false;
-        process->receive([this, process, batch]() {
+        process->receive([this, process, batch, sentAt]() {
+            process->planner->confirmLeadership(sentAt, m_now);
             process->planner->batchStored(batch.number, m_now);
         });
     });
@@ -310,99 +349,6 @@
     return m_planner ? m_planner->planner->jobState(job) : std::nullopt;
 }
 
-void FakeFleet::killPlanner(Millis pause)
-{
-    m_hasFaults = true;
-    if (!m_planner) {
-        return;
-    }
-    m_planner->isDead = true;
-    m_planner = nullptr;
-    after(pause, [this]() {
-        openPlanner();
-    });
-}
-
-void FakeFleet::freezePlanner(Millis pause, Millis frozenFor)
-{
-    m_hasFaults = true;
-    const auto old = m_planner;
-    if (!old) {
-        return;
-    }
-    old->isFrozen = true;
-    after(pause, [this]() {
-        openPlanner();
-    });
-    after(frozenFor, [this, old]() {
-        old->isFrozen = false;
-        auto delayedCallbacks = std::move(old->delayedCallbacks);
-        for (auto &it : delayedCallbacks) {
-            if (!old->isDead) {
-                it();
-            }
-        }
-        if (!old->isDead) {
-            old->planner->tick(0, m_now);
-            old->planner->plan(m_now);
-        }
-        after(MaxExecutionDelay, [old]() {
-            old->isDead = true;
-        });
-    });
-}
-
-void FakeFleet::setLogUp(bool isUp)
-{
-    m_hasFaults = true;
-    m_isLogUp = isUp;
-}
-
-void FakeFleet::setUnresponsive(int worker, bool isSilent)
-{
-    m_hasFaults = true;
-    m_isUnresponsive[static_cast<std::size_t>(worker)] = isSilent;
-}
-
-void FakeFleet::restartWorker(int worker)
-{
-    m_hasFaults = true;
-    m_workers[static_cast<std::size_t>(worker)]->restart(m_now);
-    // The new incarnation registers itself at once, long before its next regular report.
-    after(RegistrationDelay, [this, worker]() {
-        const auto i = static_cast<std::size_t>(worker);
-        if (m_planner && !m_planner->isFrozen && !m_planner->isDead && m_isListed[i] && !m_isUnresponsive[i]) {
-            m_planner->planner->workerReported(m_workers[i]->reportAt(m_now), m_now);
-        }
-    });
-}
-
-void FakeFleet::drainWorker(int worker, Millis remaining)
-{
-    m_hasFaults = true;
-    m_workers[static_cast<std::size_t>(worker)]->setDraining(remaining);
-}
-
-void FakeFleet::unlistWorker(int worker)
-{
-    m_isListed[static_cast<std::size_t>(worker)] = false;
-    if (m_planner) {
-        m_planner->planner->workerUnlisted("w" + std::to_string(worker), m_now);
-    }
-}
-
-void FakeFleet::setDelayedRequestShare(double share)
-{
-    m_hasFaults = true;
-    m_delayedRequestShare = share;
-}
-
-void FakeFleet::setLostResponseShare(double share)
-{
-    m_hasFaults = true;
-    m_lostResponseShare = share;
-}
-
 int FakeFleet::startsOf(const std::string &task) const
 {
     return static_cast<int>(std::count_if(m_starts.begin(), m_starts.end(), [&](const RunEvent &it) {
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -26,6 +27,8 @@
     /// Processing time of an advisor request, without the time for each worker that it names.
     Millis adviceDelay {0};
     std::uint64_t seed = 1;
+    /// Rate of the workers' clocks.
+    double workerClockRate = 1;
 };
 
 /// Simulation of a whole fleet in virtual time: the real planner with models of workers, advisor and log.
@@ -59,6 +62,11 @@
     void killPlanner(Millis pause);
     /// Freezes the planner's process; another planner takes over after the pause. The old one resumes after `frozenFor` with its old fencing token.
     void freezePlanner(Millis pause, Millis frozenFor);
+    /// Cuts the planner's process and these workers off from the log and from all else. Another planner takes over after the pause, if there is one, and
+    /// reaches only the other workers.
+    void cutOffPlanner(const std::set<int> &workers, std::optional<Millis> pause);
+    /// Ends the cut that cutOffPlanner() began.
+    void healCut();
     void setLogUp(bool isUp);
     void setUnresponsive(int worker, bool isSilent);
     void restartWorker(int worker);
@@ -100,6 +108,11 @@
     void after(Millis delay, std::function<void()> run);
     void openPlanner();
     void tick();
+    void tickPlanner(const std::shared_ptr<PlannerProcess> &process);
+    // Lets the log confirm that a process is the leader, as an answered heartbeat does.
+    void confirmLeadership(const std::shared_ptr<PlannerProcess> &process);
+    bool canReach(const PlannerProcess &process, std::size_t worker) const;
+    bool hasLog(const PlannerProcess &process) const;
     void storeBatch(const std::shared_ptr<PlannerProcess> &process);
     void recordRunEvent(const RunEvent &event);
     void checkCapacity();
@@ -122,6 +135,9 @@
     std::int64_t m_fencingToken = 0;
     std::int64_t m_writerFence = 0;
     std::shared_ptr<PlannerProcess> m_planner;
+    /// The process and the workers behind the cut, if there is one.
+    std::shared_ptr<PlannerProcess> m_cutOffPlanner;
+    std::set<std::size_t> m_cutOffWorkers;
     bool m_isLogUp = true;
     bool m_hasFaults = false;
     double m_delayedRequestShare = 0;
--- a/tests/fleet/FakeFleetPlanner.h
+++ b/tests/fleet/FakeFleetPlanner.h
@@ -85,7 +85,7 @@
         }
         const bool isResponseLost = fleet.chance(fleet.m_lostResponseShare);
         fleet.after(fleet.m_options.delay, [this, i, request, finish, isResponseLost]() {
-            if (fleet.m_isUnresponsive[i]) {
+            if (!fleet.canReach(*this, i)) {
                 return;
             }
             const auto response = request(*fleet.m_workers[i]);
@@ -164,7 +164,7 @@
         });
         // A restart of the worker closes its connections.
         fleet.after(fleet.m_options.delay, [this, i, request, finish, startedUnixMs = fleet.m_workers[i]->report().startedUnixMs]() {
-            if (!fleet.m_isUnresponsive[i] && fleet.m_workers[i]->report().startedUnixMs == startedUnixMs) {
+            if (fleet.canReach(*this, i) && fleet.m_workers[i]->report().startedUnixMs == startedUnixMs) {
                 fleet.m_workers[i]->poll(request, fleet.m_now);
                 awaitEnd(i, request, finish, fleet.m_now + request.wait, startedUnixMs);
             }
@@ -177,7 +177,7 @@
                   TimePoint until,
                   std::int64_t startedUnixMs)
     {
-        if (fleet.m_isUnresponsive[i] || fleet.m_workers[i]->report().startedUnixMs != startedUnixMs) {
+        if (!fleet.canReach(*this, i) || fleet.m_workers[i]->report().startedUnixMs != startedUnixMs) {
             return;
         }
         if (fleet.m_now < until && !fleet.m_workers[i]->hasEndAfter(request.acknowledged)) {
--- /dev/null
+++ b/tests/fleet/LeaseTest.cpp
@@ -0,0 +1,152 @@
+#include <boost/test/unit_test.hpp>
+
+#include "FakeFleet.h"
+#include "PlannerScript.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+constexpr Millis Bound = PlannerLimits {}.leadershipBound;
+
+// A fleet in which twelve tasks run for longer than any test lasts, with room for more.
+std::unique_ptr<FakeFleet> busyFleet(FakeFleetOptions options)
+{
+    options.capacity = {16000, 16000, 0};
+    auto out = std::make_unique<FakeFleet>(options);
+    StepSpec step;
+    step.taskCount = 12;
+    step.needs = {4000, 1000, 0};
+    step.estimateMs = 300'000;
+    step.checkpoints = true;
+    out->submit(out->makeJob("j", {step}));
+    BOOST_REQUIRE(out->runUntil(
+        [&out]() {
+            return out->startCount() == 12;
+        },
+        Millis(3000)));
+    return out;
+}
+
+int expiredRuns(const FakeFleet &fleet)
+{
+    int out = 0;
+    for (int i = 0; i < 12; ++i) {
+        out += fleet.endsOf("j.0.0." + std::to_string(i), RunEnd::LeaseExpired);
+    }
+    return out;
+}
+
+// A planner with one worker whose process was confirmed to be the leader this long ago, and not since.
+std::unique_ptr<PlannerScript> unconfirmedFor(Millis age)
+{
+    auto out = std::make_unique<PlannerScript>(1);
+    out->isCutFromLog = true;
+    out->advance(age);
+    return out;
+}
+
+} // namespace
+
+// How long a leader that can't confirm its leadership grants leases, and how long its successor waits for them.
+BOOST_AUTO_TEST_SUITE(Leases)
+
+// Guards against tasks that run twice: a leader behind a cut extends leases that its successor takes for lapsed.
+BOOST_AUTO_TEST_CASE(leaderBehindACutDoesNotExtendLeasesThatItsSuccessorTakesForLapsed)
+{
+    for (const double clockRate : {1.0, 0.98}) {
+        for (const Millis takeover : {Millis(0), Millis(400), Millis(800), Millis(2000)}) {
+            FakeFleetOptions options;
+            options.workerClockRate = clockRate;
+            const auto fleet = busyFleet(options);
+            fleet->cutOffPlanner({fleet->workerOf("j.0.0.0"), fleet->workerOf("j.0.0.11")}, takeover);
+            fleet->run(takeover + Millis(9000));
+            // The work of the workers behind the cut has been started elsewhere.
+            BOOST_TEST(fleet->startCount() > 12);
+            fleet->run(Millis(3000));
+            fleet->healCut();
+            fleet->run(Millis(3000));
+            BOOST_TEST(fleet->violations().empty(),
+                       "clock rate " << clockRate << ", takeover after " << takeover.count()
+                                     << " ms: " << (fleet->violations().empty() ? std::string() : fleet->violations().front()));
+        }
+    }
+}
+
+// Guards against leases that a leader extends without a recent proof that it leads.
+BOOST_AUTO_TEST_CASE(pollExtendsTheLeaseOnlyWhileLeadershipWasConfirmedWithinTheBound)
+{
+    BOOST_TEST(unconfirmedFor(Bound - Millis(1))->lastPoll("w0").leaseUntilMs > 0);
+    const auto script = unconfirmedFor(Bound);
+    const auto poll = script->lastPoll("w0");
+    BOOST_TEST(poll.leaseUntilMs == 0);
+    script->planner.handlePollResponse(poll, script->list({}), script->now);
+    script->isCutFromLog = false;
+    script->advance(Millis(1));
+    BOOST_TEST(script->lastPoll("w0").leaseUntilMs > 0);
+}
+
+// Guards against a confirmation that was under way for long and counts from when it arrived.
+BOOST_AUTO_TEST_CASE(confirmationCountsFromWhenItsCallWasSent)
+{
+    PlannerScript script(1);
+    script.isCutFromLog = true;
+    const auto sentAt = script.now + Millis(1);
+    script.now += Bound + Millis(1);
+    script.planner.confirmLeadership(sentAt, script.now);
+    script.planner.tick(0, script.now);
+    BOOST_TEST(script.lastPoll("w0").leaseUntilMs == 0);
+}
+
+// Guards against a start that a planner decided before its process was paused and sends when another may have taken over.
+BOOST_AUTO_TEST_CASE(startThatWasDecidedBeforeAPauseIsNotSentAfterIt)
+{
+    PlannerScript script(1);
+    script.isCutFromLog = true;
+    script.submit("j", 4000);
+    script.planner.plan(script.now);
+    const auto batch = script.planner.takeBatch(script.now);
+    script.now += Bound;
+    script.planner.batchStored(batch.number, script.now);
+    BOOST_TEST(script.port.starts.empty());
+    BOOST_TEST(script.planner.runCount() == 0U);
+    script.isCutFromLog = false;
+    script.advance(Millis(100));
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    BOOST_TEST(script.port.starts.front().leaseUntilMs > 0);
+}
+
+BOOST_AUTO_TEST_CASE(runsAreStoppedWithoutAConfirmation)
+{
+    PlannerScript script(1);
+    script.submit("j", 4000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    script.planner.handleStartResponse(script.port.starts.front(), script.done(), script.now);
+    script.isCutFromLog = true;
+    script.advance(Bound);
+    script.planner.jobCancelled("j", script.now);
+    BOOST_TEST(script.port.stops.size() == 1U);
+}
+
+// Guards against running work that ends because the log did not answer for a few seconds.
+BOOST_AUTO_TEST_CASE(runsOutliveAnOutageOfTheLog)
+{
+    for (const auto delay : {Millis(5), Millis(80)}) {
+        for (Millis phase(0); phase < Millis(1200); phase += Millis(60)) {
+            FakeFleetOptions options;
+            options.delay = delay;
+            const auto fleet = busyFleet(options);
+            fleet->run(phase);
+            fleet->setLogUp(false);
+            fleet->run(Millis(6500));
+            fleet->setLogUp(true);
+            fleet->run(Millis(5000));
+            BOOST_TEST(expiredRuns(*fleet) == 0, "delay " << delay.count() << " ms, phase " << phase.count() << " ms");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -29,6 +29,7 @@
 public:
     explicit PlannerScript(int workers = 2)
     {
+        confirm();
         planner.startPlanning(now);
         for (int i = 0; i < workers; ++i) {
             const auto id = "w" + std::to_string(i);
@@ -42,9 +43,18 @@
     void advance(Millis time)
     {
         now += time;
+        confirm();
         planner.tick(0, now);
     }
 
+    /// Confirms that the planner's process is the leader, unless the test has cut it off from the log.
+    void confirm()
+    {
+        if (!isCutFromLog) {
+            planner.confirmLeadership(now, now);
+        }
+    }
+
     void submit(const std::string &id, std::int64_t estimateMs)
     {
         FleetJobRequest request;
@@ -62,6 +72,7 @@
     /// Places waiting tasks and sends their start requests.
     void planAndStore()
     {
+        confirm();
         planner.plan(now);
         const auto batch = planner.takeBatch(now);
         planner.batchStored(batch.number, now);
@@ -102,6 +113,7 @@
     }
 
     TimePoint now = atMillis(100'000);
+    bool isCutFromLog = false;
     EventLog events {"test", -1};
     RecordingTransport port;
     FleetPlanner planner {port, events, PlannerLimits {}, 7, now};
--- a/tests/fleetnode/FleetNodeFixture.h
+++ b/tests/fleetnode/FleetNodeFixture.h
@@ -35,6 +35,7 @@
     }
     void poll(const PollWorkerRequest &request, Millis /*timeout*/, std::function<void(const PollWorkerResponse &)> done) override
     {
+        polled.push_back(request);
         QTimer::singleShot(static_cast<int>(request.wait.count()), &m_context, [this, done = std::move(done)]() {
             PollWorkerResponse out;
             out.outcome = WorkerCallOutcome::Done;
@@ -48,6 +49,7 @@
     }
 
     std::vector<StartRunRequest> started;
+    std::vector<PollWorkerRequest> polled;
 
 private:
     QObject m_context;
