--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -19,6 +19,7 @@
     , m_limits(limits)
     , m_fencingToken(fencingToken)
     , m_openedAt(now)
+    , m_leadership(limits.leadershipBound)
 {
 }
 
@@ -79,12 +80,10 @@
         }
         scheduleRelease(*job);
     }
-    // An earlier planner may have granted leases until now.
-    constexpr double LeaseStretch = 1 / MinWorkerClockRate;
-    constexpr Millis LateGrant {1500};
-    const Millis longest(static_cast<std::int64_t>(static_cast<double>(m_limits.lease.count()) * LeaseStretch));
+    // An earlier leader was confirmed before this planner opened, and may be granting leases where this one can't reach.
+    const auto longest = LeadershipConfirmation::longestLease(m_limits.leadershipBound, m_limits.lease);
     for (auto &[id, worker] : m_workers) {
-        worker.lease.assumeGrantedUntil(now + longest + LateGrant);
+        worker.lease.assumeGrantedUntil(now + longest);
     }
     m_events.write("planner_open",
                    {{"fence", m_fencingToken},
@@ -93,6 +92,12 @@
                     {"workers", static_cast<std::int64_t>(m_workers.size())}});
 }
 
+void FleetPlanner::confirmLeadership(TimePoint asOf, TimePoint now)
+{
+    m_leadership.confirm(asOf);
+    checkLeadership(now);
+}
+
 FleetJob *FleetPlanner::findJob(const std::string &job)
 {
     const auto it = m_jobs.find(job);
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -32,6 +32,7 @@
     {
         queue.service = "svc";
         queue.maxAttempts = 3;
+        confirm();
         planner.startPlanning(now);
         for (int i = 0; i < workers; ++i) {
             const auto id = "w" + std::to_string(i);
@@ -45,9 +46,18 @@
     void advance(Millis time)
     {
         now += time;
+        confirm();
         planner.tick(0, now);
     }
 
+    /// Confirms that the planner's process is the leader, unless the test has cut it off from the log.
+    void confirm()
+    {
+        if (!isCutFromLog) {
+            planner.confirmLeadership(now, now);
+        }
+    }
+
     void submit(const std::string &id, std::int64_t estimateMs)
     {
         StepSpec step;
@@ -69,6 +79,7 @@
     /// Places waiting tasks and sends their start requests.
     void planAndStore()
     {
+        confirm();
         planner.plan(now);
         const auto batch = planner.takeBatch(now);
         planner.batchStored(batch.number, now);
@@ -120,6 +131,7 @@
     /// The queue of all jobs that are submitted from now on.
     QueuePolicy queue;
     TimePoint now = atMillis(100'000);
+    bool isCutFromLog = false;
     EventLog events {"test", -1};
     RecordingTransport port;
     FleetPlanner planner {port, events, PlannerLimits {}, 7, now};
