Poll without a wait while the outcome of a start is not known

What callers saw: a task waits. A start whose outcome is unknown needs two lists, one before its stop and one after it, and each poll for one could wait up to a second for the end of some run, though only the absence of a run was asked for.

Change: polls of a worker ask for its list at once while one of its runs is unconfirmed.

Evidence: UnansweredStarts/listsAreRequestedWithoutAWaitWhileAStartIsUnanswered failed with a wait of 1,000 ms, and passes now.

--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -189,7 +189,12 @@
     request.acknowledged = hasLease ? worker.lastStoredEnd : 0;
     request.leaseUntilMs = hasLease ? worker.lease.grant(m_limits.lease, now) : 0;
     const bool areEndsStored = hasLease && worker.lastSeenEnd == worker.lastStoredEnd;
-    request.wait = areEndsStored ? m_limits.pollWait : Millis(0);
+    // While it is not known whether a run exists, a list is needed at once, whether it has changed or not.
+    const bool isEveryRunKnown = std::none_of(worker.allocations.begin(), worker.allocations.end(), [this](const auto &it) {
+        const auto run = m_runs.find(it.first);
+        return run != m_runs.end() && run->second.state == RunState::Unconfirmed;
+    });
+    request.wait = areEndsStored && isEveryRunKnown ? m_limits.pollWait : Millis(0);
     request.sequence = ++m_sequence;
     worker.isPollInFlight = true;
     worker.pollSequence = request.sequence;
--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -187,6 +187,18 @@
     BOOST_TEST(script.port.stops.back().attempt == 1);
 }
 
+// Guards against a task that waits for up to two seconds, each time until its worker answers a poll that waits for an end of some run.
+BOOST_AUTO_TEST_CASE(listsAreRequestedWithoutAWaitWhileAStartIsUnanswered)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.answerPoll("w0", {});
+    BOOST_TEST(script.lastPoll("w0").wait == Millis(0));
+    script.answerPoll("w0", {{start.task, 1, "", 5, 0}});
+    BOOST_TEST(script.lastPoll("w0").wait > Millis(0));
+}
+
 // Guards against a task that stands still for good: the request that paced it to 0 percent was carried out, but its answer was lost.
 BOOST_AUTO_TEST_CASE(runWhoseThrottleWasNotAnsweredIsSpedUpAgain)
 {
