--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -193,8 +193,14 @@
     const auto confirmedFor = m_leadership.remaining(now);
     request.leaseUntilMs = hasLease && confirmedFor > Millis(0) ? worker.lease.grant(m_limits.lease, now) : 0;
     const bool areEndsStored = hasLease && worker.lastSeenEnd == worker.lastStoredEnd;
+    // While it is not known whether a run exists, a list is needed at once, whether it has changed or not.
+    const bool isEveryRunKnown = std::none_of(worker.allocations.begin(), worker.allocations.end(), [this](const auto &it) {
+        const auto run = m_runs.find(it.first);
+        return run != m_runs.end() && run->second.state == RunState::Unconfirmed;
+    });
     // The last poll that extends the lease is sent shortly before the confirmation expires.
-    request.wait = areEndsStored ? std::clamp(confirmedFor - LastRenewalMargin, Millis(0), m_limits.pollWait) : Millis(0);
+    const auto longestWait = std::clamp(confirmedFor - LastRenewalMargin, Millis(0), m_limits.pollWait);
+    request.wait = areEndsStored && isEveryRunKnown ? longestWait : Millis(0);
     request.sequence = ++m_sequence;
     worker.isPollInFlight = true;
     worker.pollSequence = request.sequence;
