Repeat a start of unknown outcome at the same worker before the task moves

What callers saw: a task whose start got no conclusive answer was stopped, and started elsewhere once a list proved that it was gone. All members of a gang were stopped with it. Since a refusal of a second sending is no proof any more, this happens more often.

Change: a start is idempotent by its attempt. If its outcome is unknown, it is sent again to the same worker with the same attempt and a new lease: up to three times, after 40, 80 and 160 ms, and no later than 600 ms after the first sending. So a start that timed out goes the old way at once, as does one on a worker that is draining, off the list, silent or restarted, without a valid ticket, or of a job that has ended. A refusal of a repeated start proves nothing about the earlier ones: the run stays unconfirmed, and is stopped before its task moves. The functions about start requests have a file of their own now. The ticket is read when it is sent, so a run keeps none.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -84,7 +84,12 @@
     std::int64_t stateSequence = 0;
     /// Whether the worker has listed the run. An answer to the start request alone does not tell which incarnation of the worker gave it.
     bool isListed = false;
-    std::string ticket;
+    /// How often the planner has sent the start request.
+    int startSendings = 0;
+    /// The start request is sent again no earlier than this, while its outcome is not known.
+    TimePoint nextStartAt {};
+    /// The start request is not sent again after this.
+    TimePoint repeatStartUntil {};
     std::string checkpoint;
     /// Checkpoint with which the run started; empty if it started from the beginning.
     std::string startedFromCheckpoint;
@@ -245,7 +250,13 @@
     // Enters a state; the lists of polls that were sent before prove nothing about the run any more.
     void setState(FleetRun &run, RunState state, TimePoint now);
     FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now);
+    // FleetPlannerStarts.cpp: start requests
     void sendStart(FleetRun &run, TimePoint now);
+    // Returns true if the start request of a run whose outcome is not known may be sent again to the same worker.
+    bool mayRepeatStart(const FleetRun &run, TimePoint now) const;
+    void requestStart(FleetRun &run, TimePoint now);
+    void keepUnconfirmed(FleetRun &run, TimePoint now);
+    // FleetPlannerRuns.cpp: ends of runs
     void requestStop(FleetRun &run, StopReason reason, TimePoint now);
     void trySendStop(FleetRun &run, TimePoint now);
     void removeRun(const RunKey &key);
@@ -283,6 +294,8 @@
     bool needsSpeculativeRun(const FleetTask &task) const;
     static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
     static bool isUsable(const FleetWorker &worker, TimePoint now);
+    // Like isUsable(), also for a worker that is avoided for a while.
+    static bool acceptsStarts(const FleetWorker &worker, TimePoint now);
     static bool isEligible(const FleetWorker &worker, const PendingStep &pending);
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -42,10 +42,12 @@
         ++it;
         checkWorker(worker, now);
     }
-    // Erasing from m_runs would invalidate this loop. Neither call removes a run whose start request was sent, and only such runs are passed to them.
+    // Erasing from m_runs would invalidate this loop. No call removes a run whose start request was sent, and only such runs are passed to them.
     for (auto &[key, run] : m_runs) {
         if (run.stopReason != StopReason::None) {
             trySendStop(run, now);
+        } else if (run.state == RunState::Unconfirmed && now >= run.nextStartAt && mayRepeatStart(run, now)) {
+            requestStart(run, now);
         } else if (run.state == RunState::Running) {
             checkStuck(run, now);
         }
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -116,10 +116,15 @@
 }
 
 bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now)
+{
+    return acceptsStarts(worker, now) && worker.avoidUntil <= now;
+}
+
+bool FleetPlanner::acceptsStarts(const FleetWorker &worker, TimePoint now)
 {
     const bool isListed = worker.isListed || (worker.unlistedSince != TimePoint {} && now - worker.unlistedSince < UnlistedGracePeriod);
     return isListed && !worker.isEntryUnreadable && worker.isInventoried && !worker.isEarlierPollInFlight && worker.failedPolls == 0
-        && !worker.report.isDraining && worker.avoidUntil <= now && worker.startedUnixMs == worker.report.startedUnixMs;
+        && !worker.report.isDraining && worker.startedUnixMs == worker.report.startedUnixMs;
 }
 
 bool FleetPlanner::isEligible(const FleetWorker &worker, const PendingStep &pending)
@@ -264,8 +269,7 @@
             left.push_back(task);
             continue;
         }
-        auto &run = createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
-        run.ticket = m_advice.ticket(pending.name(), worker->report.id);
+        createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
         ++perWorker[worker->report.id];
     }
     pending.waiting = std::move(left);
@@ -296,8 +300,7 @@
     }
     for (std::size_t i = 0; i < placed.size(); ++i) {
         auto *worker = placed[i].second;
-        auto &run = createRun(*pending.job, *pending.waiting[i], *worker, attempt, now);
-        run.ticket = m_advice.ticket(pending.name(), worker->report.id);
+        createRun(*pending.job, *pending.waiting[i], *worker, attempt, now);
     }
     pending.waiting.clear();
 }
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -6,12 +6,8 @@
 
 namespace {
 
-constexpr Millis StartTimeout {600};
 constexpr Millis StopTimeout {600};
 constexpr Millis StopRetryDelay {150};
-constexpr Millis PauseAfterRefusal {50};
-constexpr Millis AvoidAfterRefusal {400};
-constexpr Millis AvoidAfterSilence {1500};
 // A worker that fails runs of this many jobs, with no completed run in between, gets no new runs for a while.
 constexpr std::size_t FailedJobsToAvoid = 2;
 constexpr Millis AvoidAfterFailures {4000};
@@ -62,105 +58,6 @@
     return m_runs.emplace(run.key, std::move(run)).first->second;
 }
 
-void FleetPlanner::sendStart(FleetRun &run, TimePoint now)
-{
-    auto *job = findJob(run.key.task.job);
-    auto &worker = findOrCreateWorker(run.worker);
-    if (job == nullptr || job->isEnded() || worker.startedUnixMs != run.workerStartedUnixMs) {
-        discardUnstartedRun(RunKey(run.key), "its worker restarted or its job ended before the start request was sent", Millis(0), now);
-        return;
-    }
-    const auto step = job->id() + "." + std::to_string(run.key.task.occurrence) + "." + std::to_string(run.key.task.step);
-    if (queueOf(*job).needsAdvice && m_advice.verdict(step, run.worker, run.workerStartedUnixMs, now) != AdviceCache::Verdict::Allowed) {
-        discardUnstartedRun(RunKey(run.key), "its ticket expired before the start request was sent", Millis(0), now);
-        return;
-    }
-    setState(run, RunState::Starting, now);
-    StartRunRequest request;
-    request.worker = worker.target();
-    request.task = run.key.task;
-    request.attempt = run.key.attempt;
-    request.payload = job->request().payload;
-    request.leaseUntilMs = worker.lease.grant(m_limits.lease, now);
-    request.fencingToken = m_fencingToken;
-    request.checkpoint = run.checkpoint;
-    request.ticket = run.ticket;
-    request.workerStartedUnixMs = run.workerStartedUnixMs;
-    m_port.sendStart(request, StartTimeout);
-}
-
-void FleetPlanner::handleStartResponse(const StartRunRequest &request, const WorkerResponse &response, TimePoint now)
-{
-    const RunKey key {request.task, request.attempt};
-    auto *run = findRun(key);
-    auto &worker = findOrCreateWorker(request.worker.id);
-    // The worker has restarted since the request was sent, so the answer and its clock may be those of the earlier incarnation.
-    const bool isRestartKnown = run != nullptr && run->workerStartedUnixMs != request.workerStartedUnixMs;
-    const bool isClockBack = response.workerClockMs > 0 && !isRestartKnown && worker.lease.isFromEarlierIncarnation(response.workerClockMs, now);
-    if (isClockBack) {
-        m_events.write("worker_clock_back", {{"worker", request.worker.id}, {"clock_ms", response.workerClockMs}});
-        worker.isInventoried = false;
-        worker.nextPollAt = now;
-    } else if (response.workerClockMs > 0 && run != nullptr && worker.startedUnixMs == request.workerStartedUnixMs) {
-        worker.lease.observe(response.workerClockMs, now);
-    }
-    if (response.outcome != WorkerCallOutcome::Done) {
-        m_events.write("start_refused",
-                       {{"task", request.task.toString()},
-                        {"attempt", request.attempt},
-                        {"worker", request.worker.id},
-                        {"outcome", std::string(nameOf(response.outcome))},
-                        {"reason", response.reason},
-                        {"sendings", static_cast<std::int64_t>(response.sendings)}});
-    }
-    // The answer to a second sending doesn't tell what becomes of the first.
-    if (response.outcome == WorkerCallOutcome::Unknown || response.sendings > 1) {
-        rememberUnansweredStart(worker, key, now);
-    }
-    if (run == nullptr || run->state != RunState::Starting) {
-        return;
-    }
-    switch (response.outcome) {
-    case WorkerCallOutcome::Done:
-        // A worker that has restarted lists the run in its new incarnation or not at all.
-        setState(*run, isClockBack || isRestartKnown ? RunState::Unconfirmed : RunState::Running, now);
-        run->percentChangedAt = now;
-        run->startedClockMs = run->state == RunState::Running ? response.workerClockMs : 0;
-        return;
-    case WorkerCallOutcome::Unknown:
-        setState(*run, RunState::Unconfirmed, now);
-        worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
-        worker.nextPollAt = std::min(worker.nextPollAt, now);
-        return;
-    case WorkerCallOutcome::Fenced:
-        m_port.fencedByWorker(request.worker.id);
-        discardUnstartedRun(key, "fenced", PauseAfterRefusal, now);
-        return;
-    case WorkerCallOutcome::NoTicket:
-        m_advice.discardTicket(request.task.job + "." + std::to_string(request.task.occurrence) + "." + std::to_string(request.task.step), request.worker.id);
-        discardUnstartedRun(key, "the worker refused its ticket", Millis(0), now);
-        return;
-    case WorkerCallOutcome::OtherIncarnation:
-        worker.isInventoried = false;
-        worker.nextPollAt = now;
-        discardUnstartedRun(key, "another incarnation of the worker answered", Millis(0), now);
-        return;
-    case WorkerCallOutcome::Unsent:
-        worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterSilence);
-        worker.nextPollAt = std::min(worker.nextPollAt, now);
-        discardUnstartedRun(key, "unsent", Millis(0), now);
-        return;
-    case WorkerCallOutcome::Stale:
-    case WorkerCallOutcome::Late:
-    case WorkerCallOutcome::NoRoom:
-    case WorkerCallOutcome::Unhealthy:
-    case WorkerCallOutcome::Invalid:
-        worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
-        discardUnstartedRun(key, "refused", PauseAfterRefusal, now);
-        return;
-    }
-}
-
 void FleetPlanner::discardUnstartedRun(const RunKey &key, const char *reason, Millis pause, TimePoint now)
 {
     auto *job = findJob(key.task.job);
--- /dev/null
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -0,0 +1,166 @@
+#include <algorithm>
+
+#include "FleetPlannerBatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis StartTimeout {600};
+// A start request whose outcome is not known is sent again to the same worker, with pauses that double. One that timed out is not.
+constexpr int MaxStartSendings = 4;
+constexpr Millis FirstStartRetryDelay {40};
+constexpr Millis StartRetryWindow {600};
+constexpr Millis PauseAfterRefusal {50};
+constexpr Millis AvoidAfterRefusal {400};
+constexpr Millis AvoidAfterSilence {1500};
+
+// Returns the name of a task's step in requests to the advisor.
+std::string stepOf(const FleetTaskId &task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step);
+}
+
+} // namespace
+
+void FleetPlanner::sendStart(FleetRun &run, TimePoint now)
+{
+    auto *job = findJob(run.key.task.job);
+    auto &worker = findOrCreateWorker(run.worker);
+    if (job == nullptr || job->isEnded() || worker.startedUnixMs != run.workerStartedUnixMs) {
+        discardUnstartedRun(RunKey(run.key), "its worker restarted or its job ended before the start request was sent", Millis(0), now);
+        return;
+    }
+    if (queueOf(*job).needsAdvice && m_advice.verdict(stepOf(run.key.task), run.worker, run.workerStartedUnixMs, now) != AdviceCache::Verdict::Allowed) {
+        discardUnstartedRun(RunKey(run.key), "its ticket expired before the start request was sent", Millis(0), now);
+        return;
+    }
+    run.repeatStartUntil = now + StartRetryWindow;
+    requestStart(run, now);
+}
+
+bool FleetPlanner::mayRepeatStart(const FleetRun &run, TimePoint now) const
+{
+    const auto worker = m_workers.find(run.worker);
+    const auto it = m_jobs.find(run.key.task.job);
+    if (run.startSendings >= MaxStartSendings || now >= run.repeatStartUntil || run.isListed || it == m_jobs.end() || it->second->isEnded()) {
+        return false;
+    }
+    const auto &queue = queueOf(*it->second);
+    const bool isAllowed =
+        !queue.needsAdvice || m_advice.verdict(stepOf(run.key.task), run.worker, run.workerStartedUnixMs, now) == AdviceCache::Verdict::Allowed;
+    return isAllowed && worker != m_workers.end() && acceptsStarts(worker->second, now) && worker->second.report.service == queue.service;
+}
+
+void FleetPlanner::requestStart(FleetRun &run, TimePoint now)
+{
+    auto &worker = findOrCreateWorker(run.worker);
+    const auto *job = findJob(run.key.task.job);
+    setState(run, RunState::Starting, now);
+    ++run.startSendings;
+    StartRunRequest request;
+    request.worker = worker.target();
+    request.task = run.key.task;
+    request.attempt = run.key.attempt;
+    request.payload = job->request().payload;
+    request.leaseUntilMs = worker.lease.grant(m_limits.lease, now);
+    request.fencingToken = m_fencingToken;
+    request.checkpoint = run.startedFromCheckpoint;
+    request.ticket = queueOf(*job).needsAdvice ? m_advice.ticket(stepOf(run.key.task), run.worker) : std::string();
+    request.workerStartedUnixMs = run.workerStartedUnixMs;
+    m_port.sendStart(request, StartTimeout);
+}
+
+void FleetPlanner::handleStartResponse(const StartRunRequest &request, const WorkerResponse &response, TimePoint now)
+{
+    const RunKey key {request.task, request.attempt};
+    auto *run = findRun(key);
+    auto &worker = findOrCreateWorker(request.worker.id);
+    // The worker has restarted since the request was sent, so the answer and its clock may be those of the earlier incarnation.
+    const bool isRestartKnown = run != nullptr && run->workerStartedUnixMs != request.workerStartedUnixMs;
+    const bool isClockBack = response.workerClockMs > 0 && !isRestartKnown && worker.lease.isFromEarlierIncarnation(response.workerClockMs, now);
+    if (isClockBack) {
+        m_events.write("worker_clock_back", {{"worker", request.worker.id}, {"clock_ms", response.workerClockMs}});
+        worker.isInventoried = false;
+        worker.nextPollAt = now;
+    } else if (response.workerClockMs > 0 && run != nullptr && worker.startedUnixMs == request.workerStartedUnixMs) {
+        worker.lease.observe(response.workerClockMs, now);
+    }
+    if (response.outcome != WorkerCallOutcome::Done) {
+        m_events.write("start_refused",
+                       {{"task", request.task.toString()},
+                        {"attempt", request.attempt},
+                        {"worker", request.worker.id},
+                        {"outcome", std::string(nameOf(response.outcome))},
+                        {"reason", response.reason},
+                        {"sendings", static_cast<std::int64_t>(response.sendings)}});
+    }
+    // The answer to a later sending doesn't tell what becomes of the first.
+    if (response.outcome == WorkerCallOutcome::Unknown || response.sendings > 1) {
+        rememberUnansweredStart(worker, key, now);
+    }
+    if (run == nullptr || run->state != RunState::Starting) {
+        return;
+    }
+    const char *reason = "refused";
+    Millis pause {0};
+    Millis avoid = AvoidAfterRefusal;
+    switch (response.outcome) {
+    case WorkerCallOutcome::Done:
+        // A worker that has restarted lists the run in its new incarnation or not at all.
+        setState(*run, isClockBack || isRestartKnown ? RunState::Unconfirmed : RunState::Running, now);
+        run->percentChangedAt = now;
+        run->startedClockMs = run->state == RunState::Running ? response.workerClockMs : 0;
+        return;
+    case WorkerCallOutcome::Unknown:
+        keepUnconfirmed(*run, now);
+        return;
+    case WorkerCallOutcome::Fenced:
+        m_port.fencedByWorker(request.worker.id);
+        reason = "fenced";
+        pause = PauseAfterRefusal;
+        avoid = Millis(0);
+        break;
+    case WorkerCallOutcome::NoTicket:
+        m_advice.discardTicket(stepOf(request.task), request.worker.id);
+        reason = "the worker refused its ticket";
+        avoid = Millis(0);
+        break;
+    case WorkerCallOutcome::OtherIncarnation:
+        worker.isInventoried = false;
+        worker.nextPollAt = now;
+        reason = "another incarnation of the worker answered";
+        avoid = Millis(0);
+        break;
+    case WorkerCallOutcome::Unsent:
+        worker.nextPollAt = std::min(worker.nextPollAt, now);
+        reason = "unsent";
+        avoid = AvoidAfterSilence;
+        break;
+    case WorkerCallOutcome::Stale:
+    case WorkerCallOutcome::Late:
+    case WorkerCallOutcome::NoRoom:
+    case WorkerCallOutcome::Unhealthy:
+    case WorkerCallOutcome::Invalid:
+        pause = PauseAfterRefusal;
+        break;
+    }
+    worker.avoidUntil = std::max(worker.avoidUntil, now + avoid);
+    if (run->startSendings > 1) {
+        // The refusal proves nothing about the earlier requests, whose outcome is not known.
+        keepUnconfirmed(*run, now);
+    } else {
+        discardUnstartedRun(key, reason, pause, now);
+    }
+}
+
+void FleetPlanner::keepUnconfirmed(FleetRun &run, TimePoint now)
+{
+    auto &worker = findOrCreateWorker(run.worker);
+    setState(run, RunState::Unconfirmed, now);
+    run.nextStartAt = now + FirstStartRetryDelay * (1 << (run.startSendings - 1));
+    worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
+    worker.nextPollAt = std::min(worker.nextPollAt, now);
+}
+
+} // namespace marjoramhaven
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -105,6 +105,8 @@
             }
             run->workerStartedUnixMs = startedUnixMs;
             run->isStopAnswered = false;
+            // The new incarnation may be of another kind.
+            run->repeatStartUntil = {};
             unlisted.push_back(key);
             if (auto *job = findJob(key.task.job)) {
                 markDirty(*job);
@@ -368,7 +370,7 @@
     case RunState::Unconfirmed:
         if (run.isStopAnswered && run.stopAnsweredSequence < requestSequence) {
             discardUnstartedRun(key, "its start request was not answered and it was stopped", Millis(0), now);
-        } else if (run.stateSequence < requestSequence && run.stopReason == StopReason::None) {
+        } else if (run.stateSequence < requestSequence && run.stopReason == StopReason::None && !mayRepeatStart(run, now)) {
             requestStop(run, StopReason::Unanswered, now);
         }
         return;
