A leadership claim that was given up is not taken up again

Cause: a claim that was answered and then given up, since a worker had refused the token or a handler had failed, was taken for the process's own again once its record was read from the log. A second planner of the process then began with the same token, its appends repeated the sequence numbers of the first, and the log would have answered them as it had answered the first planner's, without storing them.

Change: only the record of a new leader makes a claim the process's own.

Evidence: PlannerElectionTests/droppedClaimIsNotTakenUpAgain failed before and passes now. What follows in the second planner is by reading.

--- a/src/fleet/PlannerElection.cpp
+++ b/src/fleet/PlannerElection.cpp
@@ -60,7 +60,7 @@
     if (isNewLeader) {
         m_linkLostAt.reset();
     }
-    if (record.incarnation == m_self.incarnation && record.claimOffset < 0 && !m_isWithdrawn) {
+    if (isNewLeader && record.incarnation == m_self.incarnation && record.claimOffset < 0 && !m_isWithdrawn) {
         m_ownClaim = offset;
     } else if (record.incarnation != m_self.incarnation) {
         m_ownClaim.reset();
--- a/tests/fleet/PlannerElectionTest.cpp
+++ b/tests/fleet/PlannerElectionTest.cpp
@@ -247,4 +247,28 @@
     BOOST_TEST((log.now - noticedAt).count() <= 100);
 }
 
+// Guards against two planners in turn with one fencing token: a claim was given up before its record was read.
+BOOST_AUTO_TEST_CASE(droppedClaimIsNotTakenUpAgain)
+{
+    PlannerElection election(recordOf("a"), ElectionTimings {});
+    auto now = atMillis(1000);
+    std::optional<LeadershipAppend> append;
+    for (int i = 0; i < 100 && !append; ++i) {
+        election.handleRecords({}, 5, now);
+        append = election.nextAppend(now);
+        now += Millis(50);
+    }
+    BOOST_REQUIRE(append.has_value());
+    AppendResult stored;
+    stored.outcome = AppendOutcome::Stored;
+    stored.offset = 5;
+    election.handleAppendResult(stored, now);
+    BOOST_REQUIRE(election.isLeading());
+    const auto token = election.fencingToken();
+    election.dropLeadership(now);
+    BOOST_REQUIRE(!election.isLeading());
+    election.handleRecords({{5, append->record}}, 6, now);
+    BOOST_TEST(!(election.isLeading() && election.fencingToken() == token));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
