A throttle counts as in force only when no earlier one can be carried out any more

What callers may see: a best-effort task disturbs others, or stands still, for good.

Cause: a throttle without an answer, or the first sending of one that was sent twice, may be carried out seconds later, after a newer one that was confirmed. The planner took the confirmation of the newer one for the speed in force from then on: the answer to a later request stood for what an earlier one had left unknown.

Change: after such a request the speed is not known for 13 s, in which it may be carried out, whatever is confirmed meanwhile. A throttle to an equal percentage is repeated while the speed is not known, at most every 150 ms; before, one without an answer was repeated after each list.

Evidence: two cases of UnansweredStarts failed with no further throttle in 10 and in 30 s, and pass now.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -109,6 +109,8 @@
     int speedPercent = 100;
     /// False if another speed limit may be in force: the last request was not confirmed, or an earlier planner may have sent some.
     bool isSpeedKnown = true;
+    /// Until this time the worker may still carry out an earlier request for another speed limit.
+    TimePoint speedUncertainUntil {};
     TimePoint speedChangedAt {};
     bool isThrottleInFlight = false;
     StopReason stopReason = StopReason::None;
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -19,6 +19,7 @@
 // Time reserved for a draining worker to report the ends of the runs that are stopped on it.
 constexpr Millis DrainMargin {800};
 constexpr Millis ThrottleTimeout {600};
+constexpr Millis ThrottleRetryDelay {150};
 // A request without an answer is carried out within this time or never.
 constexpr Millis MaxExecutionDelay {13000};
 constexpr Millis SpeedUpInterval {700};
@@ -194,7 +195,8 @@
 
 void FleetPlanner::setRunSpeed(FleetRun &run, int percent, TimePoint now)
 {
-    if ((run.speedPercent == percent && run.isSpeedKnown) || run.isThrottleInFlight) {
+    const bool isRepetitionDue = !run.isSpeedKnown && now - run.speedChangedAt > ThrottleRetryDelay;
+    if ((run.speedPercent == percent && !isRepetitionDue) || run.isThrottleInFlight) {
         return;
     }
     m_events.write("run_paced",
@@ -214,8 +216,12 @@
         return;
     }
     run->isThrottleInFlight = false;
-    run->isSpeedKnown = response.outcome == WorkerCallOutcome::Done;
-    if (run->isSpeedKnown) {
+    const bool isDone = response.outcome == WorkerCallOutcome::Done;
+    if (response.outcome == WorkerCallOutcome::Unknown || response.sendings > 1) {
+        run->speedUncertainUntil = now + MaxExecutionDelay;
+    }
+    run->isSpeedKnown = isDone && now >= run->speedUncertainUntil;
+    if (isDone) {
         run->speedPercent = request.percent;
         run->percentChangedAt = now;
     }
--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -52,6 +52,34 @@
     script.planner.handleStartResponse(script.port.starts.back(), script.done(), script.now);
 }
 
+// Lets a task that serves and a best-effort task run on "w0", the first of them with a target of 100 ms.
+void runServingAndBestEffortTask(PlannerScript &script)
+{
+    StepSpec serving;
+    serving.taskCount = 1;
+    serving.needs = {500, 400, 0};
+    serving.isLongRunning = true;
+    serving.latencyTargetMs = 100;
+    StepSpec filling;
+    filling.taskCount = 1;
+    filling.needs = {500, 400, 0};
+    filling.estimateMs = 60'000;
+    filling.isBestEffort = true;
+    script.submitStep("s", serving);
+    script.submitStep("f", filling);
+    script.planAndStore();
+    for (const auto &it : script.port.starts) {
+        script.planner.handleStartResponse(it, script.done(), script.now);
+    }
+    script.advance(Millis(25));
+}
+
+// The list of "w0" with both tasks, the first of them with this tail response time.
+std::vector<RunningRunInfo> listWithTail(double tailMs)
+{
+    return {{{"s", 0, 0, 0}, 1, "", 100, tailMs}, {{"f", 0, 0, 0}, 1, "", 10, 500}};
+}
+
 } // namespace
 
 // What the planner does about a start whose outcome it doesn't know. Guards against a task that runs twice, in each order in which answers may arrive.
@@ -234,4 +262,58 @@
     BOOST_TEST(script.port.throttles.back().percent > 0);
 }
 
+// Guards against a task that disturbs others for good: an unanswered throttle is carried out after a newer one.
+BOOST_AUTO_TEST_CASE(throttleIsRepeatedWhileAnEarlierOneMayStillBeCarriedOut)
+{
+    PlannerScript script(1);
+    runServingAndBestEffortTask(script);
+    script.answerPoll("w0", listWithTail(95));
+    BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 1U);
+    script.planner.handleThrottleResponse(script.port.throttles.back(), script.done(), script.now);
+    script.advance(Millis(1000));
+    script.answerPoll("w0", listWithTail(20));
+    BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 2U);
+    BOOST_REQUIRE_EQUAL(script.port.throttles.back().percent, 25);
+    // The request for 25 percent is under way for long and gets no answer.
+    script.planner.handleThrottleResponse(script.port.throttles.back(), NoAnswer, script.now);
+    script.advance(Millis(200));
+    script.answerPoll("w0", listWithTail(95));
+    BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 3U);
+    BOOST_REQUIRE_EQUAL(script.port.throttles.back().percent, 0);
+    script.planner.handleThrottleResponse(script.port.throttles.back(), script.done(), script.now);
+    // The request for 25 percent is carried out only now, and the tail stays high.
+    for (int i = 0; i < 100; ++i) {
+        script.advance(Millis(100));
+        script.answerPoll("w0", listWithTail(95));
+    }
+    BOOST_TEST(script.port.throttles.size() > 3U);
+}
+
+// Guards against a task that stands still for good: the first sending of a throttle that was sent twice is carried out last.
+BOOST_AUTO_TEST_CASE(throttleThatWasSentTwiceIsNotTrusted)
+{
+    PlannerScript script(1);
+    runServingAndBestEffortTask(script);
+    script.answerPoll("w0", listWithTail(95));
+    auto twice = script.done();
+    twice.sendings = 2;
+    script.planner.handleThrottleResponse(script.port.throttles.back(), twice, script.now);
+    for (int i = 0; i < 8; ++i) {
+        script.advance(Millis(750));
+        const auto before = script.port.throttles.size();
+        script.answerPoll("w0", listWithTail(20));
+        if (script.port.throttles.size() > before) {
+            script.planner.handleThrottleResponse(script.port.throttles.back(), script.done(), script.now);
+        }
+    }
+    BOOST_REQUIRE_EQUAL(script.port.throttles.back().percent, 100);
+    // The first sending of the request for 0 percent is carried out only now, 5 s later. The task makes no progress from here on.
+    const auto before = script.port.throttles.size();
+    for (int i = 0; i < 300; ++i) {
+        script.advance(Millis(100));
+        script.answerPoll("w0", listWithTail(20));
+    }
+    BOOST_TEST(script.port.throttles.size() > before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
