A start that was under way when its worker was replaced is stopped when the worker is back

What callers may see: a task runs twice at a time (rule TWICE).

Cause: when another worker answers at a worker's address, its runs are lost and their tasks move, and unanswered starts are marked as to be stopped in the next incarnation. A start that was still under way then was remembered only when its answer failed to come, after that, without the mark. A repeated start even replaced an entry that had it.

Change: a remembered start is to be stopped if the worker's incarnation is not the one that the request was meant for.

Evidence: two cases of UnansweredStarts failed, no stop was sent, and pass now.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -279,7 +279,7 @@
     FleetWorker &findOrCreateWorker(const std::string &worker);
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
-    static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, TimePoint now);
+    static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
     void reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now);
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -103,7 +103,7 @@
     }
     // The answer to a later sending doesn't tell what becomes of the first.
     if (response.outcome == WorkerCallOutcome::Unknown || response.sendings > 1) {
-        rememberUnansweredStart(worker, key, now);
+        rememberUnansweredStart(worker, key, request.workerStartedUnixMs, now);
     }
     if (run == nullptr || run->state != RunState::Starting) {
         return;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -138,12 +138,12 @@
     m_speeds.forget(worker.report.id);
 }
 
-void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, TimePoint now)
+void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now)
 {
     std::erase_if(worker.unansweredStarts, [&key](const auto &it) {
         return it.key == key;
     });
-    worker.unansweredStarts.push_back({key, now});
+    worker.unansweredStarts.push_back({key, now, worker.startedUnixMs != workerStartedUnixMs, false, now});
 }
 
 void FleetPlanner::stopUnansweredStarts(FleetWorker &worker, TimePoint now)
--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -80,6 +80,13 @@
     return {{{"s", 0, 0, 0}, 1, "", 100, tailMs}, {{"f", 0, 0, 0}, 1, "", 10, 500}};
 }
 
+bool isStopSent(const PlannerScript &script, const std::string &worker)
+{
+    return std::any_of(script.port.stops.begin(), script.port.stops.end(), [&](const StopRunRequest &it) {
+        return it.worker.id == worker && it.attempt == 1;
+    });
+}
+
 } // namespace
 
 // What the planner does about a start whose outcome it doesn't know. Guards against a task that runs twice, in each order in which answers may arrive.
@@ -316,4 +323,48 @@
     BOOST_TEST(script.port.throttles.size() > before);
 }
 
+// Guards against a task that runs twice: its start was under way when the worker was replaced, and is carried out when the worker is back.
+BOOST_AUTO_TEST_CASE(startUnderWayAtAReplacementIsStoppedWhenTheWorkerIsBack)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    PollWorkerResponse other;
+    other.outcome = WorkerCallOutcome::OtherIncarnation;
+    script.planner.handlePollResponse(script.lastPoll("w0"), other, script.now);
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+    script.advance(Millis(1100));
+    auto entry = script.entry("w0");
+    entry.startedUnixMs = 2;
+    script.planner.workerReported(entry, script.now);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {}, 2);
+    script.advance(Millis(200));
+    BOOST_TEST(isStopSent(script, "w0"));
+}
+
+// Guards against the same for a repetition of the start.
+BOOST_AUTO_TEST_CASE(repeatedStartUnderWayAtAReplacementIsStoppedWhenTheWorkerIsBack)
+{
+    PlannerScript script;
+    const auto start = startTask(script);
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.advance(Millis(45));
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    // The repetition is under way, and the worker is replaced: the run is lost and its task moves.
+    PollWorkerResponse other;
+    other.outcome = WorkerCallOutcome::OtherIncarnation;
+    script.planner.handlePollResponse(script.lastPoll("w0"), other, script.now);
+    script.planner.handleStartResponse(script.port.starts.back(), NoAnswer, script.now);
+    script.advance(Millis(1100));
+    auto entry = script.entry("w0");
+    entry.startedUnixMs = 2;
+    script.planner.workerReported(entry, script.now);
+    script.advance(Millis(25));
+    script.answerPoll("w0", {}, 2);
+    script.advance(Millis(200));
+    BOOST_TEST(isStopSent(script, "w0"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
