--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -68,6 +68,7 @@
     script.submitStep("s", serving);
     script.submitStep("f", filling);
     script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
     for (const auto &it : script.port.starts) {
         script.planner.handleStartResponse(it, script.done(), script.now);
     }
@@ -238,27 +239,7 @@
 BOOST_AUTO_TEST_CASE(runWhoseThrottleWasNotAnsweredIsSpedUpAgain)
 {
     PlannerScript script(1);
-    StepSpec serving;
-    serving.taskCount = 1;
-    serving.needs = {500, 400, 0};
-    serving.isLongRunning = true;
-    serving.latencyTargetMs = 100;
-    StepSpec filling;
-    filling.taskCount = 1;
-    filling.needs = {500, 400, 0};
-    filling.estimateMs = 60'000;
-    filling.isBestEffort = true;
-    script.submitStep("s", serving);
-    script.submitStep("f", filling);
-    script.planAndStore();
-    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
-    for (const auto &it : script.port.starts) {
-        script.planner.handleStartResponse(it, script.done(), script.now);
-    }
-    script.advance(Millis(25));
-    const auto listWithTail = [&](double tailMs) {
-        return std::vector<RunningRunInfo> {{{"s", 0, 0, 0}, 1, "", 100, tailMs}, {{"f", 0, 0, 0}, 1, "", 10, 500}};
-    };
+    runServingAndBestEffortTask(script);
     script.answerPoll("w0", listWithTail(95));
     BOOST_REQUIRE_EQUAL(script.port.throttles.size(), 1U);
     BOOST_TEST(script.port.throttles.back().percent == 0);
