An occurrence that had not begun is started after a takeover

What callers saw: a job of two occurrences, the first of which waited for its worker while the second ran. The leader was killed.

Cause: stored progress holds only tasks that had a run. The number of known occurrences was taken for the number of the next one to create, so a successor that restored occurrence 1 alone never created occurrence 0.

Fix: FleetJob goes through the occurrences in order and creates each that is due and does not exist. The acceptance holds all due times, so this needs no further stored state; an occurrence that has ended is in the stored progress.

--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -86,6 +86,9 @@
     /// Returns the step, or nullptr if the job has no such step or has released its tasks.
     FleetStep *findStep(int occurrence, int step);
 
+    /// Creates the occurrences that are due and do not exist yet.
+    void createDueOccurrences(std::int64_t nowUnixMs);
+
     /// Restores the job's state from its stored progress.
     void restore(const JobRecord &record);
     /// Returns the worker of a run and the start time of the worker's incarnation.
@@ -113,6 +116,8 @@
 
 private:
     FleetJobRequest m_request;
+    /// The lowest occurrence that createDueOccurrences() has not created.
+    int m_nextOccurrence = 0;
     TimePoint m_acceptedAt;
     TimePoint m_softDeadline;
     Millis m_criticalPath {0};
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -249,7 +249,6 @@
     void markDirty(FleetJob &job);
     void finishJob(FleetJob &job, FleetJobState state, const char *reason, TimePoint now);
     void completeJobIfDone(FleetJob &job, TimePoint now);
-    void createDueOccurrences(FleetJob &job, std::int64_t nowUnixMs);
     // Tasks of ended jobs are released only between events, because functions further up the call stack may still refer to them.
     void scheduleRelease(const FleetJob &job);
     void releaseEndedJobs();
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -104,6 +104,14 @@
     return &step->tasks[static_cast<std::size_t>(id.index)];
 }
 
+void FleetJob::createDueOccurrences(std::int64_t nowUnixMs)
+{
+    while (m_nextOccurrence < m_request.repeatCount && nowUnixMs >= m_request.firstDueUnixMs + m_nextOccurrence * m_request.repeatIntervalMs) {
+        occurrence(m_nextOccurrence);
+        ++m_nextOccurrence;
+    }
+}
+
 void FleetJob::restore(const JobRecord &record)
 {
     state = record.state;
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -206,18 +206,6 @@
     markDirty(job);
 }
 
-void FleetPlanner::createDueOccurrences(FleetJob &job, std::int64_t nowUnixMs)
-{
-    const auto &request = job.request();
-    for (int k = static_cast<int>(job.occurrences().size()); k < request.repeatCount; ++k) {
-        const auto dueMs = request.firstDueUnixMs + k * request.repeatIntervalMs;
-        if (nowUnixMs < dueMs) {
-            return;
-        }
-        job.occurrence(k);
-    }
-}
-
 void FleetPlanner::configurationChanged(const FleetConfiguration &configuration)
 {
     m_configuration = configuration;
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -36,7 +36,7 @@
     for (const auto &id : m_activeJobs) {
         auto &job = *m_jobs.at(id);
         if (!job.isEnded() && job.request().repeatCount > 0) {
-            createDueOccurrences(job, nowUnixMs + m_limits.earlyStartTolerance.count() / 2);
+            job.createDueOccurrences(nowUnixMs + m_limits.earlyStartTolerance.count() / 2);
         }
     }
     for (auto it = m_workers.begin(); it != m_workers.end();) {
--- /dev/null
+++ b/tests/fleet/SuccessorTest.cpp
@@ -0,0 +1,93 @@
+#include <boost/test/unit_test.hpp>
+
+#include "PlannerScript.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+constexpr std::int64_t IntervalMs = 1000;
+
+StepSpec oneTask()
+{
+    StepSpec out;
+    out.taskCount = 1;
+    out.needs = {500, 500, 0};
+    out.estimateMs = 1000;
+    return out;
+}
+
+FleetJobRequest repeatedJob(const PlannerScript &script, int count)
+{
+    FleetJobRequest out;
+    out.id = "j";
+    out.queue = script.queue;
+    out.steps.push_back(oneTask());
+    out.repeatCount = count;
+    out.repeatIntervalMs = IntervalMs;
+    return out;
+}
+
+// A planner that takes over with the stored state of an earlier one, on a worker that answers.
+struct Successor {
+    PlannerScript script {0};
+    FleetPlanner planner {script.port, script.events, PlannerLimits {}, 8, script.now};
+
+    Successor(const FleetJobRequest &request, const std::vector<JobRecord> &records)
+    {
+        planner.restoreJob(request, 0, script.now);
+        for (const auto &it : records) {
+            planner.restoreProgress(it, script.now);
+        }
+        planner.confirmLeadership(script.now, script.now);
+        planner.startPlanning(script.now);
+        planner.workerReported(script.entry("w0"), script.now);
+    }
+
+    // Lets the worker say that nothing runs there, and returns the tasks that the planner starts at this time.
+    std::vector<std::string> startsAt(std::int64_t unixMs)
+    {
+        planner.tick(unixMs, script.now);
+        planner.handlePollResponse(script.lastPoll("w0"), script.list({}), script.now);
+        planner.tick(unixMs, script.now);
+        planner.plan(script.now);
+        const auto batch = planner.takeBatch(script.now);
+        planner.batchStored(batch.number, script.now);
+        std::vector<std::string> out;
+        for (const auto &it : script.port.starts) {
+            out.push_back(it.task.toString());
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+// What a planner that takes over rebuilds from the log.
+BOOST_AUTO_TEST_SUITE(Successors)
+
+// Guards against an occurrence of a repeated job that is never started, because the leader changed before any of its tasks had begun.
+BOOST_AUTO_TEST_CASE(occurrenceThatHadNotBegunStartsAfterATakeover)
+{
+    const PlannerScript script(0);
+    const JobRecord onlySecondHasBegun {"j", FleetJobState::Running, {{1, 0, 0, 1, {}, true, "", {}}}};
+    Successor successor(repeatedJob(script, 2), {onlySecondHasBegun});
+    const auto starts = successor.startsAt(2 * IntervalMs);
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts.front() == "j.0.0.0");
+}
+
+// Guards against an occurrence that ended before the takeover and is taken for one that has not begun.
+BOOST_AUTO_TEST_CASE(occurrenceThatHadEndedDoesNotStartAgainAfterATakeover)
+{
+    const PlannerScript script(0);
+    const JobRecord firstHasEnded {"j", FleetJobState::Running, {{0, 0, 0, 1, {}, true, "", {}}}};
+    Successor successor(repeatedJob(script, 3), {firstHasEnded});
+    BOOST_TEST(successor.startsAt(IntervalMs / 2).empty());
+    const auto starts = successor.startsAt(IntervalMs);
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts.front() == "j.1.0.0");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
