--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -175,15 +175,25 @@
     bool isDone = false;
     std::string checkpoint;
     std::vector<RunRecord> runs;
+    /// Number of failed runs that `failedAttempts` does not list.
+    int olderFailures = 0;
 };
 
-/// Stored progress of one job.
+/// One part of a job's stored progress. The tasks of all steps and repetitions are numbered in order, and each part holds the same number of them, so that the
+/// size of a record does not grow with the job. Part 0 also holds the state of the job.
 struct JobRecord {
     std::string job;
+    /// State of the job when the part was written; valid in part 0 only.
     FleetJobState state = FleetJobState::Queued;
     std::vector<TaskRecord> tasks;
+    int part = 0;
 };
 
+/// Returns the key under which a part of a job's progress is stored. Part 0 has the id of the job as its key.
+std::string progressKey(const std::string &job, int part);
+/// Returns the id of the job that a key from progressKey() belongs to.
+std::string jobOfProgressKey(const std::string &key);
+
 /// Encode and decode the binary forms of the stored records. Decoding returns `std::nullopt`, with a lastReason(), if the bytes are malformed.
 std::string encodeJobRequest(const FleetJobRequest &request);
 std::optional<FleetJobRequest> decodeJobRequest(const std::string &bytes);
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,8 +17,10 @@
     FleetTaskId id;
     /// Attempt number of the newest run; attempt numbers are never reused.
     std::int64_t lastAttempt = 0;
-    /// Attempt numbers of the failed runs. A set, because a worker may report the end of a run more than once.
+    /// Attempt numbers of the newest failed runs. A set, because a worker may report the end of a run more than once.
     std::set<std::int64_t> failedAttempts;
+    /// Number of the earlier failed runs, whose ends no worker reports any more.
+    int olderFailures = 0;
     bool isDone = false;
     /// Checkpoint from which the next run resumes; empty to start from the beginning.
     std::string checkpoint;
@@ -28,6 +31,10 @@
     /// Ids of the workers on which a run failed.
     std::set<std::string> failedOn;
 
+    /// Records the failure of a run; does nothing if it is recorded already.
+    void addFailure(std::int64_t attempt);
+    /// Returns the number of failed runs.
+    int failureCount() const { return olderFailures + static_cast<int>(failedAttempts.size()); }
     /// Returns true if the task needs a run and may start one now.
     bool isWaiting(TimePoint now) const { return !isDone && activeAttempts.empty() && notBefore <= now; }
 };
@@ -60,11 +67,25 @@
     bool isReady(const StepSpec &step) const;
 };
 
+/// Changes of one job's stored progress.
+struct JobProgress {
+    /// Parts to write, to be stored in this order.
+    std::vector<JobRecord> records;
+    /// Keys of parts to delete, after the records are stored.
+    std::vector<std::string> deletedKeys;
+};
+
+/// Returns the worker of a run and the start time of the worker's incarnation.
+using RunLocator = std::function<std::pair<std::string, std::int64_t>(const FleetTaskId &, std::int64_t attempt)>;
+
 /// State of one accepted job as the planner knows it.
 class FleetJob
 {
 public:
-    FleetJob(FleetJobRequest request, TimePoint acceptedAt);
+    /// Number of tasks in one part of the stored progress. It belongs to the stored format.
+    static constexpr int TasksPerPart = 64;
+
+    FleetJob(FleetJobRequest request, TimePoint acceptedAt, int tasksPerPart = TasksPerPart);
 
     const FleetJobRequest &request() const { return m_request; }
     const std::string &id() const { return m_request.id; }
@@ -89,12 +110,22 @@
     /// Creates the occurrences that are due and do not exist yet.
     void createDueOccurrences(std::int64_t nowUnixMs);
 
-    /// Restores the job's state from its stored progress.
+    /// Restores the job's state from one part of its stored progress. Part 0 must come first.
     void restore(const JobRecord &record);
-    /// Returns the worker of a run and the start time of the worker's incarnation.
-    using RunLocator = std::function<std::pair<std::string, std::int64_t>(const FleetTaskId &, std::int64_t attempt)>;
-    /// Returns the job's progress in the form to store; the locator is called for each active run.
+    /// Makes the members of each gang agree once all parts are restored, since the parts of a change may not all have been stored.
+    void alignGangs();
+    /// Returns the whole progress in one record, as a successor has to find it; the locator is called for each active run.
     JobRecord record(const RunLocator &locateRun) const;
+    /// Notes that the stored form of a task has changed.
+    void markChanged(const FleetTaskId &task);
+    /// Notes that the stored form of all tasks of a step has changed.
+    void markStepChanged(int occurrence, int step);
+    /// Notes that the whole progress has to be stored again.
+    void markAllChanged();
+    /// Returns true if takeProgress() has something to store.
+    bool hasChanges() const;
+    /// Returns what has changed in the stored progress since the last call.
+    JobProgress takeProgress(const RunLocator &locateRun);
 
     /// Returns true if the last occurrence exists and all occurrences are done.
     bool hasFinishedAllOccurrences() const;
@@ -107,15 +138,33 @@
     bool isCancelRequested = false;
     /// Policy of the job's queue in the configuration in force, which must outlive this pointer; nullptr while that configuration does not have the queue.
     const QueuePolicy *currentQueue = nullptr;
-    /// True if the job has changes that are not stored yet.
-    bool isDirty = false;
     TimePoint endedAt {};
+    /// Set while the log refuses a record of the job: no runs start, and its progress is appended again at this time.
+    std::optional<TimePoint> heldBackUntil;
 
     /// Returns true if the job is in a final state, in which no further task may start.
     bool isEnded() const { return state == FleetJobState::Completed || state == FleetJobState::Failed || state == FleetJobState::Cancelled; }
 
 private:
+    int partOf(const FleetTaskId &task) const;
+    int partCount() const;
+    JobRecord partRecord(int part, const RunLocator &locateRun) const;
+    void appendRow(std::vector<TaskRecord> &rows, const FleetTask &task, const RunLocator &locateRun) const;
+
     FleetJobRequest m_request;
+    const int m_tasksPerPart;
+    /// For each step, the number of tasks in the steps before it.
+    std::vector<int> m_stepOffsets;
+    int m_tasksPerOccurrence = 0;
+    /// Parts whose tasks have changed since the last takeProgress().
+    std::set<int> m_changedParts;
+    /// Parts other than 0 that the log may hold.
+    std::set<int> m_storedParts;
+    /// The state in the last record of part 0; `std::nullopt` before the first one.
+    std::optional<FleetJobState> m_writtenState;
+    /// True if the restored part 0 holds the tasks of all parts, as versions wrote it that stored the whole progress in one record.
+    bool m_isRestoredWhole = false;
+    bool m_isReleased = false;
     /// The lowest occurrence that createDueOccurrences() has not created.
     int m_nextOccurrence = 0;
     TimePoint m_acceptedAt;
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -151,13 +151,18 @@
     Millis earlyStartTolerance {250};
     /// Maximum time for which response times of a long-running task may stay above their target.
     Millis latencyViolationTolerance {4000};
+    /// Largest checkpoint that is stored, in bytes. Runs that write larger ones resume from an earlier one, or from the beginning.
+    std::size_t maxCheckpointBytes = 2048;
+    /// See FleetJob::TasksPerPart.
+    int tasksPerPart = FleetJob::TasksPerPart;
 };
 
 /// Changes of stored progress to append at once.
 struct ProgressBatch {
     std::int64_t number = 0;
+    /// Parts of the progress of jobs, to be stored in this order.
     std::vector<JobRecord> records;
-    /// Ids of the jobs whose records are deleted.
+    /// Keys of records to delete, after the others are stored.
     std::vector<std::string> dropped;
 
     bool isEmpty() const { return records.empty() && dropped.empty(); }
@@ -177,7 +182,7 @@
 
     /// Adds an accepted job.
     void restoreJob(FleetJobRequest request, std::int64_t nowUnixMs, TimePoint now);
-    /// Applies the stored progress of a job. The record is deleted with the next batch if the job is not known.
+    /// Applies a part of the stored progress of a job; part 0 comes first. The record is deleted with the next batch if the job is not known.
     void restoreProgress(const JobRecord &record, TimePoint now);
     /// Starts planning, once all stored state is restored.
     void startPlanning(TimePoint now);
@@ -213,8 +218,9 @@
 
     /// Returns the changes to store next, or an empty batch if there are none. The previous batch must have been stored.
     ProgressBatch takeBatch(TimePoint now);
-    /// Marks a batch as stored: sends the start requests that waited for it, and lets workers discard the ended runs in it.
-    void batchStored(std::int64_t number, TimePoint now);
+    /// Marks a batch as stored: sends the start requests that waited for it, and lets workers discard the ended runs in it. `refused` names the jobs with a
+    /// record that the log did not take. Nothing starts for these until a later batch has stored their progress.
+    void batchStored(std::int64_t number, TimePoint now, const std::set<std::string> &refused = {});
     /// Returns the ended jobs whose retention has expired, so that their requests may be deleted from the log. Returns each job once.
     std::vector<std::string> takeExpiredJobs(TimePoint now);
     /// Removes a job whose request was deleted from the log; its progress is deleted with the next batch.
@@ -227,6 +233,8 @@
 
     /// Returns the stored state of a job, or `std::nullopt` if there is no such job.
     std::optional<FleetJobState> jobState(const std::string &job) const;
+    /// Returns the whole progress of a job as a successor has to find it in the log once all changes are stored, or `std::nullopt` if there is no such job.
+    std::optional<JobRecord> progressOf(const std::string &job) const;
     /// Returns the number of accepted jobs of a queue none of whose tasks has started.
     std::int64_t pendingJobCount(const std::string &host, const std::string &prefix) const;
     /// Returns true if there are changes for takeBatch().
@@ -246,7 +254,12 @@
 
     // FleetPlanner.cpp: jobs
     FleetJob *findJob(const std::string &job);
+    // Notes that a job has changes to store: of its state, or also of a task.
     void markDirty(FleetJob &job);
+    void markDirty(FleetJob &job, const FleetTaskId &task);
+    // Lets no runs of a job start until the log takes its progress.
+    void holdBack(FleetJob &job, TimePoint now);
+    RunLocator runLocator() const;
     void finishJob(FleetJob &job, FleetJobState state, const char *reason, TimePoint now);
     void completeJobIfDone(FleetJob &job, TimePoint now);
     // Tasks of ended jobs are released only between events, because functions further up the call stack may still refer to them.
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -101,6 +101,8 @@
     std::int64_t lastStoredEnd = 0;
     /// Number of the last ended run that the planner has processed.
     std::int64_t lastSeenEnd = 0;
+    /// Numbers of the ended runs that the planner has processed and not stored, with their jobs.
+    std::vector<std::pair<std::int64_t, std::string>> unstoredEnds;
     /// Resources of the runs that may exist on the worker.
     std::map<RunKey, RunAllocation> allocations;
     /// Sum of the resources in `allocations`.
@@ -126,6 +128,10 @@
     void allocate(const RunKey &key, const RunAllocation &allocation);
     /// Releases the resources of a run; does nothing if the run has no allocation.
     void release(const RunKey &key);
+    /// Returns the number of the last processed end such that neither it nor an earlier unstored one belongs to one of these jobs.
+    std::int64_t lastEndBefore(const std::set<std::string> &jobs) const;
+    /// Records that the ends up to this number are stored.
+    void acknowledgeEnds(std::int64_t number);
     /// Returns true if the worker has this label; its rack is a label too.
     bool hasLabel(const std::string &label) const;
 };
--- a/include/marjoramhaven/fleet/JobService.h
+++ b/include/marjoramhaven/fleet/JobService.h
@@ -14,6 +14,8 @@
     Accepted,
     /// The request is not stored and never will be; the caller may retry after the given time.
     Refused,
+    /// The request can never be stored, whenever it is sent; the reason names the limit.
+    Invalid,
     /// The request may be stored, now or later; the caller retries with the same id.
     Unknown,
 };
@@ -23,6 +25,7 @@
     static constexpr EnumName<SubmitOutcome> Rows[] = {
         {SubmitOutcome::Accepted, "accepted"},
         {SubmitOutcome::Refused, "refused"},
+        {SubmitOutcome::Invalid, "invalid"},
         {SubmitOutcome::Unknown, "unknown"},
     };
 };
--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -86,6 +86,8 @@
     AppendOutcome outcome = AppendOutcome::Unknown;
     /// True if the log itself has answered. An append can also be refused because it could not be sent.
     bool isAnswered = false;
+    /// True if the log refused the records themselves, for example because one is too large, so that it will refuse them again.
+    bool isInvalid = false;
     /// Offset of the first record, if the append was stored.
     std::int64_t offset = 0;
     /// End of the topic, if the log's answer contains it.
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -28,6 +28,8 @@
     std::function<void(const AdviceRequest &, std::function<void(const AdviceResponse &)>)> sendAdviceRequest;
     /// Called when another planner has taken over.
     std::function<void(const std::string &why)> superseded;
+    /// Largest record that the log takes, in bytes.
+    std::size_t maxRecordBytes = 262'144;
 };
 
 /// Keys of a job's acceptance and of its cancellation in the jobs topic.
@@ -100,9 +102,14 @@
     void scheduleStoreProgress(Millis pause);
     // Appends the next records of the batch. The batch is stored when all of its appends are.
     void appendNextRecords();
+    void finishBatch();
+    // Leaves the records of a job out of the batch, because the log can't take one of them.
+    void leaveOut(const std::string &job);
+    // Finds the record for which the log has refused the append in flight, by appending one at a time, and leaves it out.
+    void isolateInvalidRecord();
     void appendProgress();
     void retryAppendProgress(Millis pause);
-    void handleProgressAppendResult(std::int64_t sequence, TimePoint sentAt, const AppendResult &result);
+    void handleProgressAppendResult(TimePoint sentAt, const AppendResult &result);
     void dropExpiredJobs();
     // Drops the records of ended jobs from a topic, and calls back when that is stored; on a failure the jobs stay expired.
     void dropJobs(StateTopic topic, const std::vector<std::string> &jobs, std::function<void()> done);
@@ -125,6 +132,12 @@
     RecordBatch m_unsentRecords;
     std::int64_t m_inFlightBatch = 0;
     std::int64_t m_sequence = 0;
+    /// Number of the append in flight. Unlike a sequence number, it is not used again after a refusal.
+    std::int64_t m_appendNumber = 0;
+    /// Jobs of this batch with a record that the log can't take.
+    std::set<std::string> m_refusedJobs;
+    /// True while the records of a refused append are appended one at a time.
+    bool m_isIsolating = false;
     /// When the append with the current sequence number was first sent.
     TimePoint m_appendFirstSentAt {};
     AdaptiveTimeout m_appendTimes;
--- a/include/marjoramhaven/fleetnode/RecordBatch.h
+++ b/include/marjoramhaven/fleetnode/RecordBatch.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
+#include <string>
 #include <vector>
 
 #include "marjoramhaven/fleet/StateLog.h"
@@ -16,6 +18,10 @@
 
     /// Removes and returns the next records, at most `maxBytes` of keys and values together. A single larger record is returned by itself.
     std::vector<KeyedRecord> takeNext(std::size_t maxBytes);
+    /// Returns the records of the last takeNext() to the front.
+    void putBack(std::vector<KeyedRecord> records);
+    /// Removes the records whose keys fulfil a condition.
+    void removeIf(const std::function<bool(const std::string &key)> &condition);
     bool isEmpty() const { return m_next == m_records.size(); }
 
 private:
--- a/include/marjoramhaven/fleetnode/RecordWriter.h
+++ b/include/marjoramhaven/fleetnode/RecordWriter.h
@@ -50,6 +50,8 @@
         Done done;
         /// True once an append of the record had no answer. From then on the record may be stored, or become stored at any time.
         bool mayBeStored = false;
+        /// True once the log has refused an append with this and other records for what they are.
+        bool isSentAlone = false;
         /// Why the last append of the record was not confirmed.
         std::string reason;
     };
--- a/src/fleet/FleetJob.cpp
+++ b/src/fleet/FleetJob.cpp
@@ -8,6 +8,13 @@
 
 namespace marjoramhaven {
 
+namespace {
+
+// No job id contains this character.
+constexpr char PartSeparator = '/';
+
+} // namespace
+
 void FleetConfiguration::add(QueuePolicy queue)
 {
     auto &entry = m_queues[queue.host][queue.prefix];
@@ -91,6 +98,16 @@
     return true;
 }
 
+std::string progressKey(const std::string &job, int part)
+{
+    return part == 0 ? job : job + PartSeparator + std::to_string(part);
+}
+
+std::string jobOfProgressKey(const std::string &key)
+{
+    return key.substr(0, key.find(PartSeparator));
+}
+
 std::string FleetTaskId::toString() const
 {
     return job + "." + std::to_string(occurrence) + "." + std::to_string(step) + "." + std::to_string(index);
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -1,6 +1,7 @@
 #include "marjoramhaven/fleet/FleetJobState.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace marjoramhaven {
 
@@ -9,6 +10,8 @@
 // Number of workers per advisor request on which the objectives of jobs are based.
 constexpr double AdvisedWorkersPerStep = 30;
 constexpr double MillisPerSecond = 1000;
+// Bounds the stored size of a task. The ends of earlier runs were discarded by their workers long ago.
+constexpr std::size_t MaxListedFailures = 64;
 
 double adviceMs(const QueuePolicy &queue)
 {
@@ -56,8 +59,22 @@
     });
 }
 
-FleetJob::FleetJob(FleetJobRequest request, TimePoint acceptedAt)
+void FleetTask::addFailure(std::int64_t attempt)
+{
+    // A lower attempt number than all these is counted in olderFailures.
+    if (failedAttempts.size() == MaxListedFailures && attempt < *failedAttempts.begin()) {
+        return;
+    }
+    failedAttempts.insert(attempt);
+    if (failedAttempts.size() > MaxListedFailures) {
+        failedAttempts.erase(failedAttempts.begin());
+        ++olderFailures;
+    }
+}
+
+FleetJob::FleetJob(FleetJobRequest request, TimePoint acceptedAt, int tasksPerPart)
     : m_request(std::move(request))
+    , m_tasksPerPart(tasksPerPart)
     , m_acceptedAt(acceptedAt)
     , m_criticalPath(static_cast<std::int64_t>(criticalPathMs(m_request)))
     , m_workCoreMs(totalWorkCoreMs(m_request))
@@ -66,6 +83,11 @@
     constexpr double MaxScaledMs = 1e15;
     const auto scaledMs = std::min(MaxScaledMs, m_request.queue.slackFactor * static_cast<double>(m_criticalPath.count()));
     m_softDeadline = acceptedAt + Millis(static_cast<std::int64_t>(scaledMs) + m_request.queue.objectiveMs);
+    for (const auto &it : m_request.steps) {
+        m_stepOffsets.push_back(m_tasksPerOccurrence);
+        m_tasksPerOccurrence += it.taskCount;
+    }
+    m_tasksPerOccurrence = std::max(1, m_tasksPerOccurrence);
 }
 
 FleetOccurrence &FleetJob::occurrence(int number)
@@ -114,8 +136,16 @@
 
 void FleetJob::restore(const JobRecord &record)
 {
-    state = record.state;
-    storedState = record.state;
+    if (record.part == 0) {
+        state = record.state;
+        storedState = record.state;
+        m_writtenState = record.state;
+    } else {
+        m_storedParts.insert(record.part);
+        if (m_isRestoredWhole) {
+            return;
+        }
+    }
     for (const auto &it : record.tasks) {
         if (it.occurrence < 0 || it.occurrence >= std::max(1, m_request.repeatCount)) {
             continue;
@@ -125,8 +155,10 @@
         if (task == nullptr) {
             continue;
         }
+        m_isRestoredWhole = m_isRestoredWhole || (record.part == 0 && partOf(task->id) != 0);
         task->lastAttempt = it.lastAttempt;
         task->failedAttempts.insert(it.failedAttempts.begin(), it.failedAttempts.end());
+        task->olderFailures = it.olderFailures;
         task->checkpoint = it.checkpoint;
         if (it.isDone && !task->isDone) {
             task->isDone = true;
@@ -136,32 +168,142 @@
             task->activeAttempts.push_back(run.attempt);
         }
     }
+    if (m_isRestoredWhole && record.part == 0) {
+        markAllChanged();
+    }
+}
+
+void FleetJob::alignGangs()
+{
+    for (auto &[number, occurrence] : m_occurrences) {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            auto &step = occurrence.steps[i];
+            if (!m_request.steps[i].isGang || step.tasks.empty()) {
+                continue;
+            }
+            const auto newest = *std::max_element(step.tasks.begin(), step.tasks.end(), [](const FleetTask &a, const FleetTask &b) {
+                return a.lastAttempt < b.lastAttempt;
+            });
+            const bool isDone = step.doneCount > 0;
+            for (auto &task : step.tasks) {
+                task.isDone = isDone;
+                task.checkpoint = isDone ? std::string() : newest.checkpoint;
+                task.failedAttempts = newest.failedAttempts;
+                task.olderFailures = newest.olderFailures;
+            }
+            step.doneCount = isDone ? static_cast<int>(step.tasks.size()) : 0;
+        }
+    }
+}
+
+int FleetJob::partOf(const FleetTaskId &task) const
+{
+    return (task.occurrence * m_tasksPerOccurrence + m_stepOffsets[static_cast<std::size_t>(task.step)] + task.index) / m_tasksPerPart;
+}
+
+int FleetJob::partCount() const
+{
+    const int occurrences = m_occurrences.empty() ? 0 : m_occurrences.rbegin()->first + 1;
+    return (occurrences * m_tasksPerOccurrence + m_tasksPerPart - 1) / m_tasksPerPart;
+}
+
+void FleetJob::markChanged(const FleetTaskId &task)
+{
+    m_changedParts.insert(partOf(task));
+}
+
+void FleetJob::markStepChanged(int occurrence, int step)
+{
+    const auto last = m_request.steps[static_cast<std::size_t>(step)].taskCount - 1;
+    const int end = partOf({m_request.id, occurrence, step, last});
+    for (int part = partOf({m_request.id, occurrence, step, 0}); part <= end; ++part) {
+        m_changedParts.insert(part);
+    }
+}
+
+void FleetJob::markAllChanged()
+{
+    m_writtenState.reset();
+    for (int part = 0; part < partCount(); ++part) {
+        m_changedParts.insert(part);
+    }
+}
+
+bool FleetJob::hasChanges() const
+{
+    return !m_changedParts.empty() || m_writtenState != state || (m_isReleased && !m_storedParts.empty());
+}
+
+void FleetJob::appendRow(std::vector<TaskRecord> &rows, const FleetTask &task, const RunLocator &locateRun) const
+{
+    if (task.lastAttempt == 0 && !task.isDone) {
+        return;
+    }
+    const auto &id = task.id;
+    TaskRecord row {id.occurrence, id.step, id.index, task.lastAttempt, {}, task.isDone, task.checkpoint, {}, task.olderFailures};
+    row.failedAttempts.assign(task.failedAttempts.begin(), task.failedAttempts.end());
+    for (const auto attempt : task.activeAttempts) {
+        auto [worker, startedUnixMs] = locateRun(id, attempt);
+        row.runs.push_back({attempt, std::move(worker), startedUnixMs});
+    }
+    rows.push_back(std::move(row));
 }
 
 JobRecord FleetJob::record(const RunLocator &locateRun) const
 {
-    JobRecord out;
-    out.job = m_request.id;
-    out.state = state;
+    JobRecord out {m_request.id, state, {}, 0};
     for (const auto &[number, occurrence] : m_occurrences) {
         for (const auto &step : occurrence.steps) {
             for (const auto &task : step.tasks) {
-                if (task.lastAttempt == 0 && !task.isDone) {
-                    continue;
-                }
-                TaskRecord row {number, task.id.step, task.id.index, task.lastAttempt, {}, task.isDone, task.checkpoint, {}};
-                row.failedAttempts.assign(task.failedAttempts.begin(), task.failedAttempts.end());
-                for (const auto attempt : task.activeAttempts) {
-                    auto [worker, startedUnixMs] = locateRun(task.id, attempt);
-                    row.runs.push_back({attempt, std::move(worker), startedUnixMs});
-                }
-                out.tasks.push_back(std::move(row));
+                appendRow(out.tasks, task, locateRun);
             }
         }
     }
     return out;
 }
 
+JobRecord FleetJob::partRecord(int part, const RunLocator &locateRun) const
+{
+    JobRecord out {m_request.id, state, {}, part};
+    const int end = (part + 1) * m_tasksPerPart;
+    for (int number = part * m_tasksPerPart; number < end; ++number) {
+        const auto occurrence = m_occurrences.find(number / m_tasksPerOccurrence);
+        if (occurrence == m_occurrences.end()) {
+            continue;
+        }
+        const int rest = number % m_tasksPerOccurrence;
+        const auto step = std::prev(std::upper_bound(m_stepOffsets.begin(), m_stepOffsets.end(), rest));
+        const auto &tasks = occurrence->second.steps[static_cast<std::size_t>(step - m_stepOffsets.begin())].tasks;
+        appendRow(out.tasks, tasks[static_cast<std::size_t>(rest - *step)], locateRun);
+    }
+    return out;
+}
+
+JobProgress FleetJob::takeProgress(const RunLocator &locateRun)
+{
+    JobProgress out;
+    for (const auto part : m_changedParts) {
+        auto record = part == 0 ? JobRecord() : partRecord(part, locateRun);
+        if (!record.tasks.empty() || m_storedParts.contains(part)) {
+            m_storedParts.insert(part);
+            out.records.push_back(std::move(record));
+        }
+    }
+    // Part 0 comes last: one that holds all tasks must not be replaced before the other parts are stored.
+    if (m_changedParts.contains(0) || m_writtenState != state) {
+        out.records.push_back(partRecord(0, locateRun));
+        m_writtenState = state;
+    }
+    m_changedParts.clear();
+    if (m_isReleased) {
+        for (const auto part : m_storedParts) {
+            out.deletedKeys.push_back(progressKey(m_request.id, part));
+        }
+        m_storedParts.clear();
+    }
+    return out;
+}
+
 bool FleetJob::hasFinishedAllOccurrences() const
 {
     const auto wanted = static_cast<std::size_t>(std::max(1, m_request.repeatCount));
@@ -172,7 +314,11 @@
 
 void FleetJob::releaseTasks()
 {
+    if (!m_changedParts.empty() || !m_occurrences.empty()) {
+        m_changedParts = {0};
+    }
     m_occurrences.clear();
+    m_isReleased = true;
     m_request.payload.clear();
     m_request.payload.shrink_to_fit();
 }
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -1,6 +1,7 @@
 #include "marjoramhaven/fleet/FleetPlanner.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "FleetPlannerBatch.h"
 
@@ -10,6 +11,7 @@
 
 // Jobs are kept for longer than callers may query them, so that a late query still gets its answer.
 constexpr Millis RetentionMargin {30000};
+constexpr Millis HoldBackPause {2000};
 
 } // namespace
 
@@ -30,7 +32,7 @@
     const auto age = std::clamp<std::int64_t>(nowUnixMs - request.acceptedUnixMs, 0, m_limits.statusRetention.count());
     const auto id = request.id;
     if (!m_jobs.contains(id)) {
-        updateQueue(*m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now - Millis(age))).first->second);
+        updateQueue(*m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now - Millis(age), m_limits.tasksPerPart)).first->second);
     }
 }
 
@@ -38,7 +40,7 @@
 {
     auto *job = findJob(record.job);
     if (job == nullptr) {
-        m_droppedRecords.push_back(record.job);
+        m_droppedRecords.push_back(progressKey(record.job, record.part));
         return;
     }
     job->restore(record);
@@ -75,6 +77,12 @@
         if (!job->isEnded() && job->request().repeatCount == 0) {
             job->occurrence(0);
         }
+        if (!job->isEnded()) {
+            job->alignGangs();
+        }
+        if (job->hasChanges()) {
+            markDirty(*job);
+        }
         if (job->isCancelRequested && !job->isEnded()) {
             finishJob(*job, FleetJobState::Cancelled, "cancelled before the takeover", now);
         }
@@ -106,10 +114,32 @@
 
 void FleetPlanner::markDirty(FleetJob &job)
 {
-    job.isDirty = true;
     m_dirtyJobs.insert(job.id());
 }
 
+void FleetPlanner::markDirty(FleetJob &job, const FleetTaskId &task)
+{
+    job.markChanged(task);
+    markDirty(job);
+}
+
+void FleetPlanner::holdBack(FleetJob &job, TimePoint now)
+{
+    m_events.write("job_held_back", {{"id", job.id()}, {"reason", std::string("the log refuses its progress")}});
+    job.heldBackUntil = now + HoldBackPause;
+    job.markAllChanged();
+    markDirty(job);
+    std::vector<RunKey> unsent;
+    for (const auto &[key, run] : m_runs) {
+        if (key.task.job == job.id() && run.state == RunState::Planned) {
+            unsent.push_back(key);
+        }
+    }
+    for (const auto &key : unsent) {
+        discardUnstartedRun(key, "its record is not stored", HoldBackPause, now);
+    }
+}
+
 void FleetPlanner::jobAccepted(FleetJobRequest request, TimePoint now)
 {
     const auto id = request.id;
@@ -117,7 +147,7 @@
         return;
     }
     m_events.write("job_known", {{"id", id}, {"queue", request.queue.name}, {"steps", static_cast<std::int64_t>(request.steps.size())}});
-    auto &job = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now)).first->second;
+    auto &job = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now, m_limits.tasksPerPart)).first->second;
     updateQueue(job);
     m_activeJobs.insert(id);
     if (m_earlyCancellations.erase(id) > 0) {
@@ -243,33 +273,34 @@
     }
     out.number = ++m_batchNumber;
     m_batch = std::make_unique<Batch>();
-    const auto locateRun = [this](const FleetTaskId &task, std::int64_t attempt) {
-        const auto *run = findRun({task, attempt});
-        return run == nullptr ? std::pair<std::string, std::int64_t>() : std::pair(run->worker, run->workerStartedUnixMs);
-    };
-    for (const auto &id : m_dirtyJobs) {
-        auto *job = findJob(id);
-        if (job == nullptr) {
+    out.dropped = std::move(m_droppedRecords);
+    m_droppedRecords.clear();
+    for (auto it = m_dirtyJobs.begin(); it != m_dirtyJobs.end();) {
+        auto *job = findJob(*it);
+        if (job != nullptr && job->heldBackUntil && now < *job->heldBackUntil) {
+            ++it;
             continue;
         }
-        job->isDirty = false;
-        out.records.push_back(job->record(locateRun));
-        m_batch->storedStates.emplace_back(id, job->state);
+        if (job != nullptr) {
+            auto progress = job->takeProgress(runLocator());
+            std::move(progress.records.begin(), progress.records.end(), std::back_inserter(out.records));
+            std::move(progress.deletedKeys.begin(), progress.deletedKeys.end(), std::back_inserter(out.dropped));
+            m_batch->storedStates.emplace_back(*it, job->state);
+        }
+        it = m_dirtyJobs.erase(it);
     }
-    m_dirtyJobs.clear();
     for (auto &[key, run] : m_runs) {
-        if (run.state == RunState::Planned) {
+        if (run.state == RunState::Planned && !m_dirtyJobs.contains(key.task.job)) {
             m_batch->starts.push_back(key);
         }
     }
     for (const auto &[id, worker] : m_workers) {
-        if (worker.lastSeenEnd > worker.lastStoredEnd) {
-            m_batch->ends.push_back({id, worker.startedUnixMs, worker.lastSeenEnd});
+        const auto last = worker.lastEndBefore(m_dirtyJobs);
+        if (last > worker.lastStoredEnd) {
+            m_batch->ends.push_back({id, worker.startedUnixMs, last});
         }
     }
     m_hasUnstoredEnds = false;
-    out.dropped = std::move(m_droppedRecords);
-    m_droppedRecords.clear();
     if (out.isEmpty()) {
         // Ended runs that change no job need no record; their workers may discard them at once.
         batchStored(out.number, now);
@@ -277,7 +308,21 @@
     return out;
 }
 
-void FleetPlanner::batchStored(std::int64_t number, TimePoint now)
+RunLocator FleetPlanner::runLocator() const
+{
+    return [this](const FleetTaskId &task, std::int64_t attempt) {
+        const auto run = m_runs.find({task, attempt});
+        return run == m_runs.end() ? std::pair<std::string, std::int64_t>() : std::pair(run->second.worker, run->second.workerStartedUnixMs);
+    };
+}
+
+std::optional<JobRecord> FleetPlanner::progressOf(const std::string &job) const
+{
+    const auto it = m_jobs.find(job);
+    return it == m_jobs.end() ? std::nullopt : std::optional(it->second->record(runLocator()));
+}
+
+void FleetPlanner::batchStored(std::int64_t number, TimePoint now, const std::set<std::string> &refused)
 {
     if (!m_batch || number != m_batchNumber) {
         return;
@@ -285,20 +330,24 @@
     const auto batch = std::move(m_batch);
     for (const auto &[id, state] : batch->storedStates) {
         auto *job = findJob(id);
-        if (job != nullptr) {
+        if (job != nullptr && refused.contains(id)) {
+            holdBack(*job, now);
+        } else if (job != nullptr) {
             job->storedState = state;
+            job->heldBackUntil.reset();
         }
     }
     for (const auto &it : batch->ends) {
         auto &worker = findOrCreateWorker(it.worker);
-        if (worker.startedUnixMs == it.startedUnixMs && it.number > worker.lastStoredEnd) {
-            worker.lastStoredEnd = it.number;
+        const auto last = std::min(it.number, worker.lastEndBefore(refused));
+        if (worker.startedUnixMs == it.startedUnixMs && last > worker.lastStoredEnd) {
+            worker.acknowledgeEnds(last);
             worker.nextPollAt = std::min(worker.nextPollAt, now);
         }
     }
     for (const auto &key : batch->starts) {
         auto *run = findRun(key);
-        if (run != nullptr && run->state == RunState::Planned) {
+        if (run != nullptr && run->state == RunState::Planned && !refused.contains(key.task.job)) {
             sendStart(*run, now);
         }
     }
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -54,7 +54,7 @@
     std::vector<PendingStep> out;
     for (const auto &id : m_activeJobs) {
         auto &job = *m_jobs.at(id);
-        if (job.isEnded()) {
+        if (job.isEnded() || job.heldBackUntil) {
             continue;
         }
         for (auto &[number, occurrence] : job.occurrences()) {
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -46,7 +46,7 @@
     if (job.state == FleetJobState::Queued) {
         job.state = FleetJobState::Running;
     }
-    markDirty(job);
+    markDirty(job, task.id);
     m_events.write("run_placed",
                    {{"task", task.id.toString()},
                     {"attempt", attempt},
@@ -68,7 +68,6 @@
     }
     m_events.write("run_not_started", {{"task", key.task.toString()}, {"attempt", key.attempt}, {"reason", std::string(reason)}});
     task->notBefore = std::max(task->notBefore, now + pause);
-    markDirty(*job);
     if (job->spec(key.task.step).isGang) {
         stopGang(*job, *job->findStep(key.task.occurrence, key.task.step), now);
     }
@@ -86,6 +85,7 @@
     auto *task = job == nullptr ? nullptr : job->find(key.task);
     if (task != nullptr) {
         std::erase(task->activeAttempts, key.attempt);
+        markDirty(*job, key.task);
     }
     m_runs.erase(it);
 }
@@ -211,13 +211,21 @@
     }
     auto &step = *job->findStep(key.task.occurrence, key.task.step);
     const auto &spec = job->spec(key.task.step);
-    markDirty(*job);
+    markDirty(*job, key.task);
     if (isPreempted) {
         task->notBefore = std::max(task->notBefore, now + PauseAfterPreemption);
     }
-    if (isKnown && !checkpoint.empty() && !task->isDone) {
+    const bool isStorable = checkpoint.size() <= m_limits.maxCheckpointBytes;
+    if (!isStorable) {
+        m_events.write("checkpoint_not_kept",
+                       {{"task", key.task.toString()},
+                        {"bytes", static_cast<std::int64_t>(checkpoint.size())},
+                        {"limit", static_cast<std::int64_t>(m_limits.maxCheckpointBytes)}});
+    }
+    if (isKnown && !checkpoint.empty() && isStorable && !task->isDone) {
         task->checkpoint = checkpoint;
         if (spec.isGang) {
+            job->markStepChanged(key.task.occurrence, key.task.step);
             for (auto &it : step.tasks) {
                 it.checkpoint = checkpoint;
             }
@@ -249,6 +257,7 @@
     }
     task.isDone = true;
     task.checkpoint.clear();
+    markDirty(job, task.id);
     auto &step = *job.findStep(task.id.occurrence, task.id.step);
     ++step.doneCount;
     const auto attempts = task.activeAttempts;
@@ -285,14 +294,16 @@
     if (spec.isLongRunning) {
         return;
     }
-    task.failedAttempts.insert(attempt);
+    task.addFailure(attempt);
+    markDirty(job, task.id);
     if (spec.isGang) {
         // The members of a gang fail together.
+        job.markStepChanged(task.id.occurrence, task.id.step);
         for (auto &it : job.findStep(task.id.occurrence, task.id.step)->tasks) {
-            it.failedAttempts.insert(attempt);
+            it.addFailure(attempt);
         }
     }
-    if (static_cast<int>(task.failedAttempts.size()) >= queueOf(job).maxAttempts) {
+    if (task.failureCount() >= queueOf(job).maxAttempts) {
         finishJob(job, FleetJobState::Failed, "a task reached its maximum number of failed attempts", now);
     }
 }
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -112,7 +112,7 @@
             run->repeatStartUntil = {};
             unlisted.push_back(key);
             if (auto *job = findJob(key.task.job)) {
-                markDirty(*job);
+                markDirty(*job, key.task);
             }
         }
     }
@@ -131,6 +131,7 @@
     }
     worker.lastStoredEnd = 0;
     worker.lastSeenEnd = 0;
+    worker.unstoredEnds.clear();
     worker.lastListClockMs = 0;
     worker.isInventoried = false;
     worker.nextPollAt = now;
@@ -284,6 +285,7 @@
         listed.insert({row.task, row.attempt});
         if (row.number > previousLastSeenEnd) {
             worker.lastSeenEnd = std::max(worker.lastSeenEnd, row.number);
+            worker.unstoredEnds.emplace_back(row.number, row.task.job);
             m_hasUnstoredEnds = true;
             endRun({row.task, row.attempt}, row.end, row.checkpoint, worker.report.id, now);
         }
@@ -328,6 +330,7 @@
         if (task != nullptr) {
             task->activeAttempts.push_back(row.attempt);
             task->lastAttempt = std::max(task->lastAttempt, row.attempt);
+            markDirty(*job, row.task);
         }
         requestStop(*run, StopReason::Orphaned, now);
         run = findRun(key);
--- a/src/fleet/FleetRecords.cpp
+++ b/src/fleet/FleetRecords.cpp
@@ -75,12 +75,15 @@
 
     template<>
     struct FieldOrder<marjoramhaven::TaskRecord> {
-        static auto of(auto &it) { return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failedAttempts, it.isDone, it.checkpoint, it.runs); }
+        static auto of(auto &it)
+        {
+            return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failedAttempts, it.isDone, it.checkpoint, it.runs, it.olderFailures);
+        }
     };
 
     template<>
     struct FieldOrder<marjoramhaven::JobRecord> {
-        static auto of(auto &it) { return std::tie(it.job, it.state, it.tasks); }
+        static auto of(auto &it) { return std::tie(it.job, it.state, it.tasks, it.part); }
     };
 
     template<typename T>
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -96,6 +96,25 @@
     allocations.erase(it);
 }
 
+std::int64_t FleetWorker::lastEndBefore(const std::set<std::string> &jobs) const
+{
+    auto out = lastSeenEnd;
+    for (const auto &[number, job] : unstoredEnds) {
+        if (jobs.contains(job)) {
+            out = std::min(out, number - 1);
+        }
+    }
+    return out;
+}
+
+void FleetWorker::acknowledgeEnds(std::int64_t number)
+{
+    lastStoredEnd = number;
+    std::erase_if(unstoredEnds, [number](const auto &it) {
+        return it.first <= number;
+    });
+}
+
 bool FleetWorker::hasLabel(const std::string &label) const
 {
     return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -361,13 +361,16 @@
                                       m_election.dropLeadership(monotonicNow());
                                       stopPlanner(why);
                                   });
-                              }};
+                              },
+                              static_cast<std::size_t>(m_settings.storeMaxRecordBytes)};
     PlannerLimits limits;
     limits.maxLease = m_settings.bounds.maxLease;
     limits.stopTime = m_settings.bounds.stopTime;
     limits.statusRetention = m_settings.bounds.statusRetention;
     limits.earlyStartTolerance = m_settings.bounds.earlyStartTolerance;
     limits.latencyViolationTolerance = m_settings.bounds.latencyViolationTolerance;
+    // Half of a record is left for the checkpoints of its tasks.
+    limits.maxCheckpointBytes = static_cast<std::size_t>(m_settings.storeMaxRecordBytes) / (2 * FleetJob::TasksPerPart);
     m_planner = std::make_unique<PlannerHost>(
         std::move(services), limits, m_election.fencingToken(), configuration() == nullptr ? FleetConfiguration {} : *configuration());
     m_planner->addAdvisorProxy(m_settings.name);
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -20,6 +20,8 @@
 constexpr Millis FallbackReadRetention {4000};
 // Within this time, an accepted job has stored progress or is known to its planner.
 constexpr Millis AcceptedJobRetention {60'000};
+// What the log adds to the key and the value of a record.
+constexpr std::size_t RecordOverheadBytes = 1;
 // Most keys that one line of the event log names.
 constexpr std::size_t MaxLoggedKeys = 16;
 
@@ -55,6 +57,15 @@
     const auto queue = request.queue.name;
     const auto receivedAt = monotonicNow();
     KeyedRecord record {acceptanceKey(id), encodeJobRequest(request), 0};
+    const auto bytes = RecordOverheadBytes + record.key.size() + record.value->size();
+    if (bytes > static_cast<std::size_t>(m_settings.storeMaxRecordBytes)) {
+        const auto reason = "the job takes " + std::to_string(bytes) + " bytes; the log takes records of at most "
+            + std::to_string(m_settings.storeMaxRecordBytes) + " bytes (max-record-bytes)";
+        m_events.write("submit", {{"id", id}, {"queue", queue}, {"verdict", std::string(nameOf(SubmitOutcome::Invalid))}, {"reason", reason}});
+        m_metrics.count("submits_total{verdict=\"" + std::string(nameOf(SubmitOutcome::Invalid)) + "\"}");
+        done({SubmitOutcome::Invalid, Millis(0), reason});
+        return;
+    }
     storeRecord(std::move(record), budget, [this, id, queue, receivedAt, done = std::move(done)](const SubmitResult &answer) {
         const auto elapsedMs = (monotonicNow() - receivedAt).count();
         m_events.write("submit",
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -169,10 +169,10 @@
             continue;
         }
         const auto record = decodeJobRecord(*it.value);
-        if (record) {
+        if (record && progressKey(record->job, record->part) == it.key) {
             m_planner.restoreProgress(*record, now);
         } else {
-            m_services.events.write("record_unreadable", {{"key", it.key}, {"reason", lastReason()}});
+            m_services.events.write("record_unreadable", {{"key", it.key}, {"reason", record ? "its key names another job or part" : lastReason()}});
         }
     }
     m_loadedProgress.clear();
--- a/src/fleetnode/PlannerHostStore.cpp
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -18,6 +18,8 @@
 // Most jobs that one append drops from the log.
 constexpr std::size_t MaxJobsPerDrop = 200;
 constexpr char WriterName[] = "planner";
+// What the log adds to the key and the value of a record.
+constexpr std::size_t RecordOverheadBytes = 1;
 
 } // namespace
 
@@ -91,8 +93,14 @@
         return;
     }
     std::vector<KeyedRecord> records;
+    std::set<std::string> tooLarge;
     for (const auto &it : batch.records) {
-        records.push_back({it.job, encodeJobRecord(it), 0});
+        records.push_back({progressKey(it.job, it.part), encodeJobRecord(it), 0});
+        const auto bytes = RecordOverheadBytes + records.back().key.size() + records.back().value->size();
+        if (bytes > m_services.maxRecordBytes) {
+            m_services.events.write("record_too_large", {{"key", records.back().key}, {"bytes", static_cast<std::int64_t>(bytes)}});
+            tooLarge.insert(it.job);
+        }
     }
     for (const auto &it : batch.dropped) {
         records.push_back({it, std::nullopt, 0});
@@ -100,17 +108,58 @@
     m_unsentRecords = RecordBatch(std::move(records));
     m_inFlightBatch = batch.number;
     m_isAppendInFlight = true;
+    m_isIsolating = false;
+    m_refusedJobs.clear();
+    for (const auto &it : tooLarge) {
+        leaveOut(it);
+    }
     appendNextRecords();
 }
 
 void PlannerHost::appendNextRecords()
 {
-    m_inFlightRecords = m_unsentRecords.takeNext(MaxAppendBytes);
+    if (m_unsentRecords.isEmpty()) {
+        finishBatch();
+        return;
+    }
+    m_inFlightRecords = m_unsentRecords.takeNext(m_isIsolating ? 0 : MaxAppendBytes);
     ++m_sequence;
+    ++m_appendNumber;
     m_appendFirstSentAt = monotonicNow();
     appendProgress();
 }
 
+void PlannerHost::finishBatch()
+{
+    m_isAppendInFlight = false;
+    m_inFlightRecords.clear();
+    if (!m_isRetired) {
+        m_planner.batchStored(m_inFlightBatch, monotonicNow(), m_refusedJobs);
+        schedulePlan();
+    }
+}
+
+void PlannerHost::leaveOut(const std::string &job)
+{
+    m_refusedJobs.insert(job);
+    m_unsentRecords.removeIf([&job](const std::string &key) {
+        return jobOfProgressKey(key) == job;
+    });
+}
+
+void PlannerHost::isolateInvalidRecord()
+{
+    // A refused append has not used its sequence number.
+    --m_sequence;
+    if (m_inFlightRecords.size() > 1) {
+        m_isIsolating = true;
+        m_unsentRecords.putBack(std::move(m_inFlightRecords));
+    } else {
+        leaveOut(jobOfProgressKey(m_inFlightRecords.front().key));
+    }
+    appendNextRecords();
+}
+
 void PlannerHost::scheduleStoreProgress(Millis pause)
 {
     if (m_isStoreScheduled) {
@@ -135,15 +184,15 @@
     request.writer = WriterEpoch {WriterName, m_fencingToken, m_sequence};
     const std::weak_ptr<bool> alive = m_alive;
     const auto sentAt = monotonicNow();
-    m_services.log.append(std::move(request), [this, alive, sentAt, sequence = m_sequence](const AppendResult &result) {
-        // Once the log answers again, two calls with the same sequence number may be in flight. The first conclusive answer counts.
-        if (!alive.expired() && m_isAppendInFlight && sequence == m_sequence) {
-            handleProgressAppendResult(sequence, sentAt, result);
+    m_services.log.append(std::move(request), [this, alive, sentAt, number = m_appendNumber](const AppendResult &result) {
+        // Once the log answers again, two calls for the same append may be in flight. The first conclusive answer counts.
+        if (!alive.expired() && m_isAppendInFlight && number == m_appendNumber) {
+            handleProgressAppendResult(sentAt, result);
         }
     });
 }
 
-void PlannerHost::handleProgressAppendResult(std::int64_t sequence, TimePoint sentAt, const AppendResult &result)
+void PlannerHost::handleProgressAppendResult(TimePoint sentAt, const AppendResult &result)
 {
     if (result.outcome == AppendOutcome::Unknown) {
         m_appendTimes.recordFailure();
@@ -155,26 +204,19 @@
         // The next leader fences this topic before it plans. The answer to a repeated sending may be that of the first one.
         confirmLeadership(m_appendFirstSentAt);
     }
-    if (result.outcome == AppendOutcome::Stored && !m_unsentRecords.isEmpty()) {
-        appendNextRecords();
-        return;
-    }
     if (result.outcome == AppendOutcome::Stored) {
-        m_isAppendInFlight = false;
-        m_inFlightRecords.clear();
-        if (!m_isRetired) {
-            m_planner.batchStored(m_inFlightBatch, monotonicNow());
-            schedulePlan();
-        }
+        appendNextRecords();
         return;
     }
     m_services.events.write("progress_not_stored",
-                            {{"sequence", sequence},
+                            {{"sequence", m_sequence},
                              {"outcome", std::string(nameOf(result.outcome))},
                              {"reason", result.reason},
                              {"sendings", static_cast<std::int64_t>(result.sendings)}});
     if (result.outcome == AppendOutcome::Fenced) {
         supersede("the progress topic has a writer with a newer epoch");
+    } else if (result.isInvalid) {
+        isolateInvalidRecord();
     } else {
         retryAppendProgress(RetryPause);
     }
@@ -183,8 +225,8 @@
 void PlannerHost::retryAppendProgress(Millis pause)
 {
     const std::weak_ptr<bool> alive = m_alive;
-    QTimer::singleShot(static_cast<int>(pause.count()), this, [this, alive, sequence = m_sequence]() {
-        if (!alive.expired() && m_isAppendInFlight && sequence == m_sequence) {
+    QTimer::singleShot(static_cast<int>(pause.count()), this, [this, alive, number = m_appendNumber]() {
+        if (!alive.expired() && m_isAppendInFlight && number == m_appendNumber) {
             appendProgress();
         }
     });
--- a/src/fleetnode/ProgressReader.cpp
+++ b/src/fleetnode/ProgressReader.cpp
@@ -39,7 +39,7 @@
     for (const auto &it : records) {
         if (!it.value) {
             m_states.erase(it.key);
-        } else if (const auto record = decodeJobRecord(*it.value)) {
+        } else if (const auto record = decodeJobRecord(*it.value); record && record->part == 0) {
             // The record that fences the topic belongs to no job and can't be decoded as one.
             m_states[record->job] = record->state;
         }
--- a/src/fleetnode/RecordBatch.cpp
+++ b/src/fleetnode/RecordBatch.cpp
@@ -1,5 +1,6 @@
 #include "marjoramhaven/fleetnode/RecordBatch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace marjoramhaven {
@@ -25,4 +26,19 @@
     return out;
 }
 
+void RecordBatch::putBack(std::vector<KeyedRecord> records)
+{
+    m_next -= records.size();
+    std::move(records.begin(), records.end(), m_records.begin() + static_cast<std::ptrdiff_t>(m_next));
+}
+
+void RecordBatch::removeIf(const std::function<bool(const std::string &key)> &condition)
+{
+    const auto first = m_records.begin() + static_cast<std::ptrdiff_t>(m_next);
+    const auto last = std::remove_if(first, m_records.end(), [&condition](const KeyedRecord &it) {
+        return condition(it.key);
+    });
+    m_records.erase(last, m_records.end());
+}
+
 } // namespace marjoramhaven
--- a/src/fleetnode/RecordWriter.cpp
+++ b/src/fleetnode/RecordWriter.cpp
@@ -33,7 +33,7 @@
 void RecordWriter::store(KeyedRecord record, TimePoint deadline, Done done)
 {
     ++m_pendingCount;
-    m_queue.push_back(std::make_shared<Entry>(Entry {std::move(record), deadline, std::move(done), false, {}}));
+    m_queue.push_back(std::make_shared<Entry>(Entry {std::move(record), deadline, std::move(done), false, false, {}}));
     flush();
 }
 
@@ -127,6 +127,9 @@
     std::vector<EntryPtr> entries;
     std::size_t bytes = 0;
     std::erase_if(m_queue, [&](const EntryPtr &it) {
+        if (!entries.empty() && (it->isSentAlone || entries.front()->isSentAlone)) {
+            return false;
+        }
         if (bytes >= MaxAppendBytes || (m_breaker.isOpen() && !it->mayBeStored)) {
             return false;
         }
@@ -201,7 +204,10 @@
         }
         it->mayBeStored = it->mayBeStored || result.outcome == AppendOutcome::Unknown;
         it->reason = result.reason;
-        if (it->deadline - now < MinAppendTime + RetryPause) {
+        // One invalid record must not keep the others of its append from being stored.
+        it->isSentAlone = it->isSentAlone || result.isInvalid;
+        const bool isAtFault = result.isInvalid && entries.size() == 1;
+        if (isAtFault || it->deadline - now < MinAppendTime + RetryPause) {
             answer(it, it->mayBeStored ? SubmitOutcome::Unknown : SubmitOutcome::Refused, it->reason, MinClientRetryAfter);
         } else {
             m_queue.push_back(it);
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -126,7 +126,9 @@
     auto process = std::make_shared<PlannerProcess>(*this);
     ++m_fencingToken;
     m_writerFence = m_fencingToken;
-    process->planner = std::make_unique<FleetPlanner>(*process, m_eventLog, PlannerLimits {}, m_fencingToken, m_now);
+    PlannerLimits limits;
+    limits.tasksPerPart = m_options.tasksPerPart;
+    process->planner = std::make_unique<FleetPlanner>(*process, m_eventLog, limits, m_fencingToken, m_now);
     m_planner = process;
     for (const auto &[id, request] : m_requests) {
         process->planner->restoreJob(request, request.acceptedUnixMs, m_now);
@@ -225,16 +227,43 @@
             return;
         }
         for (const auto &it : batch.records) {
-            m_records[it.job] = it;
+            m_records[progressKey(it.job, it.part)] = it;
+        }
+        for (const auto &it : batch.dropped) {
+            m_records.erase(it);
         }
         process->isStoring = false;
         process->receive([this, process, batch, sentAt]() {
             process->planner->confirmLeadership(sentAt, m_now);
             process->planner->batchStored(batch.number, m_now);
+            checkStoredProgress(*process->planner);
         });
     });
 }
 
+void FakeFleet::checkStoredProgress(const FleetPlanner &planner)
+{
+    // The answer to an append may reach a process long after another has taken over.
+    if (planner.hasUnstoredChanges() || planner.fencingToken() != m_writerFence) {
+        return;
+    }
+    std::map<std::string, std::map<FleetTaskId, std::string>> stored;
+    for (const auto &[key, record] : m_records) {
+        for (const auto &it : record.tasks) {
+            stored[record.job][{record.job, it.occurrence, it.step, it.index}] = encodeJobRecord({record.job, {}, {it}, 0});
+        }
+    }
+    for (const auto &[id, request] : m_requests) {
+        std::map<FleetTaskId, std::string> expected;
+        for (const auto &it : planner.progressOf(id).value_or(JobRecord {}).tasks) {
+            expected[{id, it.occurrence, it.step, it.index}] = encodeJobRecord({id, {}, {it}, 0});
+        }
+        if (stored[id] != expected) {
+            m_violations.push_back("stored progress of " + id + " is outdated");
+        }
+    }
+}
+
 void FakeFleet::checkCapacity()
 {
     for (const auto &it : m_workers) {
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -29,6 +29,8 @@
     std::uint64_t seed = 1;
     /// Rate of the workers' clocks.
     double workerClockRate = 1;
+    /// Number of tasks in one part of the stored progress; small, so that most jobs have several parts.
+    int tasksPerPart = 3;
 };
 
 /// Simulation of a whole fleet in virtual time: the real planner with models of workers, advisor and log.
@@ -123,6 +125,8 @@
     void storeBatch(const std::shared_ptr<PlannerProcess> &process);
     void recordRunEvent(const RunEvent &event);
     void checkCapacity();
+    // Checks that a successor would find in the log what the planner knows, while the planner says that all of it is stored.
+    void checkStoredProgress(const FleetPlanner &planner);
     void checkGangs();
     bool chance(double share);
     bool areEndsLost(const std::string &worker, TimePoint since) const;
--- a/tests/fleetnode/FleetNodeTest.cpp
+++ b/tests/fleetnode/FleetNodeTest.cpp
@@ -292,4 +292,60 @@
         2000));
 }
 
+// Guards against all work coming to a halt because the log refuses the progress of one job.
+BOOST_AUTO_TEST_CASE(jobWhoseProgressTheLogRefusesDoesNotKeepOthersFromStarting)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    log.put(StateTopic::Workers, "w", "1");
+    log.invalidKey = "bad";
+    Node process(log);
+    BOOST_REQUIRE(waitFor(
+        [&process]() {
+            process.node->updateGauges();
+            return process.node->configuration() != nullptr && process.metrics.render().find("workers 1") != std::string::npos;
+        },
+        5000));
+    for (const std::string id : {"bad", "a", "b"}) {
+        process.node->submit(process.job(id), Budget, [](const SubmitResult & /*answer*/) {});
+    }
+    const auto hasStarted = [&process](const std::string &id) {
+        return std::any_of(process.workers.started.begin(), process.workers.started.end(), [&id](const StartRunRequest &it) {
+            return it.task.job == id;
+        });
+    };
+    BOOST_TEST(waitFor(
+        [&hasStarted]() {
+            return hasStarted("a") && hasStarted("b");
+        },
+        3000));
+    BOOST_TEST(!hasStarted("bad"));
+    // Once the log takes it, the job goes on.
+    log.invalidKey.clear();
+    BOOST_TEST(waitFor(
+        [&hasStarted]() {
+            return hasStarted("bad");
+        },
+        5000));
+}
+
+// Guards against a job that is accepted though its records are larger than those that the log takes.
+BOOST_AUTO_TEST_CASE(jobThatTheLogCanNeverHoldIsRefusedWithTheLimit)
+{
+    MemoryLog log;
+    log.put(StateTopic::Operator, ConfigurationKey, "1");
+    Node process(log);
+    log.maxRecordBytes = static_cast<std::size_t>(process.settings.storeMaxRecordBytes);
+    auto job = process.job("job");
+    job.steps[0].requiredLabel = std::string(log.maxRecordBytes, 'l');
+    std::optional<SubmitResult> answer;
+    process.node->submit(job, Budget, [&answer](const SubmitResult &it) {
+        answer = it;
+    });
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST((answer->outcome == SubmitOutcome::Invalid));
+    BOOST_TEST(answer->reason.find(std::to_string(process.settings.storeMaxRecordBytes)) != std::string::npos);
+    BOOST_TEST(log.end(StateTopic::Jobs) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -63,6 +63,15 @@
             done(out);
             return;
         }
+        out.isInvalid = std::any_of(request.records.begin(), request.records.end(), [this](const KeyedRecord &it) {
+            return it.key == invalidKey || 1 + it.key.size() + (it.value ? it.value->size() : 0) > maxRecordBytes;
+        });
+        if (out.isInvalid) {
+            out.outcome = AppendOutcome::Refused;
+            out.reason = "status 400";
+            done(out);
+            return;
+        }
         const bool hasMoved = request.expectedEnd && *request.expectedEnd != out.offset;
         out.outcome = hasMoved ? AppendOutcome::EndMismatch : AppendOutcome::Stored;
         if (!hasMoved) {
--- a/tests/fleetnode/MemoryLog.h
+++ b/tests/fleetnode/MemoryLog.h
@@ -31,6 +31,10 @@
     std::set<StateTopic> unresponsiveTopics;
     /// Appends with more bytes of keys and values than this get no answer and store nothing, as over a link that does not carry them within the timeout.
     std::size_t maxAnsweredAppendBytes = SIZE_MAX;
+    /// Appends with a larger record than this are refused as invalid.
+    std::size_t maxRecordBytes = SIZE_MAX;
+    /// Appends with a record of this key are refused as invalid.
+    std::string invalidKey;
     /// While true, appends can't be sent, as to an address that refuses connections.
     bool isUnreachable = false;
     /// While true, appends are refused after the usual delay.
--- a/tests/fleetnode/RecordBatchTest.cpp
+++ b/tests/fleetnode/RecordBatchTest.cpp
@@ -31,4 +31,19 @@
     BOOST_TEST(RecordBatch().isEmpty());
 }
 
+BOOST_AUTO_TEST_CASE(recordsThatArePutBackComeAgainInOrder)
+{
+    RecordBatch batch({{"a", "1", 0}, {"b", "2", 0}, {"c", std::nullopt, 0}, {"d", "4", 0}});
+    batch.takeNext(2);
+    batch.putBack(batch.takeNext(1000));
+    batch.removeIf([](const std::string &key) {
+        return key == "c";
+    });
+    const auto rest = batch.takeNext(1000);
+    BOOST_REQUIRE(rest.size() == 2U);
+    BOOST_TEST((rest[0].key == "b" && rest[0].value == "2"));
+    BOOST_TEST((rest[1].key == "d" && rest[1].value == "4"));
+    BOOST_TEST(batch.isEmpty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleetnode/RecordWriterTest.cpp
+++ b/tests/fleetnode/RecordWriterTest.cpp
@@ -187,4 +187,24 @@
     BOOST_TEST((request.answeredAt - request.submittedAt).count() < 900);
 }
 
+// Guards against valid records that are refused because the log can't take another record of the same append.
+BOOST_AUTO_TEST_CASE(invalidRecordIsRefusedAndTheOthersOfItsAppendAreStored)
+{
+    MemoryLog log;
+    log.invalidKey = "job/bad";
+    RecordWriter writer(log, StateTopic::Jobs);
+    // The first two appends hold one record each; the records that come meanwhile share the third.
+    std::vector<StoreRequest> requests(6);
+    const std::vector<std::string> keys {"job/1", "job/2", "job/3", "job/bad", "job/4", "job/5"};
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+        requests[i].store(writer, keys[i]);
+    }
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+        BOOST_REQUIRE(requests[i].waitForAnswer());
+        const auto expected = keys[i] == log.invalidKey ? SubmitOutcome::Refused : SubmitOutcome::Accepted;
+        BOOST_TEST((requests[i].answer->outcome == expected), keys[i]);
+    }
+    BOOST_TEST(log.end(StateTopic::Jobs) == 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
