A start that was given up counts on its worker until it can't be carried out any more

What callers saw: on a deployment whose jobs limit the tasks of a step on one worker, starts beyond that limit and, with them, two runs of one task.

A start that was not answered, was stopped and is not listed was forgotten, though the next incarnation of its worker, which knows nothing of the stop, may still carry it out. Its task, or another of the same step, was placed there again; other work started there before the stop was confirmed; and a new leader knew nothing of its predecessor's starts.

Evidence: the three cases of PossibleRuns failed on the code before (a second start on the worker, twice; no stop sent) and pass.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -315,10 +315,14 @@
     std::vector<PendingStep> pendingSteps(TimePoint now);
     bool needsSpeculativeRun(const FleetTask &task) const;
     static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
-    static bool isUsable(const FleetWorker &worker, TimePoint now);
+    bool isUsable(const FleetWorker &worker, TimePoint now) const;
     // Like isUsable(), also for a worker that is avoided for a while.
-    static bool acceptsStarts(const FleetWorker &worker, TimePoint now);
-    static bool isEligible(const FleetWorker &worker, const PendingStep &pending);
+    bool acceptsStarts(const FleetWorker &worker, TimePoint now) const;
+    // Returns true if it is known what runs on the worker, and the worker is to get more.
+    bool isOpenForStarts(const FleetWorker &worker, TimePoint now) const;
+    // Returns true while a start request to an earlier incarnation may still be carried out by this one, which has not confirmed that it is stopped.
+    bool owesStops(const FleetWorker &worker) const;
+    static bool isEligible(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec);
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
@@ -336,6 +340,8 @@
     static bool canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims);
     void preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now);
     std::map<std::string, int> runsPerWorker(const FleetStep &step) const;
+    // Like runsPerWorker(), with the start requests of the step that were given up and may still be carried out. Empty if the step has no limit on that.
+    std::map<std::string, int> possibleRunsPerWorker(const FleetStep &step, const StepSpec &spec) const;
     // FleetPlannerAdvice.cpp: requests to the advisor for steps that are ready or will be soon
     bool requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
     void prefetchAdvice(const std::vector<FleetWorker *> &workers, TimePoint now);
--- a/src/fleet/FleetPlannerAdvice.cpp
+++ b/src/fleet/FleetPlannerAdvice.cpp
@@ -50,7 +50,7 @@
                 const auto needs = reservedResources(spec);
                 std::vector<FleetWorker *> candidates;
                 std::copy_if(workers.begin(), workers.end(), std::back_inserter(candidates), [&](const FleetWorker *it) {
-                    return it->hasRoomFor(needs) && isEligible(*it, pending);
+                    return it->hasRoomFor(needs) && isEligible(*it, *pending.job, *pending.spec);
                 });
                 step.isAdvicePrefetched = requestAdvice(pending, candidates, step.tasks.size() * PrefetchFactor, now);
             }
@@ -66,7 +66,7 @@
     if (!m_advice.mayRequest(queue, now) || m_advice.isRequestBlocked(name, now)) {
         return false;
     }
-    const auto perWorker = runsPerWorker(*pending.step);
+    const auto perWorker = possibleRunsPerWorker(*pending.step, *pending.spec);
     std::vector<FleetWorker *> expired;
     std::vector<FleetWorker *> unknown;
     for (auto *it : candidates) {
--- a/src/fleet/FleetPlannerGangs.cpp
+++ b/src/fleet/FleetPlannerGangs.cpp
@@ -43,7 +43,7 @@
     const auto needs = reservedResources(*pending.spec);
     std::vector<FleetWorker *> out;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
-        return isLargeEnough(*it, needs) && !it->isHeld && isEligible(*it, pending);
+        return isLargeEnough(*it, needs) && !it->isHeld && isEligible(*it, *pending.job, *pending.spec);
     });
     return out;
 }
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -115,22 +115,34 @@
     prefetchAdvice(usable, now);
 }
 
-bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now)
+bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now) const
 {
     return acceptsStarts(worker, now) && worker.avoidUntil <= now;
 }
 
-bool FleetPlanner::acceptsStarts(const FleetWorker &worker, TimePoint now)
+bool FleetPlanner::acceptsStarts(const FleetWorker &worker, TimePoint now) const
+{
+    return isOpenForStarts(worker, now) && worker.failedPolls == 0;
+}
+
+bool FleetPlanner::isOpenForStarts(const FleetWorker &worker, TimePoint now) const
 {
     const bool isListed = worker.isListed || (worker.unlistedSince != TimePoint {} && now - worker.unlistedSince < UnlistedGracePeriod);
-    return isListed && !worker.isEntryUnreadable && worker.isInventoried && !worker.isEarlierPollInFlight && worker.failedPolls == 0
-        && !worker.report.isDraining && worker.startedUnixMs == worker.report.startedUnixMs;
+    return isListed && !worker.isEntryUnreadable && worker.isInventoried && !worker.isEarlierPollInFlight && !worker.report.isDraining
+        && worker.startedUnixMs == worker.report.startedUnixMs && !owesStops(worker);
+}
+
+bool FleetPlanner::owesStops(const FleetWorker &worker) const
+{
+    return std::any_of(worker.unansweredStarts.begin(), worker.unansweredStarts.end(), [this](const UnansweredStart &it) {
+        return it.mustStop && !m_runs.contains(it.key);
+    });
 }
 
-bool FleetPlanner::isEligible(const FleetWorker &worker, const PendingStep &pending)
+bool FleetPlanner::isEligible(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec)
 {
-    const auto &label = pending.spec->requiredLabel;
-    return worker.report.service == queueOf(*pending.job).service && (label.empty() || worker.hasLabel(label));
+    const auto &label = spec.requiredLabel;
+    return worker.report.service == queueOf(job).service && (label.empty() || worker.hasLabel(label));
 }
 
 void FleetPlanner::placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
@@ -139,7 +151,7 @@
     const auto &queue = queueOf(*pending.job);
     std::vector<FleetWorker *> withRoom;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
-        return it->hasRoomFor(needs) && !it->isHeld && isEligible(*it, pending);
+        return it->hasRoomFor(needs) && !it->isHeld && isEligible(*it, *pending.job, *pending.spec);
     });
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
     if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
@@ -172,7 +184,7 @@
         --m_preemptionsLeft;
         std::vector<FleetWorker *> usable;
         std::copy_if(workers.begin(), workers.end(), std::back_inserter(usable), [&](const FleetWorker *it) {
-            return isEligible(*it, pending);
+            return isEligible(*it, *pending.job, *pending.spec);
         });
         preemptFor(pending, usable, now);
         std::erase_if(usable, [&](const FleetWorker *it) {
@@ -230,6 +242,25 @@
     return out;
 }
 
+std::map<std::string, int> FleetPlanner::possibleRunsPerWorker(const FleetStep &step, const StepSpec &spec) const
+{
+    if (spec.maxPerWorker <= 0) {
+        return {};
+    }
+    auto out = runsPerWorker(step);
+    const auto &first = step.tasks.front().id;
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &it : worker.unansweredStarts) {
+            const auto &task = it.key.task;
+            const bool isOfStep = task.step == first.step && task.occurrence == first.occurrence && task.job == first.job;
+            if (isOfStep && !m_runs.contains(it.key)) {
+                ++out[id];
+            }
+        }
+    }
+    return out;
+}
+
 FleetWorker *FleetPlanner::chooseWorker(const PendingStep &pending,
                                         const FleetTask &task,
                                         const std::vector<FleetWorker *> &candidates,
@@ -261,7 +292,7 @@
     if (candidates.empty()) {
         return;
     }
-    auto perWorker = runsPerWorker(*pending.step);
+    auto perWorker = possibleRunsPerWorker(*pending.step, *pending.spec);
     std::vector<FleetTask *> left;
     for (auto *task : pending.waiting) {
         auto *worker = chooseWorker(pending, *task, candidates, perWorker);
@@ -277,7 +308,7 @@
 
 void FleetPlanner::placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
 {
-    auto perWorker = runsPerWorker(*pending.step);
+    auto perWorker = possibleRunsPerWorker(*pending.step, *pending.spec);
     std::int64_t attempt = 0;
     for (const auto *task : pending.waiting) {
         attempt = std::max(attempt, task->lastAttempt + 1);
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -102,6 +102,10 @@
         auto *run = findRun(key);
         const bool isAnswered = run != nullptr && run->state == RunState::Running && !run->isListed;
         const bool isUnanswered = run != nullptr && (run->state == RunState::Starting || run->state == RunState::Unconfirmed);
+        if (run != nullptr && run->state == RunState::Inherited) {
+            // The previous leader may have sent its start request just before.
+            rememberUnansweredStart(worker, key, run->workerStartedUnixMs, now);
+        }
         if (startedUnixMs != 0 && (isAnswered || isUnanswered)) {
             if (isAnswered) {
                 setState(*run, RunState::Unconfirmed, now);
@@ -374,7 +378,8 @@
     case RunState::Starting:
         return;
     case RunState::Inherited:
-        // The worker has seen this planner's fencing token, so a start request of the previous leader can't take effect any more.
+        // The worker has seen this planner's fencing token, so a start request of the previous leader can't take effect any more. Its next incarnation has not.
+        rememberUnansweredStart(worker, key, run.workerStartedUnixMs, now);
         discardUnstartedRun(key, "not listed by its worker after the takeover", Millis(0), now);
         return;
     case RunState::Unconfirmed:
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -264,6 +264,22 @@
     }
 }
 
+void FakeFleet::checkSpread(const RunEvent &start)
+{
+    const auto &id = start.task;
+    const auto &spec = m_requests.at(id.job).steps[static_cast<std::size_t>(id.step)];
+    int count = 1;
+    for (const auto &[task, runs] : m_runningNow) {
+        const bool isSameStep = task.job == id.job && task.occurrence == id.occurrence && task.step == id.step;
+        count += static_cast<int>(std::count_if(runs.begin(), runs.end(), [&](const auto &run) {
+            return isSameStep && run.first == start.worker;
+        }));
+    }
+    if (spec.maxPerWorker > 0 && count > spec.maxPerWorker) {
+        m_violations.push_back("too many tasks of one step on " + start.worker + ": " + id.toString());
+    }
+}
+
 void FakeFleet::checkCapacity()
 {
     for (const auto &it : m_workers) {
@@ -335,6 +351,7 @@
             }
         }
     }
+    checkSpread(event);
     const auto failures = endsOf(name, RunEnd::Failed);
     if (!spec.isLongRunning && failures >= queue.maxAttempts) {
         m_violations.push_back("started after its last attempt: " + name);
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -31,6 +31,8 @@
     double workerClockRate = 1;
     /// Number of tasks in one part of the stored progress; small, so that most jobs have several parts.
     int tasksPerPart = 3;
+    /// True if a delayed request is carried out even when its worker has restarted meanwhile; otherwise it is lost then.
+    bool delayedRequestsOutliveWorkers = false;
 };
 
 /// Simulation of a whole fleet in virtual time: the real planner with models of workers, advisor and log.
@@ -125,6 +127,8 @@
     void storeBatch(const std::shared_ptr<PlannerProcess> &process);
     void recordRunEvent(const RunEvent &event);
     void checkCapacity();
+    // Checks that a run that starts does not exceed the number of its step's tasks that one worker may run.
+    void checkSpread(const RunEvent &start);
     // Checks that a successor would find in the log what the planner knows, while the planner says that all of it is stored.
     void checkStoredProgress(const FleetPlanner &planner);
     void checkGangs();
--- a/tests/fleet/FakeFleetPlanner.h
+++ b/tests/fleet/FakeFleetPlanner.h
@@ -75,9 +75,9 @@
         if (fleet.chance(fleet.m_delayedRequestShare)) {
             const auto span = (MaxExecutionDelay - MinExecutionDelay).count();
             const auto later = MinExecutionDelay + Millis(static_cast<std::int64_t>(fleet.m_random() % static_cast<std::uint64_t>(span)));
-            // The delayed request waits inside the worker and is lost if the worker restarts.
+            // The delayed request waits inside the worker or on the way to it.
             fleet.after(later, [this, self, i, request, startedUnixMs = fleet.m_workers[i]->report().startedUnixMs]() {
-                if (fleet.m_workers[i]->report().startedUnixMs == startedUnixMs) {
+                if (fleet.m_options.delayedRequestsOutliveWorkers || fleet.m_workers[i]->report().startedUnixMs == startedUnixMs) {
                     request(*fleet.m_workers[i]);
                 }
             });
--- a/tests/fleet/FaultsTest.cpp
+++ b/tests/fleet/FaultsTest.cpp
@@ -225,4 +225,36 @@
     }
 }
 
+// Guards against more tasks of a step on one worker than the step allows: start requests are carried out late, by the next incarnation of their worker.
+BOOST_AUTO_TEST_CASE(spreadIsKeptWhenRestartedWorkersCarryOutLateStarts)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount() * 4; ++seed) {
+        FakeFleetOptions options;
+        options.seed = seed;
+        options.delayedRequestsOutliveWorkers = true;
+        FakeFleet fleet(options);
+        std::mt19937_64 random(seed);
+        for (int i = 0; i < 6; ++i) {
+            StepSpec step;
+            step.taskCount = 4;
+            step.needs = {500, 500, 0};
+            step.estimateMs = 400;
+            step.isLongRunning = true;
+            step.maxPerWorker = 1;
+            fleet.setDelayedRequestShare(0.3);
+            fleet.submit(fleet.makeJob("j" + std::to_string(i), {step}));
+            fleet.run(Millis(1500));
+            fleet.setDelayedRequestShare(0);
+            for (int n = 0; n < 2; ++n) {
+                fleet.restartWorker(static_cast<int>(random() % static_cast<std::uint64_t>(options.workers)));
+                fleet.run(Millis(700));
+            }
+            fleet.run(Millis(random() % 3000));
+        }
+        for (const auto &it : fleet.violations()) {
+            BOOST_TEST(!it.starts_with("too many tasks"), "seed " << seed << ": " << it);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fleet/PossibleRunsTest.cpp
@@ -0,0 +1,121 @@
+#include <boost/test/unit_test.hpp>
+
+#include "PlannerScript.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+const WorkerResponse NoAnswer {};
+constexpr std::int64_t Reborn = 2;
+
+// Two tasks of which one worker may run only one, and has room for both.
+StepSpec spreadStep(int taskCount)
+{
+    StepSpec out;
+    out.taskCount = taskCount;
+    out.needs = {300, 300, 0};
+    out.estimateMs = 4000;
+    out.maxPerWorker = 1;
+    return out;
+}
+
+// Lets the start request under way to "w0" go unanswered, its stop be confirmed, and "w0" list nothing.
+void giveUpStart(PlannerScript &script)
+{
+    const auto start = script.port.starts.back();
+    BOOST_REQUIRE_EQUAL(start.worker.id, "w0");
+    script.advance(Millis(600));
+    script.planner.handleStartResponse(start, NoAnswer, script.now);
+    script.advance(Millis(25));
+    for (int i = 0; i < 3 && script.port.stops.empty(); ++i) {
+        script.answerPoll("w0", {});
+    }
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+    script.planner.handleStopResponse(script.port.stops.back(), script.done(), script.now);
+    script.answerPoll("w0", {});
+    script.answerPoll("w0", {});
+    // The worker is avoided for a moment after a request without an answer.
+    script.advance(Millis(500));
+    script.answerPoll("w0", {});
+}
+
+} // namespace
+
+// What may run on a worker, beside what the planner has placed there: runs that it does not know, and starts that are carried out late.
+BOOST_AUTO_TEST_SUITE(PossibleRuns)
+
+// Guards against too many tasks of a step on one worker, and two runs of one task there: a start that was given up is carried out late.
+BOOST_AUTO_TEST_CASE(stepGetsNoSecondTaskWhereAnEarlierStartMayStillBeCarriedOut)
+{
+    PlannerScript script(1);
+    script.submitStep("j", spreadStep(1));
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    giveUpStart(script);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    // The request is carried out within this time or never.
+    for (int i = 0; i < 14; ++i) {
+        script.advance(Millis(1000));
+        script.answerPoll("w0", {});
+    }
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+}
+
+// Guards against too little room or too many tasks of a step on a worker that has restarted and may carry out a start that its last incarnation was sent.
+BOOST_AUTO_TEST_CASE(nothingStartsOnARestartedWorkerBeforeAnOwedStopIsConfirmed)
+{
+    PlannerScript script(1);
+    script.submit("j", 4000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    giveUpStart(script);
+    script.planner.jobCancelled("j", script.now);
+    auto entry = script.entry("w0");
+    entry.startedUnixMs = Reborn;
+    script.answerPoll("w0", {}, Reborn);
+    script.planner.workerReported(entry, script.now);
+    BOOST_REQUIRE_EQUAL(script.port.stops.size(), 2U);
+    script.submit("other", 1000);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 1U);
+    script.planner.handleStopResponse(script.port.stops.back(), script.done(), script.now);
+    script.planAndStore();
+    BOOST_TEST(script.port.starts.size() == 2U);
+}
+
+// Guards against two runs of one task: the worker to which the previous leader sent a start restarts, and carries it out.
+BOOST_AUTO_TEST_CASE(startOfThePreviousLeaderIsStoppedWhenItsWorkerRestarts)
+{
+    for (const bool isListedInBetween : {false, true}) {
+        PlannerScript script(0);
+        FleetPlanner planner(script.port, script.events, PlannerLimits {}, 8, script.now);
+        FleetJobRequest request;
+        request.id = "j";
+        request.queue = script.queue;
+        request.steps.push_back(spreadStep(1));
+        planner.restoreJob(request, 0, script.now);
+        planner.restoreProgress({"j", FleetJobState::Running, {{0, 0, 0, 1, {}, false, "", {{1, "w0", 1}}}}, 0}, script.now);
+        planner.confirmLeadership(script.now, script.now);
+        planner.startPlanning(script.now);
+        planner.workerReported(script.entry("w0"), script.now);
+        planner.tick(0, script.now);
+        if (isListedInBetween) {
+            planner.handlePollResponse(script.lastPoll("w0"), script.list({}), script.now);
+            script.now += Millis(25);
+            planner.tick(0, script.now);
+        }
+        auto list = script.list({});
+        list.startedUnixMs = Reborn;
+        planner.handlePollResponse(script.lastPoll("w0"), list, script.now);
+        planner.tick(0, script.now);
+        BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
+        BOOST_TEST(script.port.stops.back().task.toString() == "j.0.0.0");
+        BOOST_TEST(script.port.stops.back().attempt == 1);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
