A worker is looked at again before a start is sent to it

Callers of a draining worker's tasks saw these stopped soon after their start.

Cause: a start waits until its record is stored, which takes seconds while the store is slow. Before the first sending only the incarnation was compared, and that is known late. A worker that had started again as another kind, was reported as draining, or had listed an unknown run of the step, got the start.

Fix: before the first sending the planner checks that the worker is listed, open for starts and of the incarnation that listed its runs, its service and label, its room, and the limit of the step. If not, the task is placed again.

Evidence: the three new cases of PossibleRuns failed on the code before (the start was sent) and pass.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -273,6 +273,8 @@
     FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now);
     // FleetPlannerStarts.cpp: start requests
     void sendStart(FleetRun &run, TimePoint now);
+    // Returns why a planned run must not start on its worker any more, or nullptr. The store may take seconds, in which the worker may change.
+    const char *reasonNotToStart(const FleetRun &run, const FleetJob &job, TimePoint now) const;
     // Returns true if the start request of a run whose outcome is not known may be sent again to the same worker.
     bool mayRepeatStart(const FleetRun &run, TimePoint now) const;
     void requestStart(FleetRun &run, TimePoint now);
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -35,6 +35,10 @@
         discardUnstartedRun(RunKey(run.key), "its ticket expired before the start request was sent", Millis(0), now);
         return;
     }
+    if (const auto *reason = reasonNotToStart(run, *job, now)) {
+        discardUnstartedRun(RunKey(run.key), reason, Millis(0), now);
+        return;
+    }
     if (!m_leadership.isValid(now)) {
         discardUnstartedRun(RunKey(run.key), "leadership was not confirmed when the start request was due", PauseAfterRefusal, now);
         return;
@@ -43,6 +47,28 @@
     requestStart(run, now);
 }
 
+const char *FleetPlanner::reasonNotToStart(const FleetRun &run, const FleetJob &job, TimePoint now) const
+{
+    const auto &worker = m_workers.at(run.worker);
+    const auto &spec = job.spec(run.key.task.step);
+    if (!isOpenForStarts(worker, now)) {
+        return "its worker stopped accepting runs before the start request was sent";
+    }
+    if (!isEligible(worker, job, spec)) {
+        return "its worker is of another kind since it was placed";
+    }
+    if (!worker.hasRoomFor({})) {
+        return "its worker has less room than when it was placed";
+    }
+    if (spec.maxPerWorker > 0) {
+        const auto &step = job.occurrences().at(run.key.task.occurrence).steps[static_cast<std::size_t>(run.key.task.step)];
+        if (possibleRunsPerWorker(step, spec)[run.worker] > spec.maxPerWorker) {
+            return "its worker may run too many tasks of the step";
+        }
+    }
+    return nullptr;
+}
+
 bool FleetPlanner::mayRepeatStart(const FleetRun &run, TimePoint now) const
 {
     const auto worker = m_workers.find(run.worker);
--- a/tests/fleet/PossibleRunsTest.cpp
+++ b/tests/fleet/PossibleRunsTest.cpp
@@ -21,6 +21,18 @@
     return out;
 }
 
+// Plans and stores, with something that happens while the record of the decisions is being stored.
+template<typename Happening>
+void planAndStoreWhile(PlannerScript &script, const Happening &happening)
+{
+    script.confirm();
+    script.planner.plan(script.now);
+    const auto batch = script.planner.takeBatch(script.now);
+    happening();
+    script.confirm();
+    script.planner.batchStored(batch.number, script.now);
+}
+
 // Lets the start request under way to "w0" go unanswered, its stop be confirmed, and "w0" list nothing.
 void giveUpStart(PlannerScript &script)
 {
@@ -46,6 +58,44 @@
 // What may run on a worker, beside what the planner has placed there: runs that it does not know, and starts that are carried out late.
 BOOST_AUTO_TEST_SUITE(PossibleRuns)
 
+// Guards against a start on a worker of another service: while the decision was being stored, the worker started again as another kind.
+BOOST_AUTO_TEST_CASE(startIsNotSentToAWorkerThatBecameAnotherKind)
+{
+    PlannerScript script(1);
+    script.submit("j", 1000);
+    planAndStoreWhile(script, [&script]() {
+        auto entry = script.entry("w0");
+        entry.service = "other";
+        entry.startedUnixMs = Reborn;
+        script.planner.workerReported(entry, script.now);
+    });
+    BOOST_TEST(script.port.starts.empty());
+}
+
+// Guards against a start on a worker that was reported as draining while the decision was being stored.
+BOOST_AUTO_TEST_CASE(startIsNotSentToAWorkerThatDrains)
+{
+    PlannerScript script(1);
+    script.submit("j", 1000);
+    planAndStoreWhile(script, [&script]() {
+        auto entry = script.entry("w0");
+        entry.isDraining = true;
+        script.planner.workerReported(entry, script.now);
+    });
+    BOOST_TEST(script.port.starts.empty());
+}
+
+// Guards against too many tasks of a step on one worker: the worker lists one that the planner does not know while the decision is being stored.
+BOOST_AUTO_TEST_CASE(startIsNotSentBesideAnUnknownRunOfItsStep)
+{
+    PlannerScript script(1);
+    script.submitStep("j", spreadStep(2));
+    planAndStoreWhile(script, [&script]() {
+        script.answerPoll("w0", {{{"j", 0, 0, 1}, 7, {}, 1, 0}});
+    });
+    BOOST_TEST(script.port.starts.empty());
+}
+
 // Guards against too many tasks of a step on one worker, and two runs of one task there: a start that was given up is carried out late.
 BOOST_AUTO_TEST_CASE(stepGetsNoSecondTaskWhereAnEarlierStartMayStillBeCarriedOut)
 {
