An outdated part of stored progress restores no runs, and waiting jobs are not stored at a takeover

FleetJob::restore now says whether it has used a part. A job without any record was also taken for changed at each takeover, one needless record a waiting job; and a gang whose parts disagreed was aligned in memory only.

Successors/runOfAnOutdatedPartIsNotRestored and Successors/jobThatHasNotBegunIsNotStoredAtATakeover guard against the first two.

--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -110,8 +110,9 @@
     /// Creates the occurrences that are due and do not exist yet.
     void createDueOccurrences(std::int64_t nowUnixMs);
 
-    /// Restores the job's state from one part of its stored progress. Part 0 must come first.
-    void restore(const JobRecord &record);
+    /// Restores the job's state from one part of its stored progress. Part 0 must come first. Returns false if part 0 has replaced this part, which is then
+    /// ignored.
+    bool restore(const JobRecord &record);
     /// Makes the members of each gang agree once all parts are restored, since the parts of a change may not all have been stored.
     void alignGangs();
     /// Returns the whole progress in one record, as a successor has to find it; the locator is called for each active run.
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -134,7 +134,7 @@
     }
 }
 
-void FleetJob::restore(const JobRecord &record)
+bool FleetJob::restore(const JobRecord &record)
 {
     if (record.part == 0) {
         state = record.state;
@@ -143,7 +143,7 @@
     } else {
         m_storedParts.insert(record.part);
         if (m_isRestoredWhole) {
-            return;
+            return false;
         }
     }
     for (const auto &it : record.tasks) {
@@ -171,6 +171,7 @@
     if (m_isRestoredWhole && record.part == 0) {
         markAllChanged();
     }
+    return true;
 }
 
 void FleetJob::alignGangs()
@@ -185,9 +186,17 @@
                 return a.lastAttempt < b.lastAttempt;
             });
             const bool isDone = step.doneCount > 0;
+            const auto checkpoint = isDone ? std::string() : newest.checkpoint;
+            const bool areAligned = std::all_of(step.tasks.begin(), step.tasks.end(), [&](const FleetTask &it) {
+                return it.isDone == isDone && it.checkpoint == checkpoint && it.failureCount() == newest.failureCount();
+            });
+            if (areAligned) {
+                continue;
+            }
+            markStepChanged(number, static_cast<int>(i));
             for (auto &task : step.tasks) {
                 task.isDone = isDone;
-                task.checkpoint = isDone ? std::string() : newest.checkpoint;
+                task.checkpoint = checkpoint;
                 task.failedAttempts = newest.failedAttempts;
                 task.olderFailures = newest.olderFailures;
             }
@@ -231,7 +240,7 @@
 
 bool FleetJob::hasChanges() const
 {
-    return !m_changedParts.empty() || m_writtenState != state || (m_isReleased && !m_storedParts.empty());
+    return !m_changedParts.empty() || m_writtenState.value_or(FleetJobState::Queued) != state || (m_isReleased && !m_storedParts.empty());
 }
 
 void FleetJob::appendRow(std::vector<TaskRecord> &rows, const FleetTask &task, const RunLocator &locateRun) const
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -43,7 +43,9 @@
         m_droppedRecords.push_back(progressKey(record.job, record.part));
         return;
     }
-    job->restore(record);
+    if (!job->restore(record)) {
+        return;
+    }
     job->endedAt = now;
     for (const auto &row : record.tasks) {
         if (job->find({record.job, row.occurrence, row.step, row.index}) == nullptr) {
--- a/tests/fleet/SuccessorTest.cpp
+++ b/tests/fleet/SuccessorTest.cpp
@@ -90,4 +90,32 @@
     BOOST_TEST(starts.front() == "j.1.0.0");
 }
 
+// Guards against runs of an outdated part: the log holds the whole progress in one record, as earlier versions wrote it, beside a part from before.
+BOOST_AUTO_TEST_CASE(runOfAnOutdatedPartIsNotRestored)
+{
+    const PlannerScript script(0);
+    FleetJobRequest request;
+    request.id = "j";
+    request.queue = script.queue;
+    request.steps.push_back(oneTask());
+    request.steps[0].taskCount = FleetJob::TasksPerPart + 1;
+    const JobRecord whole {"j", FleetJobState::Running, {{0, 0, FleetJob::TasksPerPart, 3, {}, true, "", {}}}, 0};
+    const JobRecord outdated {"j", FleetJobState::Running, {{0, 0, FleetJob::TasksPerPart, 1, {}, false, "", {{1, "w0", 1}}}}, 1};
+    Successor successor(request, {whole, outdated});
+    BOOST_TEST(successor.planner.runCount() == 0U);
+    BOOST_TEST(successor.planner.hasUnstoredChanges());
+}
+
+// Guards against a record for each waiting job at every takeover.
+BOOST_AUTO_TEST_CASE(jobThatHasNotBegunIsNotStoredAtATakeover)
+{
+    const PlannerScript script(0);
+    FleetJobRequest request;
+    request.id = "j";
+    request.queue = script.queue;
+    request.steps.push_back(oneTask());
+    const Successor successor(request, {});
+    BOOST_TEST(!successor.planner.hasUnstoredChanges());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
