Tests over the wire: the stand-in refuses records over the limit of the platform

The stand-in of the adapter's tests and of the soak took records of any size, so no test could show that a large job stops all work. It now answers 400 to an append with a larger one, as the platform does.

--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -23,6 +23,7 @@
     out.store = {"127.0.0.1", platform.storePort()};
     out.advisor = {"127.0.0.1", platform.advisorPort()};
     out.peers = {"127.0.0.1", freePort()};
+    out.storeMaxRecordBytes = platform.maxRecordBytes;
     return out;
 }
 
@@ -62,8 +63,9 @@
     QObject context;
     PooledHttpClient client {context, 8};
 
-    explicit Fleet(int count)
+    explicit Fleet(int count, std::int64_t maxRecordBytes = 262'144)
     {
+        platform.maxRecordBytes = maxRecordBytes;
         platform.putConfiguration(3, "host.example", {"/q/"}, true);
         for (int i = 0; i < count; ++i) {
             nodes.push_back(std::make_unique<Node>("node-" + std::to_string(i), platform));
@@ -271,4 +273,47 @@
     BOOST_TEST(fleet.call(0, "GET", "/new/").status == 200);
 }
 
+// Guards against all work coming to a halt: the progress of a large job does not fit into one record of the store.
+BOOST_AUTO_TEST_CASE(jobLargerThanARecordRunsAndStopsNoOtherJob)
+{
+    constexpr std::int64_t MaxRecordBytes = 8192;
+    Fleet fleet(1, MaxRecordBytes);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    const std::string large = R"({"spec":"s","phases":[{"count":1200,"cpu":10,"mem-mb":10,"estimate-ms":150}]})";
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000b7", large).status == 200);
+    BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000c0", Job).status == 200);
+    for (const std::string id : {"00000000000000c0", "00000000000000b7"}) {
+        bool isDone = false;
+        for (int tries = 0; tries < 150 && !isDone; ++tries) {
+            isDone = fleet.isCompleted(0, id);
+            waitFor(
+                []() {
+                    return false;
+                },
+                100);
+        }
+        BOOST_TEST(isDone, id);
+    }
+}
+
+// Guards against a job that is accepted, or refused as if it could be accepted later, though the store can never hold it.
+BOOST_AUTO_TEST_CASE(jobThatCanNeverBeStoredGetsAnErrorThatNamesTheLimit)
+{
+    constexpr std::int64_t MaxRecordBytes = 8192;
+    Fleet fleet(1, MaxRecordBytes);
+    BOOST_REQUIRE(waitFor(
+        [&]() {
+            return fleet.areReady();
+        },
+        3000));
+    const auto body = R"({"spec":")" + std::string(MaxRecordBytes, 's') + R"(","phases":[{"count":1,"cpu":10,"mem-mb":10,"estimate-ms":150}]})";
+    const auto answer = fleet.call(0, "POST", "/q/00000000000000b7", body);
+    BOOST_TEST(answer.status == 400);
+    BOOST_TEST(answer.body.find("8192") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -230,8 +230,25 @@
     }
 }
 
+bool WireStandIn::hasTooLargeRecord(const QByteArray &records) const
+{
+    constexpr qsizetype LengthBytes = 4;
+    qsizetype at = 0;
+    while (at + LengthBytes <= records.size()) {
+        const auto size = static_cast<qsizetype>(qFromBigEndian<quint32>(records.constData() + at));
+        if (size > maxRecordBytes) {
+            return true;
+        }
+        at += LengthBytes + size;
+    }
+    return false;
+}
+
 HttpResponse WireStandIn::append(const HttpRequest &request)
 {
+    if (hasTooLargeRecord(request.body)) {
+        return json(400, {{"reason", "record"}});
+    }
     auto &topic = m_topics[queryOf(request, "topic")];
     const auto end = static_cast<std::int64_t>(topic.records.size());
     if (numberOf(request, "at", end) != end) {
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -32,6 +32,8 @@
     void putConfiguration(std::int64_t version, const std::string &host, const std::vector<std::string> &prefixes, bool needsAdvice, int furtherQueues = 0);
     /// Maximum number of records in a page of the newest ones. Small, so that short tests read several pages.
     std::size_t newestPageSize = 3;
+    /// Largest record that the store takes, in bytes. An append with a larger one gets status 400.
+    std::int64_t maxRecordBytes = 262'144;
     /// Appends a record to a topic of the store, as an operator or a worker does. Without a value, the record deletes the key.
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
     /// Takes the store down or up. While it is down, every call to it gets status 503.
@@ -79,6 +81,7 @@
 
     void handleStore(const HttpRequest &request, HttpRespond respond);
     HttpResponse append(const HttpRequest &request);
+    bool hasTooLargeRecord(const QByteArray &records) const;
     HttpResponse newest(const HttpRequest &request) const;
     HttpResponse readRecords(const PendingRead &reader) const;
     void handleWorker(std::size_t worker, const HttpRequest &request, HttpRespond respond);
