Restored failures are bounded, and the size of a record has one definition

A row that an earlier version stored may list thousands of failed attempts and would have kept its part over the limit of the log; a malformed one may hold a negative number of earlier failures. Both are bounded when the row is restored (ProgressParts/restoredFailuresAreBounded).

The size of a record in the log was computed in two places; sizeInLog() is used by both.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -186,6 +186,7 @@
     /// State of the job when the part was written; valid in part 0 only.
     FleetJobState state = FleetJobState::Queued;
     std::vector<TaskRecord> tasks;
+    /// Number of the part; the first is 0.
     int part = 0;
 };
 
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -85,6 +85,7 @@
     /// Number of tasks in one part of the stored progress. It belongs to the stored format.
     static constexpr int TasksPerPart = 64;
 
+    /// `tasksPerPart` is the number of tasks in one part of the stored progress.
     FleetJob(FleetJobRequest request, TimePoint acceptedAt, int tasksPerPart = TasksPerPart);
 
     const FleetJobRequest &request() const { return m_request; }
--- a/include/marjoramhaven/fleet/StateLog.h
+++ b/include/marjoramhaven/fleet/StateLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -40,6 +41,12 @@
     std::int64_t offset = 0;
 };
 
+/// Returns the size of a record in the log, in bytes: the length of its key, the key and the value.
+inline std::size_t sizeInLog(const KeyedRecord &record)
+{
+    return 1 + record.key.size() + (record.value ? record.value->size() : 0);
+}
+
 /// Outcome of an append.
 enum class AppendOutcome {
     Stored,
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -12,6 +12,8 @@
 constexpr double MillisPerSecond = 1000;
 // Bounds the stored size of a task. The ends of earlier runs were discarded by their workers long ago.
 constexpr std::size_t MaxListedFailures = 64;
+// More than any configuration allows.
+constexpr int MaxOlderFailures = 1'000'000;
 
 double adviceMs(const QueuePolicy &queue)
 {
@@ -157,8 +159,10 @@
         }
         m_isRestoredWhole = m_isRestoredWhole || (record.part == 0 && partOf(task->id) != 0);
         task->lastAttempt = it.lastAttempt;
-        task->failedAttempts.insert(it.failedAttempts.begin(), it.failedAttempts.end());
-        task->olderFailures = it.olderFailures;
+        task->olderFailures = std::clamp(it.olderFailures, 0, MaxOlderFailures);
+        for (const auto attempt : it.failedAttempts) {
+            task->addFailure(attempt);
+        }
         task->checkpoint = it.checkpoint;
         if (it.isDone && !task->isDone) {
             task->isDone = true;
@@ -185,6 +189,7 @@
             const auto newest = *std::max_element(step.tasks.begin(), step.tasks.end(), [](const FleetTask &a, const FleetTask &b) {
                 return a.lastAttempt < b.lastAttempt;
             });
+            // One member that is done ends the gang.
             const bool isDone = step.doneCount > 0;
             const auto checkpoint = isDone ? std::string() : newest.checkpoint;
             const bool areAligned = std::all_of(step.tasks.begin(), step.tasks.end(), [&](const FleetTask &it) {
--- a/src/fleetnode/FleetNodeRequests.cpp
+++ b/src/fleetnode/FleetNodeRequests.cpp
@@ -20,8 +20,6 @@
 constexpr Millis FallbackReadRetention {4000};
 // Within this time, an accepted job has stored progress or is known to its planner.
 constexpr Millis AcceptedJobRetention {60'000};
-// What the log adds to the key and the value of a record.
-constexpr std::size_t RecordOverheadBytes = 1;
 // Most keys that one line of the event log names.
 constexpr std::size_t MaxLoggedKeys = 16;
 
@@ -57,7 +55,7 @@
     const auto queue = request.queue.name;
     const auto receivedAt = monotonicNow();
     KeyedRecord record {acceptanceKey(id), encodeJobRequest(request), 0};
-    const auto bytes = RecordOverheadBytes + record.key.size() + record.value->size();
+    const auto bytes = sizeInLog(record);
     if (bytes > static_cast<std::size_t>(m_settings.storeMaxRecordBytes)) {
         const auto reason = "the job takes " + std::to_string(bytes) + " bytes; the log takes records of at most "
             + std::to_string(m_settings.storeMaxRecordBytes) + " bytes (max-record-bytes)";
--- a/src/fleetnode/PlannerHostStore.cpp
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -18,8 +18,6 @@
 // Most jobs that one append drops from the log.
 constexpr std::size_t MaxJobsPerDrop = 200;
 constexpr char WriterName[] = "planner";
-// What the log adds to the key and the value of a record.
-constexpr std::size_t RecordOverheadBytes = 1;
 
 } // namespace
 
@@ -96,7 +94,7 @@
     std::set<std::string> tooLarge;
     for (const auto &it : batch.records) {
         records.push_back({progressKey(it.job, it.part), encodeJobRecord(it), 0});
-        const auto bytes = RecordOverheadBytes + records.back().key.size() + records.back().value->size();
+        const auto bytes = sizeInLog(records.back());
         if (bytes > m_services.maxRecordBytes) {
             m_services.events.write("record_too_large", {{"key", records.back().key}, {"bytes", static_cast<std::int64_t>(bytes)}});
             tooLarge.insert(it.job);
--- a/tests/fleet/ProgressPartsTest.cpp
+++ b/tests/fleet/ProgressPartsTest.cpp
@@ -212,6 +212,19 @@
     BOOST_TEST(task.failureCount() == 500);
 }
 
+// Guards against a stored row that is larger than its part allows, as earlier versions wrote it, and against a negative number of failures.
+BOOST_AUTO_TEST_CASE(restoredFailuresAreBounded)
+{
+    TaskRecord row {0, 0, 0, 500, {}, false, "", {}, -1};
+    for (int attempt = 1; attempt <= 500; ++attempt) {
+        row.failedAttempts.push_back(attempt);
+    }
+    FleetJob job(requestOf({stepOf(1)}), atMillis(0));
+    job.restore({"j", FleetJobState::Running, {row}, 0});
+    BOOST_TEST(job.find({"j", 0, 0, 0})->failureCount() == 500);
+    BOOST_TEST(job.find({"j", 0, 0, 0})->failedAttempts.size() < 100U);
+}
+
 // Guards against all work coming to a halt because the log refuses the record of one job.
 BOOST_AUTO_TEST_CASE(jobWhoseProgressIsRefusedIsHeldBackAndOthersStart)
 {
--- a/tests/fleetnode/MemoryLog.cpp
+++ b/tests/fleetnode/MemoryLog.cpp
@@ -64,7 +64,7 @@
             return;
         }
         out.isInvalid = std::any_of(request.records.begin(), request.records.end(), [this](const KeyedRecord &it) {
-            return it.key == invalidKey || 1 + it.key.size() + (it.value ? it.value->size() : 0) > maxRecordBytes;
+            return it.key == invalidKey || sizeInLog(it) > maxRecordBytes;
         });
         if (out.isInvalid) {
             out.outcome = AppendOutcome::Refused;
