Tasks go rather to workers where no start of their step was given up, and don't wait for that

A given-up start counted towards the limit of its step for 13 s. Where no other worker was allowed, a lasting task would have waited that long, although a confirmed stop holds as long as the worker lives: only a restart that the planner hasn't noticed makes the start dangerous, and a broken poll tells of it at once. So such workers are now chosen last, also for steps without a limit; a restarted one is closed until the owed stops are confirmed, as before.

PossibleRuns/taskIsPlacedRatherWhereNoStartWasGivenUp fails with that preference taken out (the task goes back to the worker), and shows that it doesn't wait where there is no other worker.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -334,16 +334,21 @@
     void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
     std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
+    // Runs of the step that is being placed, and workers that are chosen last for it.
+    struct StepPlacement {
+        std::map<std::string, int> runsPerWorker;
+        std::set<std::string> doubtful;
+    };
     FleetWorker *
-    chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, std::map<std::string, int> &perWorker);
+    chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, const StepPlacement &placement) const;
     std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
     // FleetPlannerPreemption.cpp: preemption for tasks of higher priority
     static bool mayPreempt(const PendingStep &pending, TimePoint now);
     static bool canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims);
     void preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now);
     std::map<std::string, int> runsPerWorker(const FleetStep &step) const;
-    // Like runsPerWorker(), with the start requests of the step that were given up and may still be carried out. Empty if the step has no limit on that.
-    std::map<std::string, int> possibleRunsPerWorker(const FleetStep &step, const StepSpec &spec) const;
+    // Returns the workers that may still carry out a start request of the step that was given up, which only their next incarnation would.
+    std::set<std::string> workersWithGivenUpStarts(const FleetStep &step) const;
     // FleetPlannerAdvice.cpp: requests to the advisor for steps that are ready or will be soon
     bool requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
     void prefetchAdvice(const std::vector<FleetWorker *> &workers, TimePoint now);
--- a/src/fleet/FleetPlannerAdvice.cpp
+++ b/src/fleet/FleetPlannerAdvice.cpp
@@ -66,7 +66,7 @@
     if (!m_advice.mayRequest(queue, now) || m_advice.isRequestBlocked(name, now)) {
         return false;
     }
-    const auto perWorker = possibleRunsPerWorker(*pending.step, *pending.spec);
+    const auto perWorker = runsPerWorker(*pending.step);
     std::vector<FleetWorker *> expired;
     std::vector<FleetWorker *> unknown;
     for (auto *it : candidates) {
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/FleetPlannerPlacement.cpp
@@ -242,19 +242,16 @@
     return out;
 }
 
-std::map<std::string, int> FleetPlanner::possibleRunsPerWorker(const FleetStep &step, const StepSpec &spec) const
+std::set<std::string> FleetPlanner::workersWithGivenUpStarts(const FleetStep &step) const
 {
-    if (spec.maxPerWorker <= 0) {
-        return {};
-    }
-    auto out = runsPerWorker(step);
+    std::set<std::string> out;
     const auto &first = step.tasks.front().id;
     for (const auto &[id, worker] : m_workers) {
         for (const auto &it : worker.unansweredStarts) {
             const auto &task = it.key.task;
             const bool isOfStep = task.step == first.step && task.occurrence == first.occurrence && task.job == first.job;
             if (isOfStep && !m_runs.contains(it.key)) {
-                ++out[id];
+                out.insert(id);
             }
         }
     }
@@ -264,21 +261,23 @@
 FleetWorker *FleetPlanner::chooseWorker(const PendingStep &pending,
                                         const FleetTask &task,
                                         const std::vector<FleetWorker *> &candidates,
-                                        std::map<std::string, int> &perWorker)
+                                        const StepPlacement &placement) const
 {
     const auto &spec = *pending.spec;
     const auto needs = reservedResources(spec);
     FleetWorker *best = nullptr;
-    std::tuple<bool, bool, bool, std::int64_t> bestRank;
+    std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
     for (auto *it : candidates) {
-        if (!it->hasRoomFor(needs) || (spec.maxPerWorker > 0 && perWorker[it->report.id] >= spec.maxPerWorker)) {
+        const auto runs = placement.runsPerWorker.find(it->report.id);
+        const bool isFull = spec.maxPerWorker > 0 && runs != placement.runsPerWorker.end() && runs->second >= spec.maxPerWorker;
+        if (isFull || !it->hasRoomFor(needs)) {
             continue;
         }
         const bool hasFailed = !task.failedOn.empty() && task.failedOn.contains(it->report.id);
         const bool isFar = !spec.preferredRack.empty() && !it->hasLabel(spec.preferredRack);
         const auto left = it->report.capacity.cpuMilli - it->used.cpuMilli - needs.cpuMilli;
         // Best fit keeps large free blocks for large tasks; best-effort tasks go to the worker with the most free CPU.
-        const std::tuple rank(hasFailed, it->isSlow, isFar, spec.isBestEffort ? -left : left);
+        const std::tuple rank(hasFailed, placement.doubtful.contains(it->report.id), it->isSlow, isFar, spec.isBestEffort ? -left : left);
         if (best == nullptr || rank < bestRank) {
             best = it;
             bestRank = rank;
@@ -292,36 +291,36 @@
     if (candidates.empty()) {
         return;
     }
-    auto perWorker = possibleRunsPerWorker(*pending.step, *pending.spec);
+    StepPlacement placement {runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
     std::vector<FleetTask *> left;
     for (auto *task : pending.waiting) {
-        auto *worker = chooseWorker(pending, *task, candidates, perWorker);
+        auto *worker = chooseWorker(pending, *task, candidates, placement);
         if (worker == nullptr) {
             left.push_back(task);
             continue;
         }
         createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
-        ++perWorker[worker->report.id];
+        ++placement.runsPerWorker[worker->report.id];
     }
     pending.waiting = std::move(left);
 }
 
 void FleetPlanner::placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
 {
-    auto perWorker = possibleRunsPerWorker(*pending.step, *pending.spec);
+    StepPlacement placement {runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
     std::int64_t attempt = 0;
     for (const auto *task : pending.waiting) {
         attempt = std::max(attempt, task->lastAttempt + 1);
     }
     std::vector<std::pair<RunKey, FleetWorker *>> placed;
     for (auto *task : pending.waiting) {
-        auto *worker = chooseWorker(pending, *task, candidates, perWorker);
+        auto *worker = chooseWorker(pending, *task, candidates, placement);
         if (worker == nullptr) {
             break;
         }
         placed.emplace_back(RunKey {task->id, attempt}, worker);
         worker->allocate(placed.back().first, allocationFor(*pending.job, *pending.spec, now));
-        ++perWorker[worker->report.id];
+        ++placement.runsPerWorker[worker->report.id];
     }
     for (const auto &[key, worker] : placed) {
         worker->release(key);
--- a/src/fleet/FleetPlannerPreemption.cpp
+++ b/src/fleet/FleetPlannerPreemption.cpp
@@ -83,7 +83,7 @@
     pending.step->nextPreemptAt = now + PreemptionInterval;
     const auto &queue = queueOf(*pending.job);
     const auto name = pending.name();
-    auto perWorker = possibleRunsPerWorker(*pending.step, *pending.spec);
+    auto perWorker = runsPerWorker(*pending.step);
     std::vector<std::vector<RunKey>> victimSets;
     std::size_t freedSlots = 0;
     for (auto *it : candidates) {
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -62,7 +62,7 @@
     }
     if (spec.maxPerWorker > 0) {
         const auto &step = job.occurrences().at(run.key.task.occurrence).steps[static_cast<std::size_t>(run.key.task.step)];
-        if (possibleRunsPerWorker(step, spec)[run.worker] > spec.maxPerWorker) {
+        if (runsPerWorker(step)[run.worker] > spec.maxPerWorker) {
             return "its worker may run too many tasks of the step";
         }
     }
