--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -9,154 +9,20 @@
 #include <tuple>
 #include <vector>
 
-#include "marjoramhaven/base/EnumNames.h"
 #include "marjoramhaven/base/Time.h"
 #include "marjoramhaven/fleet/AdviceCache.h"
 #include "marjoramhaven/fleet/FleetClients.h"
 #include "marjoramhaven/fleet/FleetJobState.h"
+#include "marjoramhaven/fleet/FleetRun.h"
 #include "marjoramhaven/fleet/FleetWorker.h"
 #include "marjoramhaven/fleet/LeadershipConfirmation.h"
+#include "marjoramhaven/fleet/PlannerLimits.h"
+#include "marjoramhaven/fleet/PlannerTransport.h"
 #include "marjoramhaven/fleet/WorkerSpeeds.h"
 #include "marjoramhaven/telemetry/EventLog.h"
 
 namespace marjoramhaven {
 
-/// Why a run is being stopped.
-enum class StopReason {
-    None,
-    Cancelled,
-    /// Another run has completed the task, or the job has ended.
-    NotNeeded,
-    /// Its worker is draining.
-    WorkerDraining,
-    /// Another member of its gang ended.
-    GangBroken,
-    /// Its start request was not answered; the stop ensures that the worker can't start it later.
-    Unanswered,
-    /// It made no progress.
-    Stuck,
-    /// A task of higher priority needs its resources.
-    Preempted,
-    /// A worker reported a run that the planner does not know.
-    Orphaned,
-    /// Its worker is slow, and the rest of the task takes less time elsewhere.
-    SlowWorker,
-};
-
-template<>
-struct EnumTable<StopReason> {
-    static constexpr EnumName<StopReason> Rows[] = {
-        {StopReason::None, "none"},
-        {StopReason::Cancelled, "cancelled"},
-        {StopReason::NotNeeded, "not-needed"},
-        {StopReason::WorkerDraining, "leaving"},
-        {StopReason::GangBroken, "gang-broken"},
-        {StopReason::Unanswered, "unanswered"},
-        {StopReason::Stuck, "stuck"},
-        {StopReason::Preempted, "preempted"},
-        {StopReason::Orphaned, "foreign"},
-        {StopReason::SlowWorker, "slow-worker"},
-    };
-};
-
-/// State of a run between the decision to start it and its end.
-enum class RunState {
-    /// The decision to start it is not stored yet, and no request was sent.
-    Planned,
-    /// The start request is in flight.
-    Starting,
-    /// The start request was not answered: the run may be running, or may start later.
-    Unconfirmed,
-    /// The worker has confirmed the run.
-    Running,
-    /// The run was restored from an earlier planner's records, and its worker has not listed it yet.
-    Inherited,
-};
-
-/// One run of a task on a worker.
-struct FleetRun {
-    RunKey key;
-    std::string worker;
-    std::int64_t workerStartedUnixMs = 0;
-    RunState state = RunState::Planned;
-    /// When the run entered this state.
-    TimePoint stateSince {};
-    /// Position among the planner's own events at which the run entered this state. Only a list that was requested after it can prove that the run is gone.
-    std::int64_t stateSequence = 0;
-    /// Whether the worker has listed the run. An answer to the start request alone does not tell which incarnation of the worker gave it.
-    bool isListed = false;
-    /// How often the planner has sent the start request.
-    int startSendings = 0;
-    /// The start request is sent again no earlier than this, while its outcome is not known.
-    TimePoint nextStartAt {};
-    /// The start request is not sent again after this.
-    TimePoint repeatStartUntil {};
-    std::string checkpoint;
-    /// Checkpoint with which the run started; empty if it started from the beginning.
-    std::string startedFromCheckpoint;
-    /// The worker's clock when it confirmed the start, in milliseconds; 0 if that is not known.
-    std::int64_t startedClockMs = 0;
-    /// The run's duration is compared with that of others again no earlier than this.
-    TimePoint nextSpeedCheckAt {};
-    /// Progress in percent as the worker last reported it; 100 for a long-running task that is fully serving.
-    int percent = 0;
-    TimePoint percentChangedAt {};
-    /// The worker's clock in its first list with this percentage, in milliseconds; 0 before the first list.
-    std::int64_t percentChangedClockMs = 0;
-    /// See RunningRunInfo::usage.
-    double usage = 0;
-    /// Speed limit that the worker last confirmed, in percent of full speed.
-    int speedPercent = 100;
-    /// False if another speed limit may be in force: the last request was not confirmed, or an earlier planner may have sent some.
-    bool isSpeedKnown = true;
-    /// Until this time the worker may still carry out an earlier request for another speed limit.
-    TimePoint speedUncertainUntil {};
-    TimePoint speedChangedAt {};
-    bool isThrottleInFlight = false;
-    StopReason stopReason = StopReason::None;
-    bool isStopInFlight = false;
-    bool isStopAnswered = false;
-    /// Position among the planner's own events of the answer to the stop request.
-    std::int64_t stopAnsweredSequence = 0;
-    TimePoint nextStopAt {};
-};
-
-/// Sends the planner's requests. Each answer is later passed to the matching function of the planner, for example sendStart() to handleStartResponse().
-class PlannerTransport
-{
-public:
-    virtual ~PlannerTransport() = default;
-
-    virtual void sendStart(const StartRunRequest &request, Millis timeout) = 0;
-    virtual void sendStop(const StopRunRequest &request, Millis timeout) = 0;
-    virtual void sendThrottle(const ThrottleRunRequest &request, Millis timeout) = 0;
-    virtual void sendPoll(const PollWorkerRequest &request, Millis timeout) = 0;
-    virtual void sendAdviceRequest(const AdviceRequest &request) = 0;
-    /// Called when a worker refuses a request because it has seen a higher fencing token.
-    virtual void fencedByWorker(const std::string &worker) = 0;
-};
-
-/// Time limits of the planner.
-struct PlannerLimits {
-    /// Length of the leases that the planner grants; longer than the takeover by a new leader takes, so that runs survive it.
-    Millis lease {5000};
-    /// How long after a confirmation of its leadership the planner grants leases; longer than the calls that confirm it take while the log is slow.
-    Millis leadershipBound {3000};
-    /// Longest lease that a worker accepts, whatever the request says.
-    Millis maxLease {10000};
-    /// How long a worker may hold back its answer to a poll while no run ends.
-    Millis pollWait {1000};
-    Millis stopTime {400};
-    Millis statusRetention {120000};
-    Millis earlyStartTolerance {250};
-    /// Maximum time for which response times of a long-running task may stay above their target.
-    Millis latencyViolationTolerance {4000};
-    /// Largest checkpoint that is stored, in bytes. Runs that write larger ones resume from an earlier one, or from the beginning.
-    std::size_t maxCheckpointBytes = 2048;
-    /// See FleetJob::TasksPerPart.
-    int tasksPerPart = FleetJob::TasksPerPart;
-};
-
 /// Changes of stored progress to append at once.
 struct ProgressBatch {
     std::int64_t number = 0;
