Stops that are owed follow from what is stored and listed

Cause: that a stop is owed was kept in one leader's memory. A successor derived stops from stored state in one place, which left out gangs, because the members of a gang that is done end by themselves; "done" and "its job has ended" were one condition. Of the same class: a gang that one member's end had broken was never stopped nor started again by a successor; a run that no leader meant to exist was taken for a wanted one; a stop that was confirmed without effect was never sent again.

Now owedStop() says why a run has to be stopped, from the stored state of its job and step alone, whenever its worker lists it. A confirmed stop whose run is still listed is sent again.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -161,6 +161,8 @@
     std::string worker;
     /// Start of the worker's incarnation in milliseconds since the Unix epoch; tells restarts of one worker apart.
     std::int64_t workerStartedUnixMs = 0;
+    /// True if no leader meant the run to exist, so that it has to be stopped whatever becomes of its task.
+    bool isOrphaned = false;
 };
 
 /// Stored form of one task.
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -56,6 +56,8 @@
     bool isAdvicePrefetched = false;
 
     bool isDone() const { return doneCount == static_cast<int>(tasks.size()); }
+    /// Returns true if each task of the step has an active run of this attempt.
+    bool areAllActive(std::int64_t attempt) const;
 };
 
 /// One repetition of a job; a job that runs once has a single occurrence.
@@ -75,8 +77,8 @@
     std::vector<std::string> deletedKeys;
 };
 
-/// Returns the worker of a run and the start time of the worker's incarnation.
-using RunLocator = std::function<std::pair<std::string, std::int64_t>(const FleetTaskId &, std::int64_t attempt)>;
+/// Returns the stored form of an active run of a task.
+using RunLocator = std::function<RunRecord(const FleetTaskId &, std::int64_t attempt)>;
 
 /// State of one accepted job as the planner knows it.
 class FleetJob
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -145,16 +145,19 @@
     bool mayRepeatStart(const FleetRun &run, TimePoint now) const;
     void requestStart(FleetRun &run, TimePoint now);
     void keepUnconfirmed(FleetRun &run, TimePoint now);
-    // FleetPlannerRuns.cpp: ends of runs
+    // FleetPlannerStops.cpp: stop requests
+    // Returns why a run has to be stopped whatever its worker and its progress are, or StopReason::None.
+    StopReason owedStop(const FleetRun &run) const;
     void requestStop(FleetRun &run, StopReason reason, TimePoint now);
     void trySendStop(FleetRun &run, TimePoint now);
+    void stopRunsOf(FleetJob &job, StopReason reason, TimePoint now);
+    void stopGang(FleetJob &job, FleetStep &step, TimePoint now);
+    // FleetPlannerRuns.cpp: ends of runs
     void removeRun(const RunKey &key);
     void endRun(const RunKey &key, RunEnd end, const std::string &checkpoint, const std::string &worker, TimePoint now);
     void discardUnstartedRun(const RunKey &key, const char *reason, Millis pause, TimePoint now);
     void markTaskDone(FleetJob &job, FleetTask &task, TimePoint now);
     void recordTaskFailure(FleetJob &job, FleetTask &task, std::int64_t attempt, const std::string &worker, TimePoint now);
-    void stopRunsOf(FleetJob &job, StopReason reason, TimePoint now);
-    void stopGang(FleetJob &job, FleetStep &step, TimePoint now);
     // FleetPlannerWorkers.cpp: workers
     FleetWorker &findOrCreateWorker(const std::string &worker);
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
--- a/include/marjoramhaven/fleet/FleetRun.h
+++ b/include/marjoramhaven/fleet/FleetRun.h
@@ -106,6 +106,7 @@
     bool isStopAnswered = false;
     /// Position among the planner's own events of the answer to the stop request.
     std::int64_t stopAnsweredSequence = 0;
+    TimePoint stopAnsweredAt {};
     TimePoint nextStopAt {};
 };
 
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -47,6 +47,13 @@
 
 } // namespace
 
+bool FleetStep::areAllActive(std::int64_t attempt) const
+{
+    return std::all_of(tasks.begin(), tasks.end(), [attempt](const FleetTask &it) {
+        return std::find(it.activeAttempts.begin(), it.activeAttempts.end(), attempt) != it.activeAttempts.end();
+    });
+}
+
 bool FleetOccurrence::isDone() const
 {
     return std::all_of(steps.begin(), steps.end(), [](const FleetStep &it) {
@@ -257,8 +264,7 @@
     TaskRecord row {id.occurrence, id.step, id.index, task.lastAttempt, {}, task.isDone, task.checkpoint, {}, task.olderFailures};
     row.failedAttempts.assign(task.failedAttempts.begin(), task.failedAttempts.end());
     for (const auto attempt : task.activeAttempts) {
-        auto [worker, startedUnixMs] = locateRun(id, attempt);
-        row.runs.push_back({attempt, std::move(worker), startedUnixMs});
+        row.runs.push_back(locateRun(id, attempt));
     }
     rows.push_back(std::move(row));
 }
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -57,11 +57,14 @@
             run.worker = it.worker;
             run.workerStartedUnixMs = it.workerStartedUnixMs;
             run.state = RunState::Inherited;
+            run.stopReason = it.isOrphaned ? StopReason::Orphaned : StopReason::None;
             run.isSpeedKnown = false;
             run.stateSince = now;
             auto &worker = findOrCreateWorker(it.worker);
             const auto &spec = job->spec(row.step);
-            worker.allocate(run.key, allocationFor(*job, spec, now));
+            auto allocation = allocationFor(*job, spec, now);
+            allocation.isStopping = it.isOrphaned;
+            worker.allocate(run.key, allocation);
             m_runs.emplace(run.key, std::move(run));
         }
     }
@@ -313,8 +316,12 @@
 RunLocator FleetPlanner::runLocator() const
 {
     return [this](const FleetTaskId &task, std::int64_t attempt) {
-        const auto run = m_runs.find({task, attempt});
-        return run == m_runs.end() ? std::pair<std::string, std::int64_t>() : std::pair(run->second.worker, run->second.workerStartedUnixMs);
+        const auto it = m_runs.find({task, attempt});
+        if (it == m_runs.end()) {
+            return RunRecord {attempt, {}, 0};
+        }
+        const auto &run = it->second;
+        return RunRecord {attempt, run.worker, run.workerStartedUnixMs, run.stopReason == StopReason::Orphaned};
     };
 }
 
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -337,10 +337,6 @@
             markDirty(*job, row.task);
         }
         requestStop(*run, StopReason::Orphaned, now);
-        run = findRun(key);
-        if (run == nullptr) {
-            return;
-        }
     }
     if (run->worker != worker.report.id) {
         return;
@@ -362,9 +358,11 @@
     if (task != nullptr && !task->isDone) {
         observeRunningRun(*run, worker, *job->findStep(row.task.occurrence, row.task.step), job->spec(row.task.step), now);
     }
-    const bool isNotNeeded = job == nullptr || job->isEnded() || task == nullptr || task->isDone;
-    if (isNotNeeded && run->stopReason == StopReason::None && (task == nullptr || !job->spec(row.task.step).isGang)) {
-        requestStop(*run, StopReason::NotNeeded, now);
+    if (const auto reason = owedStop(*run); reason != StopReason::None && run->stopReason == StopReason::None) {
+        requestStop(*run, reason, now);
+    } else if (run->isStopAnswered && now - run->stopAnsweredAt > m_limits.stopTime + m_limits.pollWait + PollResponseMargin) {
+        // The run goes on although its worker has confirmed the stop.
+        run->isStopAnswered = false;
     }
 }
 
--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -101,6 +101,24 @@
         return answer.status == 200 && answer.body == R"({"state":"completed"})";
     }
 
+    bool isLeading(std::size_t node)
+    {
+        nodes[node]->node.updateGauges();
+        return nodes[node]->metrics.render().find("leading 1") != std::string::npos;
+    }
+
+    // Ends the process that leads.
+    void removeLeader()
+    {
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (isLeading(i)) {
+                nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(i));
+                return;
+            }
+        }
+        BOOST_FAIL("no process leads");
+    }
+
     bool areReady() const
     {
         return std::all_of(nodes.begin(), nodes.end(), [](const auto &it) {
@@ -316,4 +334,66 @@
     BOOST_TEST(answer.body.find("8192") != std::string::npos);
 }
 
+// Guards against what review/5 found: a gang that works on for ever, because its workers refused the stops of one leader and the next one sent none.
+BOOST_AUTO_TEST_CASE(gangWhoseStopsWereRefusedIsStoppedByTheNextLeader)
+{
+    constexpr std::size_t GangSize = 3;
+    enum class Reason { Cancelled, Broken };
+    for (const auto reason : {Reason::Cancelled, Reason::Broken}) {
+        Fleet fleet(3);
+        std::set<std::string> atWork;
+        fleet.platform.onRunEvent = [&atWork](const RunEvent &it) {
+            if (it.kind == RunEvent::Kind::Started) {
+                atWork.insert(it.task.toString());
+            } else {
+                atWork.erase(it.task.toString());
+            }
+        };
+        fleet.platform.taskBehaviour = [&](const FleetTaskId &task) {
+            TaskBehaviour out;
+            const bool isMemberFailing = reason == Reason::Broken && task.index == 0 && fleet.platform.startCountOf(task.toString()) == 0;
+            out.duration = isMemberFailing ? Millis(800) : Millis(60'000);
+            out.fails = isMemberFailing;
+            return out;
+        };
+        BOOST_REQUIRE(waitFor(
+            [&]() {
+                return fleet.areReady();
+            },
+            3000));
+        fleet.platform.setRefusingStops(true);
+        const std::string id = "00000000000000f8";
+        const auto body = R"({"spec":"s","phases":[{"count":3,"cpu":1000,"mem-mb":100,"estimate-ms":60000,"gang":true}]})";
+        BOOST_REQUIRE(fleet.call(0, "POST", "/q/" + id, body).status == 200);
+        BOOST_REQUIRE(waitFor(
+            [&]() {
+                return atWork.size() == GangSize;
+            },
+            3000));
+        if (reason == Reason::Cancelled) {
+            BOOST_TEST(fleet.call(0, "DELETE", "/q/" + id).status == 200);
+        }
+        const auto left = reason == Reason::Cancelled ? GangSize : GangSize - 1;
+        BOOST_REQUIRE(waitFor(
+            [&]() {
+                return atWork.size() == left;
+            },
+            3000));
+        // The leader learns why the members have to stop, and stores what it has to.
+        waitFor(
+            []() {
+                return false;
+            },
+            300);
+        fleet.removeLeader();
+        fleet.platform.setRefusingStops(false);
+        BOOST_TEST(waitFor(
+            [&]() {
+                const bool hasStartedAgain = atWork.size() == GangSize && fleet.platform.startCountOf(id + ".0.0.1") == 2;
+                return reason == Reason::Cancelled ? atWork.empty() : hasStartedAgain;
+            },
+            8000));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -420,6 +420,17 @@
     }));
 }
 
+std::vector<std::string> FakeFleet::tasksAtWork() const
+{
+    std::vector<std::string> out;
+    for (const auto &[task, runs] : m_runningNow) {
+        if (!runs.empty()) {
+            out.push_back(task.toString());
+        }
+    }
+    return out;
+}
+
 int FakeFleet::startingWorker(const FleetTaskId &task) const
 {
     const auto it = m_startingOn.find(task);
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -100,6 +100,8 @@
     /// Returns the number of start requests that were sent with an expired ticket.
     int expiredTickets() const { return m_expiredTickets; }
     FleetWorkerModel &worker(int number) { return *m_workers[static_cast<std::size_t>(number)]; }
+    /// Returns the names of the tasks that are at work on workers.
+    std::vector<std::string> tasksAtWork() const;
     /// Returns the number of the worker on which the task's newest run started, or -1.
     int workerOf(const std::string &task) const;
     /// Returns the number of the worker that received the newest start request for a task, or -1; lets configureTask depend on the worker.
--- a/tests/fleet/ProgressPartsTest.cpp
+++ b/tests/fleet/ProgressPartsTest.cpp
@@ -29,9 +29,9 @@
     return out;
 }
 
-std::pair<std::string, std::int64_t> locate(const FleetTaskId & /*task*/, std::int64_t /*attempt*/)
+RunRecord locate(const FleetTaskId & /*task*/, std::int64_t attempt)
 {
-    return {"i-5d6e541a11", 1'700'000'000'000};
+    return {attempt, "i-5d6e541a11", 1'700'000'000'000};
 }
 
 // Gives a task its first run, as the planner does.
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -402,6 +402,10 @@
         answerDueRequests();
         return;
     }
+    if (request.path == "/v1/run-stop" && m_isRefusingStops) {
+        respond(json(503, Json::object()));
+        return;
+    }
     const auto task = *FleetTaskId::parse(body.value("task", ""));
     const auto attempt = body.value("attempt", std::int64_t(0));
     WorkerResponse answer;
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -40,6 +40,8 @@
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     /// While true, the store carries out appends but does not answer them.
     void setLosingAppendAnswers(bool isLosing) { m_isLosingAppendAnswers = isLosing; }
+    /// While true, the workers answer stop requests with status 503 and carry none out.
+    void setRefusingStops(bool isRefusing) { m_isRefusingStops = isRefusing; }
     /// Compacts a topic: reads from any offset before its present end get status 410, and only the newest record of each key can be fetched.
     void compact(const std::string &topic);
     /// Publishes another port for a worker, such as that of a proxy.
@@ -96,6 +98,7 @@
     int m_advisorPort = 0;
     bool m_isStoreDown = false;
     bool m_isLosingAppendAnswers = false;
+    bool m_isRefusingStops = false;
     std::map<std::string, Topic> m_topics;
     std::vector<PendingRead> m_pendingReads;
     std::vector<PendingPoll> m_pendingPolls;
