What peers report no longer hides a process's own claim of leadership

Cause: other processes read the winner's claim before its append was answered, and reported it in their heartbeats. These name no incarnation, so the winner took its own claim for another's. The answer to its append, and its own read, were then not "new", so it never became the leader; all others waited for it. The class: what is heard overrides what is known of oneself. Two more of it, in the same place: a heartbeat that was stored after its sender had given up leadership was taken for a new claim, since the answer didn't say what it answered; and a claim that was stored after its process had begun to stop was neither used nor given up, so all others waited for the timeout.

Now a claim is adopted when the log confirms it, by the answer to its append or by its own read, whatever was heard before; a claim that was given up is not adopted again. The append in flight is kept, so that its answer is applied as what it was. A process that stops waits for its claim's answer and gives the claim up in the log.

--- a/include/marjoramhaven/fleet/PlannerElection.h
+++ b/include/marjoramhaven/fleet/PlannerElection.h
@@ -93,11 +93,12 @@
     const std::optional<LeadershipRecord> &leader() const { return m_leader; }
     /// Returns the leader's fencing token.
     std::int64_t leaderFencingToken() const { return m_leaderClaimOffset + 1; }
-    /// Returns true if withdraw() was called and the log contains the last heartbeat, or none was needed.
-    bool isWithdrawn() const { return m_isWithdrawn && (!m_ownClaim || m_isLeavingStored); }
+    /// Returns true if withdraw() was called and the log contains the last heartbeat, or none was needed. False while a claim may still be stored.
+    bool isWithdrawn() const { return m_isWithdrawn && !m_appendInFlight && (!m_ownClaim || m_isLeavingStored); }
 
 private:
     void apply(std::int64_t offset, const LeadershipRecord &record, TimePoint now);
+    void adoptOwnClaim(std::int64_t offset);
     bool mayClaim(TimePoint now) const;
 
     const LeadershipRecord m_self;
@@ -106,6 +107,8 @@
     std::optional<LeadershipRecord> m_leader;
     std::int64_t m_leaderClaimOffset = -1;
     std::optional<std::int64_t> m_ownClaim;
+    /// Offset of the newest claim with which this process became the leader; -1 if it never was.
+    std::int64_t m_newestOwnClaim = -1;
     TimePoint m_leaderSeenAt {};
     /// Start of the current series of answered reads without a gap.
     TimePoint m_readingSince {};
@@ -115,7 +118,8 @@
     Millis m_smallVmDelay {0};
     TimePoint m_nextHeartbeatAt {};
     std::int64_t m_heartbeatNumber = 0;
-    bool m_isAppending = false;
+    /// The claim or heartbeat whose append is not answered yet.
+    std::optional<LeadershipRecord> m_appendInFlight;
     bool m_mustRead = false;
     bool m_isWithdrawn = false;
     bool m_isLeavingSent = false;
--- a/src/fleet/PlannerElection.cpp
+++ b/src/fleet/PlannerElection.cpp
@@ -60,16 +60,26 @@
     if (isNewLeader) {
         m_linkLostAt.reset();
     }
-    if (isNewLeader && record.incarnation == m_self.incarnation && record.claimOffset < 0 && !m_isWithdrawn) {
-        m_ownClaim = offset;
-    } else if (record.incarnation != m_self.incarnation) {
+    if (record.incarnation != m_self.incarnation) {
         m_ownClaim.reset();
+    } else if (record.claimOffset < 0) {
+        adoptOwnClaim(offset);
     }
     if (record.incarnation == m_self.incarnation && record.isLeaving) {
         m_isLeavingStored = true;
     }
 }
 
+// Other processes may have reported this very claim before its append is answered, so whether the claim is news doesn't matter. A claim that was given up is
+// not adopted again when its record is read.
+void PlannerElection::adoptOwnClaim(std::int64_t offset)
+{
+    if (offset > m_newestOwnClaim) {
+        m_newestOwnClaim = offset;
+        m_ownClaim = offset;
+    }
+}
+
 void PlannerElection::handleRecords(const std::vector<std::pair<std::int64_t, LeadershipRecord>> &records, std::int64_t end, TimePoint now)
 {
     if (!m_lastReadAt || now - *m_lastReadAt > m_times.maxReadGap) {
@@ -144,7 +154,7 @@
 
 std::optional<LeadershipAppend> PlannerElection::nextAppend(TimePoint now)
 {
-    if (m_isAppending || !m_end || m_mustRead) {
+    if (m_appendInFlight || !m_end || m_mustRead) {
         return std::nullopt;
     }
     LeadershipAppend out {m_self, *m_end};
@@ -161,22 +171,20 @@
     } else if (!mayClaim(now)) {
         return std::nullopt;
     }
-    m_isAppending = true;
+    m_appendInFlight = out.record;
     return out;
 }
 
 void PlannerElection::handleAppendResult(const AppendResult &result, TimePoint now)
 {
-    m_isAppending = false;
+    if (!m_appendInFlight) {
+        return;
+    }
+    const auto record = *m_appendInFlight;
+    m_appendInFlight.reset();
     if (result.outcome == AppendOutcome::Stored) {
         m_end = std::max(m_end.value_or(0), result.offset + 1);
-        if (!m_ownClaim) {
-            LeadershipRecord claim = m_self;
-            apply(result.offset, claim, now);
-        } else {
-            m_leaderSeenAt = now;
-            m_isLeavingStored = m_isLeavingStored || m_isLeavingSent;
-        }
+        apply(result.offset, record, now);
         return;
     }
     // The end of the topic is known only after the next read.
--- a/tests/fleet/PlannerElectionTest.cpp
+++ b/tests/fleet/PlannerElectionTest.cpp
@@ -271,4 +271,77 @@
     BOOST_TEST(!(election.isLeading() && election.fencingToken() == token));
 }
 
+// Guards against an elected process that never plans: other processes read its claim and reported it back before the append was answered, and it took the claim
+// for somebody else's.
+BOOST_AUTO_TEST_CASE(claimThatPeersReportBeforeItsAnswerIsTakenUp)
+{
+    enum class Resolved { ByAnswer, ByReadBeforeTheAnswer, ByReadAfterALostAnswer };
+    for (const auto how : {Resolved::ByAnswer, Resolved::ByReadBeforeTheAnswer, Resolved::ByReadAfterALostAnswer}) {
+        constexpr std::int64_t Offset = 5;
+        const auto now = atMillis(1000);
+        PlannerElection election(recordOf("a"), {});
+        election.handleRecords({}, Offset, now);
+        const auto append = election.nextAppend(now);
+        BOOST_REQUIRE(append.has_value());
+        // Heartbeats between processes name no incarnation.
+        auto reported = append->record;
+        reported.incarnation.clear();
+        reported.claimOffset = Offset;
+        election.learnLeader(reported, now);
+        AppendResult result;
+        result.outcome = how == Resolved::ByReadAfterALostAnswer ? AppendOutcome::Unknown : AppendOutcome::Stored;
+        result.offset = Offset;
+        if (how != Resolved::ByReadBeforeTheAnswer) {
+            election.handleAppendResult(result, now);
+        }
+        if (how != Resolved::ByAnswer) {
+            election.handleRecords({{Offset, append->record}}, Offset + 1, now);
+        }
+        BOOST_TEST(election.isLeading());
+        BOOST_TEST(election.fencingToken() == Offset + 1);
+    }
+}
+
+// Guards against a leader under a token that no other process knows: a heartbeat was stored after its sender had given up leadership, and was taken for a
+// claim.
+BOOST_AUTO_TEST_CASE(heartbeatThatIsStoredAfterLeadershipWasGivenUpIsNoClaim)
+{
+    SimulatedLog log;
+    PlannerElection election(recordOf("a"), {});
+    log.step(election);
+    BOOST_REQUIRE(election.isLeading());
+    log.now += Millis(500);
+    const auto heartbeat = election.nextAppend(log.now);
+    BOOST_REQUIRE(heartbeat.has_value());
+    election.dropLeadership(log.now);
+    AppendResult stored;
+    stored.outcome = AppendOutcome::Stored;
+    stored.offset = log.end();
+    election.handleAppendResult(stored, log.now);
+    BOOST_TEST(!election.isLeading());
+}
+
+// Guards against a fleet that nobody plans until a timeout: a process won the election after it had begun to stop, and ended without a word.
+BOOST_AUTO_TEST_CASE(claimThatIsStoredAfterItsProcessBeganToStopIsGivenUpAtOnce)
+{
+    for (const bool isAnswered : {true, false}) {
+        SimulatedLog log;
+        PlannerElection stopping(recordOf("stopping"), {});
+        PlannerElection other(recordOf("other"), {});
+        stopping.handleRecords({}, 0, log.now);
+        other.handleRecords({}, 0, log.now);
+        const auto claim = stopping.nextAppend(log.now);
+        BOOST_REQUIRE(claim.has_value());
+        stopping.withdraw();
+        BOOST_TEST(!stopping.isWithdrawn());
+        log.records.emplace_back(0, claim->record);
+        AppendResult result;
+        result.outcome = isAnswered ? AppendOutcome::Stored : AppendOutcome::Unknown;
+        stopping.handleAppendResult(result, log.now);
+        log.step(stopping);
+        BOOST_TEST(stopping.isWithdrawn());
+        BOOST_TEST(log.stepUntilLeader(other).count() <= 100);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
