Jobs count as pending until a run of them is known to have started

Cause: the number was taken from the state, which becomes running when a start is decided and stored. A worker may refuse that start, and a successor finds only that it was decided.

Now a job has begun once a worker has confirmed, listed or ended a run of it; after a takeover, also if a task is done, has failed or has a checkpoint. A job that has ended is not pending. A job whose only run lapsed before the takeover counts as pending until the next one is listed.

--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -140,6 +140,8 @@
     /// The state that is stored and may therefore be reported to callers.
     FleetJobState storedState = FleetJobState::Queued;
     bool isCancelRequested = false;
+    /// True if a run of one of the tasks is known to have started. The state says less: it changes when a start is decided, which its worker may refuse.
+    bool hasBegun = false;
     /// Policy of the job's queue in the configuration in force, which must outlive this pointer; nullptr while that configuration does not have the queue.
     const QueuePolicy *currentQueue = nullptr;
     TimePoint endedAt {};
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -171,6 +171,7 @@
             task->addFailure(attempt);
         }
         task->checkpoint = it.checkpoint;
+        hasBegun = hasBegun || it.isDone || task->failureCount() > 0 || !it.checkpoint.empty();
         if (it.isDone && !task->isDone) {
             task->isDone = true;
             ++findStep(it.occurrence, it.step)->doneCount;
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -395,7 +395,7 @@
 {
     return std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&](const std::string &id) {
         const auto &job = *m_jobs.at(id);
-        return job.state == FleetJobState::Queued && job.request().queue.host == host && job.request().queue.prefix == prefix;
+        return !job.hasBegun && !job.isEnded() && job.request().queue.host == host && job.request().queue.prefix == prefix;
     });
 }
 
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -25,6 +25,10 @@
     run.state = state;
     run.stateSince = now;
     run.stateSequence = ++m_sequence;
+    auto *job = state == RunState::Running ? findJob(run.key.task.job) : nullptr;
+    if (job != nullptr) {
+        job->hasBegun = true;
+    }
 }
 
 FleetRun &FleetPlanner::createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now)
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -291,6 +291,9 @@
             worker.lastSeenEnd = std::max(worker.lastSeenEnd, row.number);
             worker.unstoredEnds.emplace_back(row.number, row.task.job);
             m_hasUnstoredEnds = true;
+            if (auto *job = findJob(row.task.job)) {
+                job->hasBegun = true;
+            }
             endRun({row.task, row.attempt}, row.end, row.checkpoint, worker.report.id, now);
         }
     }
--- a/tests/fleet/SuccessorTest.cpp
+++ b/tests/fleet/SuccessorTest.cpp
@@ -118,4 +118,33 @@
     BOOST_TEST(!successor.planner.hasUnstoredChanges());
 }
 
+// Guards against a best-effort task that stands still for good: an earlier leader paced it to 0 percent, and no later one speeds it up.
+BOOST_AUTO_TEST_CASE(runThatAnEarlierLeaderPausedIsSpedUpAfterATakeover)
+{
+    const PlannerScript script(0);
+    FleetJobRequest request;
+    request.id = "j";
+    request.queue = script.queue;
+    request.steps.push_back(oneTask());
+    request.steps[0].isBestEffort = true;
+    Successor successor(request, {{"j", FleetJobState::Running, {{0, 0, 0, 1, {}, false, "", {{1, "w0", 1}}}}}});
+    auto &port = successor.script.port;
+    const auto list = [&successor]() {
+        successor.script.now += Millis(800);
+        successor.planner.confirmLeadership(successor.script.now, successor.script.now);
+        successor.planner.tick(0, successor.script.now);
+        successor.planner.handlePollResponse(successor.script.lastPoll("w0"), successor.script.list({{{"j", 0, 0, 0}, 1, "", 10, 0}}), successor.script.now);
+    };
+    list();
+    BOOST_REQUIRE(port.throttles.size() == 1U);
+    BOOST_TEST(port.throttles.back().percent == 100);
+    successor.planner.handleThrottleResponse(port.throttles.back(), {WorkerCallOutcome::Unhealthy, 0, "status 503"}, successor.script.now);
+    list();
+    BOOST_REQUIRE(port.throttles.size() == 2U);
+    BOOST_TEST(port.throttles.back().percent == 100);
+    successor.planner.handleThrottleResponse(port.throttles.back(), successor.script.done(), successor.script.now);
+    list();
+    BOOST_TEST(port.throttles.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
