Soak: cuts around the leader, refused stops, lasting gangs that are cancelled, and schedules

Each process now finds its own proxies to the workers and to the other processes in the store, so that the leader and some workers can be cut off from all else and still reach each other, for 1.5 to 10 s. Workers refuse stops for a while. One job in 16 is a gang that lasts until it is cancelled, one is repeated up to three times; the checker knows occurrences and due times, and a gang whose cancellation was confirmed must end.

The new faults and kinds of jobs are drawn apart from the others, so a seed gives the same order of faults as before beside them.

--- a/tests/soak/NodeProcess.cpp
+++ b/tests/soak/NodeProcess.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-NodeProcess::NodeProcess(const QString &folder, std::string name, int storePort, int advisorPort)
+NodeProcess::NodeProcess(const QString &folder, std::string name)
     : m_name(std::move(name))
     , m_program(folder + QLatin1String("/marjoramhaven"))
     , m_settingsFile(folder + toQt("/" + m_name + ".yaml"))
@@ -33,7 +33,6 @@
     , m_readinessPort(freePort())
     , m_peerPort(freePortPair())
 {
-    writeSettings(m_settingsFile, storePort, advisorPort);
 }
 
 NodeProcess::~NodeProcess()
@@ -45,7 +44,7 @@
     }
 }
 
-void NodeProcess::writeSettings(const QString &path, int storePort, int advisorPort) const
+void NodeProcess::writeSettings(int storePort, int advisorPort) const
 {
     const auto address = [](int port) {
         return "\"127.0.0.1:" + std::to_string(port) + "\"\n";
@@ -55,7 +54,7 @@
     text += "port-range:\n  - " + std::to_string(m_peerPort) + "\n  - " + std::to_string(m_peerPort + 1) + "\n";
     text += "limits:\n  cpu-share: 1\n  cores: 1\nadvisor: " + address(advisorPort) + "platform:\n  address: " + address(storePort);
     text += "bounds:\n  max-hold-ms: 10000\n  stop-ms: 200\n  grace-s: 4\n  status_s: 120\n";
-    QFile file(path);
+    QFile file(m_settingsFile);
     file.open(QIODevice::WriteOnly);
     file.write(QByteArray::fromStdString(text));
 }
--- a/tests/soak/NodeProcess.h
+++ b/tests/soak/NodeProcess.h
@@ -14,13 +14,18 @@
 {
 public:
     /// Runs the program `marjoramhaven` in the folder, and keeps the settings and the log of the process there too.
-    NodeProcess(const QString &folder, std::string name, int storePort, int advisorPort);
+    NodeProcess(const QString &folder, std::string name);
     ~NodeProcess();
 
     const std::string &name() const { return m_name; }
     int callerPort() const { return m_callerPort; }
     bool isRunning() const { return m_process && m_process->state() == QProcess::Running; }
 
+    /// Returns the port on which other processes reach this one.
+    int peerPort() const { return m_peerPort; }
+
+    /// Writes the settings; called before the first start.
+    void writeSettings(int storePort, int advisorPort) const;
     void start();
     /// Returns whether the process was sent SIGKILL or SIGTERM since its last start.
     bool isEnding() const { return m_isEndExpected; }
@@ -35,8 +40,6 @@
     QString logFile() const { return m_logFile; }
 
 private:
-    void writeSettings(const QString &path, int storePort, int advisorPort) const;
-
     const std::string m_name;
     QString m_program;
     QString m_settingsFile;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <csignal>
 
+#include "marjoramhaven/fleet/PlannerElection.h"
 #include "support/Events.h"
 
 namespace marjoramhaven::test {
@@ -26,12 +27,18 @@
 constexpr std::size_t MaxSeriesLength = 8;
 constexpr std::size_t MaxSeriesGapMs = 400;
 constexpr Millis ChangeInterval {330};
+// A cut has to outlast the takeover, and some cuts the leases too.
+constexpr std::size_t MinCutMs = 1500;
+constexpr std::size_t MaxCutMs = 10'000;
+constexpr std::size_t MaxLaterFaultGapMs = 8000;
+constexpr Millis GangTaskTime {60'000};
 
 } // namespace
 
 Soak::Soak(SoakOptions options)
     : m_options(options)
     , m_random(options.seed)
+    , m_laterRandom(options.seed + 3)
     , m_platform(options.workers)
     , m_checker(m_platform)
 {
@@ -41,25 +48,40 @@
     m_platform.onRunEvent = [this](const RunEvent &event) {
         m_checker.handleRunEvent(event);
     };
-    m_platform.taskBehaviour = [](const FleetTaskId &task) {
+    m_platform.taskBehaviour = [this](const FleetTaskId &task) {
         TaskBehaviour out;
         out.duration = Millis(static_cast<std::int64_t>(50 + std::hash<std::string> {}(task.toString()) % TaskTimeSpreadMs));
         out.needs = {1000, 100, 0};
         out.checkpoints = true;
+        const auto job = m_checker.jobs().find(task.job);
+        if (job != m_checker.jobs().end() && job->second.isGang) {
+            out.duration = GangTaskTime;
+        }
         return out;
     };
-    for (std::size_t i = 0; i < m_platform.workerCount(); ++i) {
-        m_workerProxies.push_back(std::make_unique<FaultProxy>(m_platform.workerPort(i)));
-        m_platform.advertisePort(i, m_workerProxies.back()->port());
-    }
     m_advisorProxy = std::make_unique<FaultProxy>(m_platform.advisorPort());
     std::vector<int> ports;
     for (int i = 0; i < options.nodes; ++i) {
-        m_storeProxies.push_back(std::make_unique<FaultProxy>(m_platform.storePort()));
-        m_storeProxies.back()->setBandwidthToCaller(linkBandwidth(static_cast<std::size_t>(i)));
-        m_nodes.push_back(std::make_unique<NodeProcess>(m_folder.path(), "node-" + std::to_string(i), m_storeProxies.back()->port(), m_advisorProxy->port()));
+        m_nodes.push_back(std::make_unique<NodeProcess>(m_folder.path(), "node-" + std::to_string(i)));
         ports.push_back(m_nodes.back()->callerPort());
     }
+    const auto addProxies = [this](std::vector<std::vector<std::unique_ptr<FaultProxy>>> &proxies, int port) {
+        proxies.emplace_back();
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            proxies.back().push_back(std::make_unique<FaultProxy>(port));
+        }
+    };
+    for (std::size_t i = 0; i < m_platform.workerCount(); ++i) {
+        addProxies(m_workerProxies, m_platform.workerPort(i));
+    }
+    for (const auto &it : m_nodes) {
+        addProxies(m_peerProxies, it->peerPort());
+    }
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        m_storeProxies.push_back(std::make_unique<FaultProxy>(addStoreView(i)));
+        m_storeProxies.back()->setBandwidthToCaller(linkBandwidth(i));
+        m_nodes[i]->writeSettings(m_storeProxies.back()->port(), m_advisorProxy->port());
+    }
     m_callers = std::make_unique<SoakCallers>(m_checker, ports, options.seed + 1);
     m_callers->mayCutOff = [this](std::size_t node, TimePoint since) {
         return m_nodes[node]->wasInterrupted(since);
@@ -70,6 +92,18 @@
 
 Soak::~Soak() = default;
 
+int Soak::addStoreView(std::size_t node)
+{
+    std::map<int, int> ports;
+    for (std::size_t i = 0; i < m_workerProxies.size(); ++i) {
+        ports[m_platform.workerPort(i)] = m_workerProxies[i][node]->port();
+    }
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        ports[m_nodes[i]->peerPort()] = m_peerProxies[i][node]->port();
+    }
+    return m_platform.addStoreView(std::move(ports));
+}
+
 void Soak::wait(Millis time)
 {
     waitFor(
@@ -217,23 +251,83 @@
 void Soak::injectIntoWorker(SoakFault fault)
 {
     const auto number = randomBelow(m_workerProxies.size());
-    auto &proxy = *m_workerProxies[number];
+    auto &proxies = m_workerProxies[number];
+    const auto resetConnections = [&proxies]() {
+        for (const auto &it : proxies) {
+            it->resetConnections();
+        }
+    };
     if (fault == SoakFault::WorkerReset) {
-        proxy.resetConnections();
+        resetConnections();
         return;
     }
     if (fault == SoakFault::WorkerRestarted) {
         m_checker.workerRestarted(m_platform.worker(number).report().id, monotonicNow());
         m_platform.restartWorker(number);
-        proxy.resetConnections();
+        resetConnections();
         return;
     }
     const bool isSlow = fault == SoakFault::WorkerSlow;
     const LinkFault slow {isSlow ? WorkerDelay : Millis(0), false};
     const LinkFault silent {Millis(0), true};
-    proxy.setFaults(fault == SoakFault::WorkerSilent ? silent : slow, isSlow ? slow : silent);
-    runAfter(randomFaultDuration(), [&proxy]() {
-        proxy.clearFaults();
+    for (const auto &it : proxies) {
+        it->setFaults(fault == SoakFault::WorkerSilent ? silent : slow, isSlow ? slow : silent);
+    }
+    runAfter(randomFaultDuration(), [&proxies]() {
+        for (const auto &it : proxies) {
+            it->clearFaults();
+        }
+    });
+}
+
+std::optional<std::size_t> Soak::leader() const
+{
+    const auto value = m_platform.newestValue("keyed.leadership", "planner");
+    const auto record = value ? decodeLeadership(*value) : std::nullopt;
+    for (std::size_t i = 0; record && i < m_nodes.size(); ++i) {
+        if (m_nodes[i]->name() == record->node) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void Soak::setCutOff(std::size_t node, const std::vector<std::size_t> &workers, bool isCutOff)
+{
+    m_storeProxies[node]->setCut(isCutOff);
+    for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+        m_peerProxies[node][other]->setCut(isCutOff);
+        m_peerProxies[other][node]->setCut(isCutOff);
+    }
+    for (std::size_t worker = 0; worker < m_workerProxies.size(); ++worker) {
+        const bool isInside = std::find(workers.begin(), workers.end(), worker) != workers.end();
+        for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+            if (isInside != (other == node)) {
+                m_workerProxies[worker][other]->setCut(isCutOff);
+            }
+        }
+    }
+}
+
+void Soak::cutOffLeader()
+{
+    const auto node = leader();
+    if (!node || m_isCutOff) {
+        return;
+    }
+    std::vector<std::size_t> workers;
+    for (std::size_t i = 0; i < m_workerProxies.size(); ++i) {
+        if (m_laterRandom() % 2 == 0) {
+            workers.push_back(i);
+        }
+    }
+    m_isCutOff = true;
+    setCutOff(*node, workers, true);
+    m_operator->noteDisturbance(*node, monotonicNow());
+    runAfter(Millis(static_cast<std::int64_t>(MinCutMs + m_laterRandom() % (MaxCutMs - MinCutMs))), [this, node, workers]() {
+        m_isCutOff = false;
+        setCutOff(*node, workers, false);
+        m_operator->noteDisturbance(*node, monotonicNow());
     });
 }
 
@@ -273,6 +367,27 @@
     case SoakFault::LargeConfigurationChanged:
         m_operator->changeConfiguration(fault == SoakFault::LargeConfigurationChanged);
         return;
+    case SoakFault::LeaderCutOff:
+        cutOffLeader();
+        return;
+    case SoakFault::StopsRefused:
+        ++m_stopRefusals;
+        m_platform.setRefusingStops(true);
+        runAfter(Millis(static_cast<std::int64_t>(MinFaultMs + m_laterRandom() % (MaxFaultMs - MinFaultMs))), [this]() {
+            --m_stopRefusals;
+            m_platform.setRefusingStops(m_stopRefusals > 0);
+        });
+        return;
+    }
+}
+
+void Soak::drawLaterFaults(std::vector<std::pair<Millis, SoakFault>> &faults)
+{
+    const auto randomPause = [this]() {
+        return Millis(static_cast<std::int64_t>(m_laterRandom() % MaxLaterFaultGapMs));
+    };
+    for (auto at = randomPause(); at < m_options.faultPeriod; at += randomPause()) {
+        faults.emplace_back(at, m_laterRandom() % 2 == 0 ? SoakFault::LeaderCutOff : SoakFault::StopsRefused);
     }
 }
 
@@ -289,7 +404,7 @@
         }
     }
     for (auto at = randomPause(MaxFaultGapMs); at < m_options.faultPeriod; at += randomPause(MaxFaultGapMs)) {
-        const auto fault = rows[randomBelow(std::size(rows))].value;
+        const auto fault = rows[randomBelow(static_cast<std::size_t>(SoakFault::LeaderCutOff))].value;
         const auto count = randomBelow(SeriesOneIn) == 0 ? 2 + randomBelow(MaxSeriesLength - 1) : 1;
         auto next = at;
         for (std::size_t i = 0; i < count; ++i) {
@@ -297,6 +412,7 @@
             next += randomPause(MaxSeriesGapMs);
         }
     }
+    drawLaterFaults(out);
     std::stable_sort(out.begin(), out.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -2,6 +2,7 @@
 
 #include <QTemporaryDir>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -37,6 +38,10 @@
     StoreLinkSlow,
     ConfigurationChanged,
     LargeConfigurationChanged,
+    /// The process that leads and some workers are cut off from the log, from the other processes and from their workers, and reach each other.
+    LeaderCutOff,
+    /// All workers answer stop requests with 503 and carry none out.
+    StopsRefused,
 };
 
 /// Size and duration of a soak.
@@ -81,6 +86,13 @@
     void injectIntoNode(SoakFault fault);
     void injectIntoStore(SoakFault fault);
     void injectIntoWorker(SoakFault fault);
+    void cutOffLeader();
+    // Cuts a process and these workers off from all else, or ends that.
+    void setCutOff(std::size_t node, const std::vector<std::size_t> &workers, bool isCutOff);
+    // Returns the process that wrote the newest record about the leader.
+    std::optional<std::size_t> leader() const;
+    // Opens the store's port for a process, on which it finds its own proxies to the workers and to the other processes.
+    int addStoreView(std::size_t node);
     /// Calls a function that ends a fault after a pause. The fault counts as active until then.
     void runAfter(Millis pause, std::function<void()> undo);
     void endAndRestartNode(std::size_t node, int signal);
@@ -90,6 +102,8 @@
     // Returns the bandwidth in bytes per second of the link from the log to a process; 0 if it is not limited.
     static std::int64_t linkBandwidth(std::size_t node) { return node % 2 == 1 ? SmallVmBandwidth : 0; }
     Millis randomFaultDuration();
+    // Faults that are drawn apart from the others, so that a seed still gives the order of those that it gave before these were added.
+    void drawLaterFaults(std::vector<std::pair<Millis, SoakFault>> &faults);
     std::size_t randomBelow(std::size_t bound) { return static_cast<std::size_t>(m_random() % bound); }
 
     // 10 and 2 Mbit/s in bytes per second.
@@ -98,11 +112,15 @@
 
     const SoakOptions m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_laterRandom;
     QTemporaryDir m_folder;
     QObject m_context;
     WireStandIn m_platform;
     SoakChecker m_checker;
-    std::vector<std::unique_ptr<FaultProxy>> m_workerProxies;
+    /// For each worker, a proxy on the way from each process.
+    std::vector<std::vector<std::unique_ptr<FaultProxy>>> m_workerProxies;
+    /// For each process, a proxy on the way from each other process.
+    std::vector<std::vector<std::unique_ptr<FaultProxy>>> m_peerProxies;
     std::vector<std::unique_ptr<FaultProxy>> m_storeProxies;
     std::unique_ptr<FaultProxy> m_advisorProxy;
     std::vector<std::unique_ptr<NodeProcess>> m_nodes;
@@ -111,6 +129,8 @@
     TimePoint m_startedAt {};
     /// Number of faults that have not ended yet.
     int m_activeFaults = 0;
+    bool m_isCutOff = false;
+    int m_stopRefusals = 0;
     std::vector<std::string> m_injected;
 };
 
@@ -140,6 +160,8 @@
         {test::SoakFault::StoreLinkSlow, "store-link-slow"},
         {test::SoakFault::ConfigurationChanged, "configuration-changed"},
         {test::SoakFault::LargeConfigurationChanged, "large-configuration-changed"},
+        {test::SoakFault::LeaderCutOff, "leader-cut-off"},
+        {test::SoakFault::StopsRefused, "stops-refused"},
     };
 };
 
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -1,5 +1,6 @@
 #include "SoakCallers.h"
 
+#include <QDateTime>
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -19,6 +20,16 @@
 constexpr int TicksPerQuery = 2;
 constexpr std::uint64_t MaxTasksPerStep = 4;
 constexpr int ConnectionsPerHost = 8;
+// One job in this many is a lasting gang, and one in as many is repeated.
+constexpr std::uint64_t KindOneIn = 16;
+constexpr std::uint64_t MaxGangSize = 3;
+constexpr std::uint64_t MaxRepeats = 3;
+constexpr std::uint64_t MaxGangMs = 3000;
+constexpr std::uint64_t MaxDueInMs = 2000;
+constexpr std::uint64_t MaxIntervalMs = 1500;
+constexpr Millis CancelRetryDelay {300};
+constexpr int StatusOk = 200;
+constexpr int StatusGone = 410;
 
 } // namespace
 
@@ -26,6 +37,7 @@
     : m_checker(checker)
     , m_ports(std::move(ports))
     , m_random(seed)
+    , m_kindRandom(seed)
     , m_httpClient(*this, ConnectionsPerHost)
 {
     connect(&m_ticker, &QTimer::timeout, this, [this]() {
@@ -70,10 +82,24 @@
     for (std::uint64_t i = 0; i < 1 + randomBelow(3); ++i) {
         job.steps.push_back(static_cast<int>(1 + randomBelow(MaxTasksPerStep)));
     }
+    drawKind(job);
     m_checker.job(id) = job;
     return id;
 }
 
+void SoakCallers::drawKind(JobHistory &job)
+{
+    const auto kind = m_kindRandom() % KindOneIn;
+    if (kind == 0) {
+        job.isGang = true;
+        job.steps = {static_cast<int>(2 + m_kindRandom() % (MaxGangSize - 1))};
+    } else if (kind == 1) {
+        job.repeatCount = static_cast<int>(1 + m_kindRandom() % MaxRepeats);
+        job.firstDueUnixMs = QDateTime::currentMSecsSinceEpoch() + static_cast<std::int64_t>(m_kindRandom() % MaxDueInMs);
+        job.intervalMs = static_cast<std::int64_t>(1 + m_kindRandom() % MaxIntervalMs);
+    }
+}
+
 OutgoingCall SoakCallers::makeCall(const std::string &method, const std::string &id, std::size_t node)
 {
     OutgoingCall out;
@@ -112,15 +138,25 @@
 
 void SoakCallers::submit(const std::string &id, int attempt)
 {
+    const auto &job = m_checker.job(id);
     auto steps = nlohmann::json::array();
-    for (const auto count : m_checker.job(id).steps) {
+    for (const auto count : job.steps) {
         nlohmann::json step {{"count", count}, {"cpu", 1000}, {"mem-mb", 100}, {"estimate-ms", 250}, {"checkpointing", true}};
         if (!steps.empty()) {
             step["after"] = {steps.size() - 1};
         }
+        if (job.isGang) {
+            step["gang"] = true;
+        }
         steps.push_back(step);
     }
-    send("POST", id, nlohmann::json {{"spec", id}, {"phases", steps}}.dump(), [this, id, attempt](const CallResult &result) {
+    nlohmann::json body {{"spec", id}, {"phases", steps}};
+    if (job.repeatCount > 0) {
+        body["repeat-count"] = job.repeatCount;
+        body["start-at-ms"] = job.firstDueUnixMs;
+        body["interval-ms"] = job.intervalMs;
+    }
+    send("POST", id, body.dump(), [this, id, attempt](const CallResult &result) {
         handleSubmitResponse(id, attempt, result);
     });
 }
@@ -133,6 +169,7 @@
             job.isAccepted = true;
             job.acceptedAt = monotonicNow();
             ++m_accepted;
+            cancelGangLater(id);
         }
         if (attempt < MaxAttempts && randomBelow(RepeatOneIn) == 0) {
             submitLater(id, MaxAttempts, Millis(static_cast<std::int64_t>(randomBelow(MaxDuplicateDelayMs))));
@@ -143,6 +180,8 @@
     job.mayBeStored = job.mayBeStored || !isRefused;
     if (attempt < MaxAttempts) {
         submitLater(id, attempt + 1, Millis(static_cast<std::int64_t>(randomBelow(MaxRetryDelayMs))));
+    } else {
+        cancelGangLater(id);
     }
 }
 
@@ -159,6 +198,30 @@
     send("DELETE", id, {}, [](const CallResult & /*result*/) {});
 }
 
+void SoakCallers::cancelSurely(const std::string &id)
+{
+    m_checker.job(id).isCancelSent = true;
+    send("DELETE", id, {}, [this, id](const CallResult &result) {
+        if (result.hasResponse && (result.status == StatusOk || result.status == StatusGone)) {
+            m_checker.job(id).isCancelConfirmed = true;
+            return;
+        }
+        QTimer::singleShot(static_cast<int>(CancelRetryDelay.count()), this, [this, id]() {
+            cancelSurely(id);
+        });
+    });
+}
+
+// A gang lasts until it is cancelled, also one whose acceptance its caller doesn't know of.
+void SoakCallers::cancelGangLater(const std::string &id)
+{
+    if (m_checker.job(id).isGang) {
+        QTimer::singleShot(static_cast<int>(m_kindRandom() % MaxGangMs), this, [this, id]() {
+            cancelSurely(id);
+        });
+    }
+}
+
 void SoakCallers::queryState(const std::string &id)
 {
     send("GET", id, {}, [this, id](const CallResult &result) {
@@ -174,7 +237,8 @@
 bool SoakCallers::isSettled() const
 {
     return std::all_of(m_checker.jobs().begin(), m_checker.jobs().end(), [](const auto &it) {
-        return !it.second.isAccepted || it.second.isCancelSent || it.second.isReportedCompleted;
+        const auto &job = it.second;
+        return job.isGang ? job.isCancelConfirmed : !job.isAccepted || job.isCancelSent || job.isReportedCompleted;
     });
 }
 
--- a/tests/soak/SoakCallers.h
+++ b/tests/soak/SoakCallers.h
@@ -35,17 +35,24 @@
     void handleSubmitResponse(const std::string &id, int attempt, const CallResult &result);
     void submitLater(const std::string &id, int attempt, Millis pause);
     void cancel(const std::string &id);
+    // Cancels a job again and again until that is confirmed.
+    void cancelSurely(const std::string &id);
+    void cancelGangLater(const std::string &id);
     void queryState(const std::string &id);
     OutgoingCall makeCall(const std::string &method, const std::string &id, std::size_t node);
     // Sends a request for a job to a random process, on a connection that is kept open until the process closes it.
     void send(const std::string &method, const std::string &id, std::string body, PooledHttpClient::Done done);
     void checkNotCutOff(const std::string &request, std::size_t node, TimePoint sentAt, const CallResult &result);
     std::string newJob();
+    // Makes some jobs lasting gangs or repeated ones.
+    void drawKind(JobHistory &job);
     std::uint64_t randomBelow(std::uint64_t bound) { return m_random() % bound; }
 
     SoakChecker &m_checker;
     const std::vector<int> m_ports;
     std::mt19937_64 m_random;
+    /// Draws the kinds of jobs, apart from all else, so that these don't change what a seed draws besides.
+    std::mt19937_64 m_kindRandom;
     PooledHttpClient m_httpClient;
     QTimer m_ticker;
     bool m_isSubmitting = true;
--- a/tests/soak/SoakChecker.cpp
+++ b/tests/soak/SoakChecker.cpp
@@ -1,5 +1,6 @@
 #include "SoakChecker.h"
 
+#include <QDateTime>
 #include <algorithm>
 
 namespace marjoramhaven::test {
@@ -8,6 +9,8 @@
 
 // Every process must know an accepted job within this time after its acceptance.
 constexpr Millis VisibleWithin {3000};
+// A task may start this long before it is due.
+constexpr std::int64_t EarlyStartToleranceMs = 250;
 
 } // namespace
 
@@ -36,11 +39,11 @@
     m_restartedAt[worker] = now;
 }
 
-bool SoakChecker::isStepDone(const std::string &job, int step) const
+bool SoakChecker::isStepDone(const std::string &job, int occurrence, int step) const
 {
     const auto count = m_jobs.at(job).steps[static_cast<std::size_t>(step)];
     for (int i = 0; i < count; ++i) {
-        if (!m_firstCompletions.contains({job, 0, step, i})) {
+        if (!m_firstCompletions.contains({job, occurrence, step, i})) {
             return false;
         }
     }
@@ -77,7 +80,7 @@
     m_startedJobs.insert(event.task.job);
     const auto job = m_jobs.find(event.task.job);
     const bool isSubmitted = job != m_jobs.end() && event.task.step < static_cast<int>(job->second.steps.size())
-        && event.task.index < job->second.steps[static_cast<std::size_t>(event.task.step)];
+        && event.task.index < job->second.steps[static_cast<std::size_t>(event.task.step)] && event.task.occurrence < std::max(1, job->second.repeatCount);
     if (!isSubmitted) {
         addViolation("started a task that no caller submitted: " + name);
         return;
@@ -88,9 +91,13 @@
     if (m_firstCompletions.contains(event.task) && !isCompletionLost(event.task)) {
         addViolation("started again although the task had completed: " + name);
     }
-    if (event.task.step > 0 && !isStepDone(event.task.job, event.task.step - 1)) {
+    if (event.task.step > 0 && !isStepDone(event.task.job, event.task.occurrence, event.task.step - 1)) {
         addViolation("started before the preceding step had completed: " + name);
     }
+    const auto dueUnixMs = job->second.firstDueUnixMs + event.task.occurrence * job->second.intervalMs;
+    if (job->second.repeatCount > 0 && QDateTime::currentMSecsSinceEpoch() < dueUnixMs - EarlyStartToleranceMs) {
+        addViolation("started before it was due: " + name);
+    }
     const auto &worker = m_platform.worker(workerIndex(event.worker));
     const auto used = worker.used();
     const auto &capacity = worker.report().capacity;
@@ -107,9 +114,11 @@
     }
     if (state == "completed") {
         job.isReportedCompleted = true;
-        for (int i = 0; i < static_cast<int>(job.steps.size()); ++i) {
-            if (!isStepDone(id, i)) {
-                addViolation("reported as completed before all its tasks had completed: " + id);
+        for (int occurrence = 0; occurrence < std::max(1, job.repeatCount); ++occurrence) {
+            for (int i = 0; i < static_cast<int>(job.steps.size()); ++i) {
+                if (!isStepDone(id, occurrence, i)) {
+                    addViolation("reported as completed before all its tasks had completed: " + id);
+                }
             }
         }
     }
--- a/tests/soak/SoakChecker.h
+++ b/tests/soak/SoakChecker.h
@@ -14,11 +14,18 @@
 struct JobHistory {
     /// Number of tasks of each step; every step starts after the preceding one has completed.
     std::vector<int> steps;
+    /// The tasks are a gang that lasts until the job is cancelled.
+    bool isGang = false;
+    /// Number of occurrences, the first of them due at this Unix time in milliseconds, and the time between them; 0 for a job that runs once, at once.
+    int repeatCount = 0;
+    std::int64_t firstDueUnixMs = 0;
+    std::int64_t intervalMs = 0;
     bool isAccepted = false;
     TimePoint acceptedAt {};
     /// Whether some submission may have been stored although the caller got no confirmation.
     bool mayBeStored = false;
     bool isCancelSent = false;
+    bool isCancelConfirmed = false;
     bool isReportedCompleted = false;
 };
 
@@ -49,7 +56,7 @@
 
 private:
     void checkStart(const RunEvent &event);
-    bool isStepDone(const std::string &job, int step) const;
+    bool isStepDone(const std::string &job, int occurrence, int step) const;
     bool isCompletionLost(const FleetTaskId &task) const;
     std::size_t workerIndex(const std::string &worker) const;
 
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -91,7 +91,8 @@
     WireStandIn platform(1);
     const QTemporaryDir folder;
     QFile::copy(QLatin1String(MARJORAMHAVEN_BINARY), folder.filePath(QLatin1String("marjoramhaven")));
-    NodeProcess process(folder.path(), "node", platform.storePort(), platform.advisorPort());
+    NodeProcess process(folder.path(), "node");
+    process.writeSettings(platform.storePort(), platform.advisorPort());
     process.start();
     process.signal(SIGHUP);
     waitFor(
--- a/tests/support/FaultProxy.cpp
+++ b/tests/support/FaultProxy.cpp
@@ -14,6 +14,13 @@
 constexpr qint64 SegmentBytes = 2 << 10;
 constexpr int MillisPerSecond = 1000;
 
+// Returns true if a socket is connected or on the way to be, so that bytes for it are kept.
+bool isWritable(const QTcpSocket &socket)
+{
+    const auto state = socket.state();
+    return socket.isOpen() && state != QAbstractSocket::UnconnectedState && state != QAbstractSocket::ClosingState;
+}
+
 } // namespace
 
 FaultProxy::FaultProxy(int targetPort)
@@ -70,8 +77,8 @@
                 continue;
             }
             hasSent = true;
-            pipe->isDropping = pipe->isDropping || m_toCaller.isSilent;
-            if (!pipe->isDropping && pipe->to->isOpen()) {
+            pipe->isDropping = pipe->isDropping || m_toCaller.isSilent || m_isCut;
+            if (!pipe->isDropping && isWritable(*pipe->to)) {
                 m_allowance -= bytes.size();
                 pipe->to->write(bytes);
             }
@@ -126,13 +133,13 @@
     }
     const auto &fault = pipe->isToTarget ? m_toTarget : m_toCaller;
     const auto bytes = pipe->from->readAll();
-    pipe->isDropping = pipe->isDropping || fault.isSilent;
+    pipe->isDropping = pipe->isDropping || fault.isSilent || m_isCut;
     if (pipe->isDropping) {
         return;
     }
     const auto now = monotonicNow();
     if (fault.delay.count() == 0 && pipe->lastDue <= now) {
-        if (pipe->to->isOpen()) {
+        if (isWritable(*pipe->to)) {
             pipe->to->write(bytes);
         }
         return;
--- a/tests/support/FaultProxy.h
+++ b/tests/support/FaultProxy.h
@@ -30,6 +30,8 @@
     int port() const { return m_server.serverPort(); }
     void setFaults(const LinkFault &toTarget, const LinkFault &toCaller);
     void clearFaults() { setFaults({}, {}); }
+    /// Drops all bytes in both directions while true, whatever the faults are.
+    void setCut(bool isCut) { m_isCut = isCut; }
     /// Limits the bytes per second that all connections together carry from the target to the callers. 0 lifts the limit. Delay is not applied to such bytes.
     void setBandwidthToCaller(std::int64_t bytesPerSecond);
     /// Resets all open connections.
@@ -53,6 +55,7 @@
     const int m_targetPort;
     LinkFault m_toTarget;
     LinkFault m_toCaller;
+    bool m_isCut = false;
     std::int64_t m_bytesPerSecond = 0;
     /// Bytes that may be sent now, and since when they have been counted.
     std::int64_t m_allowance = 0;
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -5,6 +5,7 @@
 #include <QtEndian>
 
 #include "WireJson.h"
+#include "marjoramhaven/fleet/PlannerElection.h"
 
 namespace marjoramhaven::test {
 
@@ -69,7 +70,7 @@
 WireStandIn::WireStandIn(int workers)
     : m_store(
         [this](const HttpRequest &request, HttpRespond respond) {
-            handleStore(request, std::move(respond));
+            handleStore(request, m_plainView, std::move(respond));
         },
         HttpLimits {})
     , m_advisor(
@@ -208,7 +209,53 @@
     return static_cast<int>(std::count(m_startedTasks.begin(), m_startedTasks.end(), task));
 }
 
-void WireStandIn::handleStore(const HttpRequest &request, HttpRespond respond)
+int WireStandIn::addStoreView(std::map<int, int> ports)
+{
+    m_views.push_back(std::make_unique<PortView>(std::move(ports)));
+    const auto *view = m_views.back().get();
+    m_viewServers.push_back(std::make_unique<HttpServer>(
+        [this, view](const HttpRequest &request, HttpRespond respond) {
+            handleStore(request, *view, std::move(respond));
+        },
+        HttpLimits {}));
+    return m_viewServers.back()->listenOn(QHostAddress::LocalHost, 0);
+}
+
+std::optional<std::string> WireStandIn::newestValue(const std::string &topic, const std::string &key) const
+{
+    const auto it = m_topics.find(topic);
+    if (it == m_topics.end()) {
+        return std::nullopt;
+    }
+    const auto &records = it->second.records;
+    const auto found = std::find_if(records.rbegin(), records.rend(), [&key](const auto &record) {
+        return record.first == key;
+    });
+    return found == records.rend() ? std::nullopt : found->second;
+}
+
+std::string WireStandIn::valueIn(const PortView &view, const std::string &topic, const std::string &value)
+{
+    const auto portIn = [&view](int port) {
+        const auto it = view.find(port);
+        return it == view.end() ? port : it->second;
+    };
+    if (topic == "keyed.servers" && !view.empty()) {
+        auto entry = Json::parse(value);
+        const auto address = entry["address"].get<std::string>();
+        const auto colon = address.find(':') + 1;
+        entry["address"] = address.substr(0, colon) + std::to_string(portIn(std::stoi(address.substr(colon))));
+        return entry.dump();
+    }
+    auto record = topic == "keyed.leadership" && !view.empty() ? decodeLeadership(value) : std::nullopt;
+    if (!record) {
+        return value;
+    }
+    record->port = portIn(record->port);
+    return encodeLeadership(*record);
+}
+
+void WireStandIn::handleStore(const HttpRequest &request, const PortView &view, HttpRespond respond)
 {
     if (m_isStoreDown) {
         respond(json(503, Json::object()));
@@ -219,11 +266,15 @@
         }
         answerDueRequests();
     } else if (request.path == "/v1/log-newest") {
-        respond(newest(request));
+        respond(newest(request, view));
     } else if (request.path == "/v1/log-read") {
         const auto wait = Millis(numberOf(request, "wait-ms", 0));
-        m_pendingReads.push_back(
-            {queryOf(request, "topic"), numberOf(request, "from", 0), numberOf(request, "max-kb", 1024) << 10, monotonicNow() + wait, std::move(respond)});
+        m_pendingReads.push_back({&view,
+                                  queryOf(request, "topic"),
+                                  numberOf(request, "from", 0),
+                                  numberOf(request, "max-kb", 1024) << 10,
+                                  monotonicNow() + wait,
+                                  std::move(respond)});
         answerDueRequests();
     } else {
         respond(json(404, Json::object()));
@@ -285,10 +336,11 @@
     return json(200, {{"offset", end}, {"end-offset", topic.records.size()}});
 }
 
-HttpResponse WireStandIn::newest(const HttpRequest &request) const
+HttpResponse WireStandIn::newest(const HttpRequest &request, const PortView &view) const
 {
     const auto after = queryOf(request, "after");
-    const auto topic = m_topics.find(queryOf(request, "topic"));
+    const auto name = queryOf(request, "topic");
+    const auto topic = m_topics.find(name);
     std::map<std::string, std::pair<std::string, std::int64_t>> found;
     std::int64_t end = 0;
     if (topic != m_topics.end()) {
@@ -302,7 +354,7 @@
     }
     Json items = Json::array();
     for (auto it = found.upper_bound(after); it != found.end() && items.size() < newestPageSize; ++it) {
-        const auto value = QByteArray::fromStdString(it->second.first).toBase64().toStdString();
+        const auto value = QByteArray::fromStdString(valueIn(view, name, it->second.first)).toBase64().toStdString();
         items.push_back({{"key", it->first}, {"value", value}, {"offset", it->second.second}});
     }
     const bool hasMore = !items.empty() && found.upper_bound(items.back()["key"].get<std::string>()) != found.end();
@@ -322,7 +374,8 @@
     qToBigEndian(static_cast<quint64>(end), out.body.data());
     qToBigEndian(static_cast<quint64>(first), out.body.data() + 8);
     for (auto i = reader.from; i < end && (i == reader.from || out.body.size() < reader.maxBytes); ++i) {
-        const auto &[key, value] = topic->second.records[static_cast<std::size_t>(i)];
+        const auto &[key, stored] = topic->second.records[static_cast<std::size_t>(i)];
+        const auto value = stored ? std::optional(valueIn(*reader.view, reader.topic, *stored)) : std::nullopt;
         QByteArray record(4, Qt::Uninitialized);
         qToBigEndian(static_cast<quint32>(1 + key.size() + (value ? value->size() : 0)), record.data());
         record.append(static_cast<char>(key.size()));
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -44,6 +44,11 @@
     void setRefusingStops(bool isRefusing) { m_isRefusingStops = isRefusing; }
     /// Compacts a topic: reads from any offset before its present end get status 410, and only the newest record of each key can be fetched.
     void compact(const std::string &topic);
+    /// Opens another port of the store, for the reader of a cut-off simulation, and returns it. Where a record names one of these ports of a worker or a
+    /// process, that reader finds the other one, such as that of a proxy on its own way there.
+    int addStoreView(std::map<int, int> ports);
+    /// Returns the value of the newest record with a key in a topic, or `std::nullopt` if there is none.
+    std::optional<std::string> newestValue(const std::string &topic, const std::string &key) const;
     /// Publishes another port for a worker, such as that of a proxy.
     void advertisePort(std::size_t worker, int port);
     int workerPort(std::size_t worker) const { return m_workers[worker]->report().port; }
@@ -67,7 +72,10 @@
         std::int64_t first = 0;
         std::map<std::string, std::pair<std::int64_t, std::int64_t>> producers;
     };
+    // The ports that one reader of the store finds in place of others.
+    using PortView = std::map<int, int>;
     struct PendingRead {
+        const PortView *view = nullptr;
         std::string topic;
         std::int64_t from = 0;
         qsizetype maxBytes = 0;
@@ -81,10 +89,12 @@
         HttpRespond respond;
     };
 
-    void handleStore(const HttpRequest &request, HttpRespond respond);
+    void handleStore(const HttpRequest &request, const PortView &view, HttpRespond respond);
     HttpResponse append(const HttpRequest &request);
     bool hasTooLargeRecord(const QByteArray &records) const;
-    HttpResponse newest(const HttpRequest &request) const;
+    HttpResponse newest(const HttpRequest &request, const PortView &view) const;
+    // Returns the value of a record as a reader with this view finds it.
+    static std::string valueIn(const PortView &view, const std::string &topic, const std::string &value);
     HttpResponse readRecords(const PendingRead &reader) const;
     void handleWorker(std::size_t worker, const HttpRequest &request, HttpRespond respond);
     void answerDueRequests();
@@ -92,7 +102,10 @@
     void writeInventoryEntry(std::size_t worker);
     void recordRunEvent(const RunEvent &event);
 
+    const PortView m_plainView;
     HttpServer m_store;
+    std::vector<std::unique_ptr<PortView>> m_views;
+    std::vector<std::unique_ptr<HttpServer>> m_viewServers;
     HttpServer m_advisor;
     int m_storePort = 0;
     int m_advisorPort = 0;
