--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -10,15 +10,12 @@
 #include <vector>
 
 #include "marjoramhaven/base/Time.h"
-#include "marjoramhaven/fleet/AdviceCache.h"
 #include "marjoramhaven/fleet/FleetClients.h"
-#include "marjoramhaven/fleet/FleetJobState.h"
-#include "marjoramhaven/fleet/FleetRun.h"
-#include "marjoramhaven/fleet/FleetWorker.h"
+#include "marjoramhaven/fleet/FleetState.h"
 #include "marjoramhaven/fleet/LeadershipConfirmation.h"
 #include "marjoramhaven/fleet/PlannerLimits.h"
 #include "marjoramhaven/fleet/PlannerTransport.h"
-#include "marjoramhaven/fleet/WorkerSpeeds.h"
+#include "marjoramhaven/fleet/TaskPlacer.h"
 #include "marjoramhaven/telemetry/EventLog.h"
 
 namespace marjoramhaven {
@@ -38,11 +35,11 @@
 ///
 /// Holds the state of all jobs, workers and runs, and does no I/O itself. A decision to start a run is stored before the start request is sent, and the end of
 /// a run is stored before its worker may discard it, so that the planner of the next leader finds everything in the log and on the workers. Not thread-safe.
-class FleetPlanner
+class FleetPlanner : private PlacementActions
 {
 public:
     FleetPlanner(PlannerTransport &port, EventLog &events, PlannerLimits limits, std::int64_t fencingToken, TimePoint now);
-    ~FleetPlanner();
+    ~FleetPlanner() override;
 
     // Stored state from before the takeover; called before startPlanning().
 
@@ -109,17 +106,13 @@
     std::int64_t fencingToken() const { return m_fencingToken; }
     /// Returns the time since the newest confirmation of leadership, or `std::nullopt` if there was none.
     std::optional<Millis> confirmationAge(TimePoint now) const { return m_leadership.age(now); }
-    const std::map<std::string, FleetWorker> &workers() const { return m_workers; }
-    std::size_t runCount() const { return m_runs.size(); }
+    const std::map<std::string, FleetWorker> &workers() const { return m_state.workers; }
+    std::size_t runCount() const { return m_state.runs.size(); }
 
 private:
-    /// Sort key of pending steps: jobs that are too late to have any value last; then by priority; then jobs that are on time first; then by deadline.
-    using PendingStepRank = std::tuple<bool, int, int, TimePoint, const FleetJob *>;
-    struct PendingStep;
     struct Batch;
 
     // FleetPlanner.cpp: jobs
-    FleetJob *findJob(const std::string &job);
     // Notes that a job has changes to store: of its state, or also of a task.
     void markDirty(FleetJob &job);
     void markDirty(FleetJob &job, const FleetTaskId &task);
@@ -133,10 +126,9 @@
     void releaseEndedJobs();
     void releaseIfIdle(FleetJob &job);
     // FleetPlannerRuns.cpp: life cycle of runs
-    FleetRun *findRun(const RunKey &key);
     // Enters a state; the lists of polls that were sent before prove nothing about the run any more.
     void setState(FleetRun &run, RunState state, TimePoint now);
-    FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now);
+    FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now) override;
     // FleetPlannerStarts.cpp: start requests
     void sendStart(FleetRun &run, TimePoint now);
     // Returns why a planned run must not start on its worker any more, or nullptr. The store may take seconds, in which the worker may change.
@@ -148,7 +140,8 @@
     // FleetPlannerStops.cpp: stop requests
     // Returns why a run has to be stopped whatever its worker and its progress are, or StopReason::None.
     StopReason owedStop(const FleetRun &run) const;
-    void requestStop(FleetRun &run, StopReason reason, TimePoint now);
+    void requestStop(FleetRun &run, StopReason reason, TimePoint now) override;
+    void sendAdviceRequest(const AdviceRequest &request) override { m_port.sendAdviceRequest(request); }
     void trySendStop(FleetRun &run, TimePoint now);
     void stopRunsOf(FleetJob &job, StopReason reason, TimePoint now);
     void stopGang(FleetJob &job, FleetStep &step, TimePoint now);
@@ -159,7 +152,6 @@
     void markTaskDone(FleetJob &job, FleetTask &task, TimePoint now);
     void recordTaskFailure(FleetJob &job, FleetTask &task, std::int64_t attempt, const std::string &worker, TimePoint now);
     // FleetPlannerWorkers.cpp: workers
-    FleetWorker &findOrCreateWorker(const std::string &worker);
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
@@ -182,50 +174,7 @@
     void observeFinishedRun(const FleetRun &run, FleetStep &step, TimePoint now);
     void observeRunningRun(FleetRun &run, const FleetWorker &worker, const FleetStep &step, const StepSpec &spec, TimePoint now);
     void moveFromSlowWorker(FleetRun &run, const StepSpec &spec, double tookMs, double usualMs, TimePoint now);
-    // FleetPlannerPlacement.cpp: placement of tasks on workers
-    std::vector<PendingStep> pendingSteps(TimePoint now);
-    bool needsSpeculativeRun(const FleetTask &task) const;
-    static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
-    bool isUsable(const FleetWorker &worker, TimePoint now) const;
-    // Like isUsable(), also for a worker that is avoided for a while.
-    bool acceptsStarts(const FleetWorker &worker, TimePoint now) const;
-    // Returns true if it is known what runs on the worker, and the worker is to get more.
-    bool isOpenForStarts(const FleetWorker &worker, TimePoint now) const;
-    // Returns true while a start request to an earlier incarnation may still be carried out by this one, which has not confirmed that it is stopped.
-    bool owesStops(const FleetWorker &worker) const;
-    static bool isEligible(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec);
-    void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
-    void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
-    void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
-    // FleetPlannerGangs.cpp: workers and advice for gangs that don't fit yet
-    void holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
-    std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const;
-    void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
-    // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
-    std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
-    // Runs of the step that is being placed, and workers that are chosen last for it.
-    struct StepPlacement {
-        std::map<std::string, int> runsPerWorker;
-        std::set<std::string> doubtful;
-    };
-    FleetWorker *
-    chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, const StepPlacement &placement) const;
-    std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
-    // FleetPlannerPreemption.cpp: preemption for tasks of higher priority
-    static bool mayPreempt(const PendingStep &pending, TimePoint now);
-    static bool canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims);
-    void preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now);
-    std::map<std::string, int> runsPerWorker(const FleetStep &step) const;
-    // Returns the workers that may still carry out a start request of the step that was given up, which only their next incarnation would.
-    std::set<std::string> workersWithGivenUpStarts(const FleetStep &step) const;
-    // FleetPlannerAdvice.cpp: requests to the advisor for steps that are ready or will be soon
-    bool requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
-    void prefetchAdvice(const std::vector<FleetWorker *> &workers, TimePoint now);
-    static bool isStartImminent(const FleetJob &job, const FleetOccurrence &occurrence, const StepSpec &spec);
-    static FleetResources reservedResources(const StepSpec &spec);
-    static RunAllocation allocationFor(const FleetJob &job, const StepSpec &spec, TimePoint now);
     void updateQueue(FleetJob &job) const;
-    static const QueuePolicy &queueOf(const FleetJob &job);
 
     PlannerTransport &m_port;
     EventLog &m_events;
@@ -234,19 +183,14 @@
     bool m_isOpen = false;
     TimePoint m_openedAt;
     LeadershipConfirmation m_leadership;
+    FleetState m_state;
+    TaskPlacer m_placer;
     /// Whether leadership was confirmed when this was last checked.
     bool m_isConfirmed = false;
-    FleetConfiguration m_configuration;
-    std::map<std::string, std::unique_ptr<FleetJob>> m_jobs;
-    std::set<std::string> m_activeJobs;
     std::set<std::string> m_jobsToRelease;
     std::set<std::string> m_dirtyJobs;
     std::set<std::string> m_earlyCancellations;
     std::vector<std::string> m_droppedRecords;
-    std::map<RunKey, FleetRun> m_runs;
-    std::map<std::string, FleetWorker> m_workers;
-    AdviceCache m_advice;
-    WorkerSpeeds m_speeds;
     /// Moves of runs from slow workers since the time below.
     int m_recentMoves = 0;
     TimePoint m_movesCountedSince {};
@@ -255,10 +199,6 @@
     std::int64_t m_batchNumber = 0;
     std::unique_ptr<Batch> m_batch;
     bool m_hasUnstoredEnds = false;
-    /// Number of workers that this call of plan() holds for gangs.
-    std::size_t m_heldWorkerCount = 0;
-    /// Number of steps for which this call of plan() may still preempt runs.
-    int m_preemptionsLeft = 0;
 };
 
 } // namespace marjoramhaven
--- /dev/null
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "marjoramhaven/base/Time.h"
+#include "marjoramhaven/fleet/FleetClients.h"
+#include "marjoramhaven/fleet/FleetState.h"
+
+namespace marjoramhaven {
+
+/// Carries out what a TaskPlacer decides.
+class PlacementActions
+{
+public:
+    virtual ~PlacementActions() = default;
+
+    /// Adds a run of a task on a worker, to be started once that is stored.
+    virtual FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now) = 0;
+    virtual void requestStop(FleetRun &run, StopReason reason, TimePoint now) = 0;
+    virtual void sendAdviceRequest(const AdviceRequest &request) = 0;
+};
+
+/// Decides which waiting tasks start on which workers, which runs are preempted for them, and about which workers the advisor is asked.
+class TaskPlacer
+{
+public:
+    TaskPlacer(FleetState &state, PlacementActions &actions);
+
+    /// Places the tasks that wait now.
+    void plan(TimePoint now);
+
+private:
+    // Sort key of pending steps: jobs that are too late to have any value last; then by priority; then jobs that are on time first; then by deadline.
+    using PendingStepRank = std::tuple<bool, int, int, TimePoint, const FleetJob *>;
+    struct PendingStep;
+    // Runs of the step that is being placed, and workers that are chosen last for it.
+    struct StepPlacement {
+        std::map<std::string, int> runsPerWorker;
+        std::set<std::string> doubtful;
+    };
+
+    // TaskPlacer.cpp
+    std::vector<PendingStep> pendingSteps(TimePoint now);
+    bool needsSpeculativeRun(const FleetTask &task) const;
+    static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
+    bool isUsable(const FleetWorker &worker, TimePoint now) const;
+    void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
+    void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
+    FleetWorker *
+    chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, const StepPlacement &placement) const;
+    std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
+    // Returns the workers that may still carry out a start request of the step that was given up, which only their next incarnation would.
+    std::set<std::string> workersWithGivenUpStarts(const FleetStep &step) const;
+    // TaskPlacerGangs.cpp: workers and advice for gangs that don't fit yet
+    void holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const;
+    void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
+    static std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
+    // TaskPlacerPreemption.cpp: preemption for tasks of higher priority
+    static bool mayPreempt(const PendingStep &pending, TimePoint now);
+    static bool canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims);
+    void preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now);
+    // TaskPlacerAdvice.cpp: requests to the advisor for steps that are ready or will be soon
+    bool requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
+    void prefetchAdvice(const std::vector<FleetWorker *> &workers, TimePoint now);
+    static bool isStartImminent(const FleetJob &job, const FleetOccurrence &occurrence, const StepSpec &spec);
+
+    FleetState &m_state;
+    PlacementActions &m_actions;
+    /// Number of workers that this call of plan() holds for gangs.
+    std::size_t m_heldWorkerCount = 0;
+    /// Number of steps for which this call of plan() may still preempt runs.
+    int m_preemptionsLeft = 0;
+};
+
+} // namespace marjoramhaven
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -22,6 +22,7 @@
     , m_fencingToken(fencingToken)
     , m_openedAt(now)
     , m_leadership(limits.leadershipBound)
+    , m_placer(m_state, *this)
 {
 }
 
@@ -31,14 +32,14 @@
 {
     const auto age = std::clamp<std::int64_t>(nowUnixMs - request.acceptedUnixMs, 0, m_limits.statusRetention.count());
     const auto id = request.id;
-    if (!m_jobs.contains(id)) {
-        updateQueue(*m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now - Millis(age), m_limits.tasksPerPart)).first->second);
+    if (!m_state.jobs.contains(id)) {
+        updateQueue(*m_state.jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now - Millis(age), m_limits.tasksPerPart)).first->second);
     }
 }
 
 void FleetPlanner::restoreProgress(const JobRecord &record, TimePoint now)
 {
-    auto *job = findJob(record.job);
+    auto *job = m_state.findJob(record.job);
     if (job == nullptr) {
         m_droppedRecords.push_back(progressKey(record.job, record.part));
         return;
@@ -60,12 +61,12 @@
             run.stopReason = it.isOrphaned ? StopReason::Orphaned : StopReason::None;
             run.isSpeedKnown = false;
             run.stateSince = now;
-            auto &worker = findOrCreateWorker(it.worker);
+            auto &worker = m_state.findOrCreateWorker(it.worker);
             const auto &spec = job->spec(row.step);
-            auto allocation = allocationFor(*job, spec, now);
+            auto allocation = FleetState::allocationFor(*job, spec, now);
             allocation.isStopping = it.isOrphaned;
             worker.allocate(run.key, allocation);
-            m_runs.emplace(run.key, std::move(run));
+            m_state.runs.emplace(run.key, std::move(run));
         }
     }
 }
@@ -74,11 +75,11 @@
 {
     m_isOpen = true;
     m_openedAt = now;
-    for (auto &[id, job] : m_jobs) {
+    for (auto &[id, job] : m_state.jobs) {
         if (m_earlyCancellations.erase(id) > 0 && !job->isEnded()) {
             job->isCancelRequested = true;
         }
-        m_activeJobs.insert(id);
+        m_state.activeJobs.insert(id);
         if (!job->isEnded() && job->request().repeatCount == 0) {
             job->occurrence(0);
         }
@@ -95,14 +96,14 @@
     }
     // An earlier leader was confirmed before this planner opened, and may be granting leases where this one can't reach.
     const auto longest = LeadershipConfirmation::longestLease(m_limits.leadershipBound, m_limits.lease);
-    for (auto &[id, worker] : m_workers) {
+    for (auto &[id, worker] : m_state.workers) {
         worker.lease.assumeGrantedUntil(now + longest);
     }
     m_events.write("planner_open",
                    {{"fence", m_fencingToken},
-                    {"jobs", static_cast<std::int64_t>(m_jobs.size())},
-                    {"runs", static_cast<std::int64_t>(m_runs.size())},
-                    {"workers", static_cast<std::int64_t>(m_workers.size())}});
+                    {"jobs", static_cast<std::int64_t>(m_state.jobs.size())},
+                    {"runs", static_cast<std::int64_t>(m_state.runs.size())},
+                    {"workers", static_cast<std::int64_t>(m_state.workers.size())}});
 }
 
 void FleetPlanner::confirmLeadership(TimePoint asOf, TimePoint now)
@@ -111,12 +112,6 @@
     checkLeadership(now);
 }
 
-FleetJob *FleetPlanner::findJob(const std::string &job)
-{
-    const auto it = m_jobs.find(job);
-    return it == m_jobs.end() ? nullptr : it->second.get();
-}
-
 void FleetPlanner::markDirty(FleetJob &job)
 {
     m_dirtyJobs.insert(job.id());
@@ -135,7 +130,7 @@
     job.markAllChanged();
     markDirty(job);
     std::vector<RunKey> unsent;
-    for (const auto &[key, run] : m_runs) {
+    for (const auto &[key, run] : m_state.runs) {
         if (key.task.job == job.id() && run.state == RunState::Planned) {
             unsent.push_back(key);
         }
@@ -148,13 +143,13 @@
 void FleetPlanner::jobAccepted(FleetJobRequest request, TimePoint now)
 {
     const auto id = request.id;
-    if (m_jobs.contains(id)) {
+    if (m_state.jobs.contains(id)) {
         return;
     }
     m_events.write("job_known", {{"id", id}, {"queue", request.queue.name}, {"steps", static_cast<std::int64_t>(request.steps.size())}});
-    auto &job = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now, m_limits.tasksPerPart)).first->second;
+    auto &job = *m_state.jobs.emplace(id, std::make_unique<FleetJob>(std::move(request), now, m_limits.tasksPerPart)).first->second;
     updateQueue(job);
-    m_activeJobs.insert(id);
+    m_state.activeJobs.insert(id);
     if (m_earlyCancellations.erase(id) > 0) {
         jobCancelled(id, now);
     }
@@ -165,7 +160,7 @@
 
 void FleetPlanner::jobCancelled(const std::string &id, TimePoint now)
 {
-    auto *job = findJob(id);
+    auto *job = m_state.findJob(id);
     if (job == nullptr) {
         m_earlyCancellations.insert(id);
         return;
@@ -204,7 +199,7 @@
 
 void FleetPlanner::scheduleRelease(const FleetJob &job)
 {
-    if (job.isEnded() && m_activeJobs.contains(job.id())) {
+    if (job.isEnded() && m_state.activeJobs.contains(job.id())) {
         m_jobsToRelease.insert(job.id());
     }
 }
@@ -214,7 +209,7 @@
     const auto ending = std::move(m_jobsToRelease);
     m_jobsToRelease.clear();
     for (const auto &it : ending) {
-        if (auto *job = findJob(it)) {
+        if (auto *job = m_state.findJob(it)) {
             releaseIfIdle(*job);
         }
     }
@@ -233,18 +228,18 @@
     }
     for (const auto &[number, occurrence] : job.occurrences()) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            m_advice.forget(job.id() + "." + std::to_string(number) + "." + std::to_string(step));
+            m_state.advice.forget(job.id() + "." + std::to_string(number) + "." + std::to_string(step));
         }
     }
     job.releaseTasks();
-    m_activeJobs.erase(job.id());
+    m_state.activeJobs.erase(job.id());
     markDirty(job);
 }
 
 void FleetPlanner::configurationChanged(const FleetConfiguration &configuration)
 {
-    m_configuration = configuration;
-    for (auto &[id, job] : m_jobs) {
+    m_state.configuration = configuration;
+    for (auto &[id, job] : m_state.jobs) {
         updateQueue(*job);
     }
 }
@@ -252,22 +247,37 @@
 void FleetPlanner::updateQueue(FleetJob &job) const
 {
     const auto &own = job.request().queue;
-    job.currentQueue = m_configuration.find(own.host, own.prefix);
+    job.currentQueue = m_state.configuration.find(own.host, own.prefix);
 }
 
-const QueuePolicy &FleetPlanner::queueOf(const FleetJob &job)
+void FleetPlanner::addAdvisorProxy(const std::string &proxy)
 {
-    return job.currentQueue == nullptr ? job.request().queue : *job.currentQueue;
+    m_state.advice.addProxy(proxy);
 }
 
-void FleetPlanner::addAdvisorProxy(const std::string &proxy)
+void FleetPlanner::removeAdvisorProxy(const std::string &proxy)
 {
-    m_advice.addProxy(proxy);
+    m_state.advice.removeProxy(proxy);
 }
 
-void FleetPlanner::removeAdvisorProxy(const std::string &proxy)
+void FleetPlanner::plan(TimePoint now)
+{
+    if (m_isOpen) {
+        releaseEndedJobs();
+        m_placer.plan(now);
+    }
+}
+
+void FleetPlanner::handleAdviceResponse(const AdviceRequest &request, const AdviceResponse &response, TimePoint now)
 {
-    m_advice.removeProxy(proxy);
+    m_events.write("advice",
+                   {{"step", request.step},
+                    {"helper", request.proxy},
+                    {"asked", static_cast<std::int64_t>(request.workers.size())},
+                    {"allowed", static_cast<std::int64_t>(response.allowed.size())},
+                    {"answered", static_cast<std::int64_t>(response.isAnswered)},
+                    {"reason", response.reason}});
+    m_state.advice.handleResponse(request.proxy, request.step, response, now);
 }
 
 ProgressBatch FleetPlanner::takeBatch(TimePoint now)
@@ -281,7 +291,7 @@
     out.dropped = std::move(m_droppedRecords);
     m_droppedRecords.clear();
     for (auto it = m_dirtyJobs.begin(); it != m_dirtyJobs.end();) {
-        auto *job = findJob(*it);
+        auto *job = m_state.findJob(*it);
         if (job != nullptr && job->heldBackUntil && now < *job->heldBackUntil) {
             ++it;
             continue;
@@ -294,12 +304,12 @@
         }
         it = m_dirtyJobs.erase(it);
     }
-    for (auto &[key, run] : m_runs) {
+    for (auto &[key, run] : m_state.runs) {
         if (run.state == RunState::Planned && !m_dirtyJobs.contains(key.task.job)) {
             m_batch->starts.push_back(key);
         }
     }
-    for (const auto &[id, worker] : m_workers) {
+    for (const auto &[id, worker] : m_state.workers) {
         const auto last = worker.lastEndBefore(m_dirtyJobs);
         if (last > worker.lastStoredEnd) {
             m_batch->ends.push_back({id, worker.startedUnixMs, last});
@@ -316,8 +326,8 @@
 RunLocator FleetPlanner::runLocator() const
 {
     return [this](const FleetTaskId &task, std::int64_t attempt) {
-        const auto it = m_runs.find({task, attempt});
-        if (it == m_runs.end()) {
+        const auto it = m_state.runs.find({task, attempt});
+        if (it == m_state.runs.end()) {
             return RunRecord {attempt, {}, 0};
         }
         const auto &run = it->second;
@@ -327,8 +337,8 @@
 
 std::optional<JobRecord> FleetPlanner::progressOf(const std::string &job) const
 {
-    const auto it = m_jobs.find(job);
-    return it == m_jobs.end() ? std::nullopt : std::optional(it->second->record(runLocator()));
+    const auto it = m_state.jobs.find(job);
+    return it == m_state.jobs.end() ? std::nullopt : std::optional(it->second->record(runLocator()));
 }
 
 void FleetPlanner::batchStored(std::int64_t number, TimePoint now, const std::set<std::string> &refused)
@@ -338,7 +348,7 @@
     }
     const auto batch = std::move(m_batch);
     for (const auto &[id, state] : batch->storedStates) {
-        auto *job = findJob(id);
+        auto *job = m_state.findJob(id);
         if (job != nullptr && refused.contains(id)) {
             holdBack(*job, now);
         } else if (job != nullptr) {
@@ -347,7 +357,7 @@
         }
     }
     for (const auto &it : batch->ends) {
-        auto &worker = findOrCreateWorker(it.worker);
+        auto &worker = m_state.findOrCreateWorker(it.worker);
         const auto last = std::min(it.number, worker.lastEndBefore(refused));
         if (worker.startedUnixMs == it.startedUnixMs && last > worker.lastStoredEnd) {
             worker.acknowledgeEnds(last);
@@ -355,7 +365,7 @@
         }
     }
     for (const auto &key : batch->starts) {
-        auto *run = findRun(key);
+        auto *run = m_state.findRun(key);
         if (run != nullptr && run->state == RunState::Planned && !refused.contains(key.task.job)) {
             sendStart(*run, now);
         }
@@ -365,8 +375,8 @@
 std::vector<std::string> FleetPlanner::takeExpiredJobs(TimePoint now)
 {
     std::vector<std::string> out;
-    for (const auto &[id, job] : m_jobs) {
-        if (job->isEnded() && !m_activeJobs.contains(id) && job->endedAt != TimePoint::max()
+    for (const auto &[id, job] : m_state.jobs) {
+        if (job->isEnded() && !m_state.activeJobs.contains(id) && job->endedAt != TimePoint::max()
             && now - job->endedAt > m_limits.statusRetention + RetentionMargin) {
             job->endedAt = TimePoint::max();
             out.push_back(id);
@@ -377,15 +387,15 @@
 
 void FleetPlanner::removeDroppedJob(const std::string &job)
 {
-    m_jobs.erase(job);
+    m_state.jobs.erase(job);
     m_dirtyJobs.erase(job);
     m_droppedRecords.push_back(job);
 }
 
 std::optional<FleetJobState> FleetPlanner::jobState(const std::string &job) const
 {
-    const auto it = m_jobs.find(job);
-    if (it == m_jobs.end()) {
+    const auto it = m_state.jobs.find(job);
+    if (it == m_state.jobs.end()) {
         return std::nullopt;
     }
     return it->second->storedState;
@@ -393,8 +403,8 @@
 
 std::int64_t FleetPlanner::pendingJobCount(const std::string &host, const std::string &prefix) const
 {
-    return std::count_if(m_activeJobs.begin(), m_activeJobs.end(), [&](const std::string &id) {
-        const auto &job = *m_jobs.at(id);
+    return std::count_if(m_state.activeJobs.begin(), m_state.activeJobs.end(), [&](const std::string &id) {
+        const auto &job = *m_state.jobs.at(id);
         return !job.hasBegun && !job.isEnded() && job.request().queue.host == host && job.request().queue.prefix == prefix;
     });
 }
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -33,19 +33,19 @@
 void FleetPlanner::tick(std::int64_t nowUnixMs, TimePoint now)
 {
     checkLeadership(now);
-    for (const auto &id : m_activeJobs) {
-        auto &job = *m_jobs.at(id);
+    for (const auto &id : m_state.activeJobs) {
+        auto &job = *m_state.jobs.at(id);
         if (!job.isEnded() && job.request().repeatCount > 0) {
             job.createDueOccurrences(nowUnixMs + m_limits.earlyStartTolerance.count() / 2);
         }
     }
-    for (auto it = m_workers.begin(); it != m_workers.end();) {
+    for (auto it = m_state.workers.begin(); it != m_state.workers.end();) {
         auto &worker = it->second;
         ++it;
         checkWorker(worker, now);
     }
-    // Erasing from m_runs would invalidate this loop. No call removes a run whose start request was sent, and only such runs are passed to them.
-    for (auto &[key, run] : m_runs) {
+    // Erasing from m_state.runs would invalidate this loop. No call removes a run whose start request was sent, and only such runs are passed to them.
+    for (auto &[key, run] : m_state.runs) {
         if (run.stopReason != StopReason::None) {
             trySendStop(run, now);
         } else if (run.state == RunState::Unconfirmed && now >= run.nextStartAt && mayRepeatStart(run, now)) {
@@ -65,7 +65,7 @@
     m_isConfirmed = isConfirmed;
     m_events.write(isConfirmed ? "leadership_confirmed" : "leadership_unconfirmed",
                    {{"fence", m_fencingToken}, {"age_ms", m_leadership.age(now).value_or(Millis(0)).count()}});
-    for (auto &[id, worker] : m_workers) {
+    for (auto &[id, worker] : m_state.workers) {
         if (isConfirmed) {
             worker.nextPollAt = std::min(worker.nextPollAt, now);
         }
@@ -93,17 +93,17 @@
     const bool isUnlisted = !worker.isListed || worker.isEntryUnreadable;
     const bool isIdle = worker.allocations.empty() && worker.unansweredStarts.empty() && !worker.isPollInFlight;
     if (isUnlisted && isIdle && now - worker.unlistedSince > UnlistedRetention) {
-        m_workers.erase(id);
+        m_state.workers.erase(id);
     }
 }
 
 void FleetPlanner::checkStuck(FleetRun &run, TimePoint now)
 {
-    auto *job = findJob(run.key.task.job);
+    auto *job = m_state.findJob(run.key.task.job);
     if (job == nullptr || run.state != RunState::Running || run.speedPercent != FullPercent) {
         return;
     }
-    const auto &worker = findOrCreateWorker(run.worker);
+    const auto &worker = m_state.findOrCreateWorker(run.worker);
     const auto &spec = job->spec(run.key.task.step);
     if (spec.isBestEffort || spec.isGang || worker.failedPolls > 0 || (spec.isLongRunning && run.percent >= FullPercent)) {
         return;
@@ -112,7 +112,7 @@
     // The worker's own clock must have advanced without progress too: this process or the worker may have been paused, or its lists delayed.
     const Millis observed(run.percentChangedClockMs == 0 ? 0 : worker.lastListClockMs - run.percentChangedClockMs);
     if (now - run.percentChangedAt > limit + ProgressGranularity && observed >= limit - MaxListAge) {
-        auto &failing = findOrCreateWorker(run.worker);
+        auto &failing = m_state.findOrCreateWorker(run.worker);
         failing.recentFailures.emplace_back(now, job->id());
         failing.avoidUntil = std::max(failing.avoidUntil, now + StuckAfter);
         requestStop(run, StopReason::Stuck, now);
@@ -124,8 +124,8 @@
     int out = 0;
     for (const auto &task : step.tasks) {
         const bool isRunning = std::any_of(task.activeAttempts.begin(), task.activeAttempts.end(), [&](std::int64_t attempt) {
-            const auto it = m_runs.find({task.id, attempt});
-            return it != m_runs.end() && it->second.state == RunState::Running && it->second.percent >= FullPercent
+            const auto it = m_state.runs.find({task.id, attempt});
+            return it != m_state.runs.end() && it->second.state == RunState::Running && it->second.percent >= FullPercent
                 && it->second.stopReason == StopReason::None;
         });
         out += isRunning ? 0 : 1;
@@ -141,8 +141,8 @@
         keys.push_back(key);
     }
     for (const auto &key : keys) {
-        auto *run = findRun(key);
-        auto *job = findJob(key.task.job);
+        auto *run = m_state.findRun(key);
+        auto *job = m_state.findJob(key.task.job);
         if (run == nullptr || job == nullptr || run->state != RunState::Running || run->stopReason != StopReason::None) {
             continue;
         }
@@ -172,8 +172,8 @@
     double worstRatio = 0;
     std::vector<FleetRun *> bestEffortRuns;
     for (const auto &[key, needs] : worker.allocations) {
-        auto *run = findRun(key);
-        const auto *job = findJob(key.task.job);
+        auto *run = m_state.findRun(key);
+        const auto *job = m_state.findJob(key.task.job);
         if (run == nullptr || job == nullptr || run->state != RunState::Running) {
             continue;
         }
@@ -206,12 +206,12 @@
                     {"to", static_cast<std::int64_t>(percent)}});
     run.isThrottleInFlight = true;
     run.speedChangedAt = now;
-    m_port.sendThrottle({findOrCreateWorker(run.worker).target(), run.key.task, run.key.attempt, percent, m_fencingToken}, ThrottleTimeout);
+    m_port.sendThrottle({m_state.findOrCreateWorker(run.worker).target(), run.key.task, run.key.attempt, percent, m_fencingToken}, ThrottleTimeout);
 }
 
 void FleetPlanner::handleThrottleResponse(const ThrottleRunRequest &request, const WorkerResponse &response, TimePoint now)
 {
-    auto *run = findRun({request.task, request.attempt});
+    auto *run = m_state.findRun({request.task, request.attempt});
     if (run == nullptr) {
         return;
     }
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -14,18 +14,12 @@
 
 } // namespace
 
-FleetRun *FleetPlanner::findRun(const RunKey &key)
-{
-    const auto it = m_runs.find(key);
-    return it == m_runs.end() ? nullptr : &it->second;
-}
-
 void FleetPlanner::setState(FleetRun &run, RunState state, TimePoint now)
 {
     run.state = state;
     run.stateSince = now;
     run.stateSequence = ++m_sequence;
-    auto *job = state == RunState::Running ? findJob(run.key.task.job) : nullptr;
+    auto *job = state == RunState::Running ? m_state.findJob(run.key.task.job) : nullptr;
     if (job != nullptr) {
         job->hasBegun = true;
     }
@@ -44,7 +38,7 @@
     task.lastAttempt = attempt;
     task.activeAttempts.push_back(attempt);
     const auto &spec = job.spec(task.id.step);
-    worker.allocate(run.key, allocationFor(job, spec, now));
+    worker.allocate(run.key, FleetState::allocationFor(job, spec, now));
     if (job.state == FleetJobState::Queued) {
         job.state = FleetJobState::Running;
     }
@@ -57,12 +51,12 @@
                     {"cpu_left", worker.report.capacity.cpuMilli - worker.used.cpuMilli},
                     {"job_age_ms", (now - job.acceptedAt()).count()},
                     {"resumes", static_cast<std::int64_t>(!run.checkpoint.empty())}});
-    return m_runs.emplace(run.key, std::move(run)).first->second;
+    return m_state.runs.emplace(run.key, std::move(run)).first->second;
 }
 
 void FleetPlanner::discardUnstartedRun(const RunKey &key, const char *reason, Millis pause, TimePoint now)
 {
-    auto *job = findJob(key.task.job);
+    auto *job = m_state.findJob(key.task.job);
     auto *task = job == nullptr ? nullptr : job->find(key.task);
     removeRun(key);
     if (task == nullptr) {
@@ -78,24 +72,24 @@
 
 void FleetPlanner::removeRun(const RunKey &key)
 {
-    const auto it = m_runs.find(key);
-    if (it == m_runs.end()) {
+    const auto it = m_state.runs.find(key);
+    if (it == m_state.runs.end()) {
         return;
     }
-    findOrCreateWorker(it->second.worker).release(key);
-    auto *job = findJob(key.task.job);
+    m_state.findOrCreateWorker(it->second.worker).release(key);
+    auto *job = m_state.findJob(key.task.job);
     auto *task = job == nullptr ? nullptr : job->find(key.task);
     if (task != nullptr) {
         std::erase(task->activeAttempts, key.attempt);
         markDirty(*job, key.task);
     }
-    m_runs.erase(it);
+    m_state.runs.erase(it);
 }
 
 void FleetPlanner::endRun(const RunKey &key, RunEnd end, const std::string &checkpoint, const std::string &worker, TimePoint now)
 {
-    auto *job = findJob(key.task.job);
-    auto *run = findRun(key);
+    auto *job = m_state.findJob(key.task.job);
+    auto *run = m_state.findRun(key);
     const bool isKnown = run != nullptr && run->worker == worker;
     m_events.write("run_ended",
                    {{"task", key.task.toString()},
@@ -137,7 +131,7 @@
         }
     }
     if (end == RunEnd::Done && !spec.isLongRunning) {
-        findOrCreateWorker(worker).recentFailures.clear();
+        m_state.findOrCreateWorker(worker).recentFailures.clear();
         if (spec.isGang) {
             for (auto &it : step.tasks) {
                 markTaskDone(*job, it, now);
@@ -167,20 +161,20 @@
     ++step.doneCount;
     const auto attempts = task.activeAttempts;
     for (const auto attempt : attempts) {
-        auto *run = findRun({task.id, attempt});
+        auto *run = m_state.findRun({task.id, attempt});
         // The other members of a gang end by themselves.
         if (run != nullptr && !job.spec(task.id.step).isGang) {
             requestStop(*run, StopReason::NotNeeded, now);
         }
     }
     if (step.isDone()) {
-        m_advice.forget(job.id() + "." + std::to_string(task.id.occurrence) + "." + std::to_string(task.id.step));
+        m_state.advice.forget(job.id() + "." + std::to_string(task.id.occurrence) + "." + std::to_string(task.id.step));
     }
 }
 
 void FleetPlanner::recordTaskFailure(FleetJob &job, FleetTask &task, std::int64_t attempt, const std::string &workerId, TimePoint now)
 {
-    auto &worker = findOrCreateWorker(workerId);
+    auto &worker = m_state.findOrCreateWorker(workerId);
     const bool isNewJob = std::none_of(worker.recentFailures.begin(), worker.recentFailures.end(), [&](const auto &it) {
         return it.second == job.id();
     });
@@ -208,7 +202,7 @@
             it.addFailure(attempt);
         }
     }
-    if (task.failureCount() >= queueOf(job).maxAttempts) {
+    if (task.failureCount() >= FleetState::queueOf(job).maxAttempts) {
         finishJob(job, FleetJobState::Failed, "a task reached its maximum number of failed attempts", now);
     }
 }
--- a/src/fleet/FleetPlannerSpeed.cpp
+++ b/src/fleet/FleetPlannerSpeed.cpp
@@ -39,12 +39,12 @@
 
 void FleetPlanner::observeFinishedRun(const FleetRun &run, FleetStep &step, TimePoint now)
 {
-    const auto took = ownDurationMs(run, findOrCreateWorker(run.worker));
+    const auto took = ownDurationMs(run, m_state.findOrCreateWorker(run.worker));
     if (!took) {
         return;
     }
     if (const auto usual = median(step.durationsMs); usual && *usual > 0) {
-        m_speeds.observe(run.worker, *took / *usual, now);
+        m_state.speeds.observe(run.worker, *took / *usual, now);
     }
     step.durationsMs.push_back(*took);
 }
@@ -60,7 +60,7 @@
         return;
     }
     run.nextSpeedCheckAt = now + ProgressObservationInterval;
-    m_speeds.observe(run.worker, *took / *usual, now);
+    m_state.speeds.observe(run.worker, *took / *usual, now);
     moveFromSlowWorker(run, spec, *took, *usual, now);
 }
 
@@ -68,7 +68,7 @@
 void FleetPlanner::moveFromSlowWorker(FleetRun &run, const StepSpec &spec, double tookMs, double usualMs, TimePoint now)
 {
     const bool isMovable = spec.checkpoints && run.state == RunState::Running && run.stopReason == StopReason::None;
-    if (!isMovable || run.percent <= 0 || !m_speeds.isSlow(run.worker, now)) {
+    if (!isMovable || run.percent <= 0 || !m_state.speeds.isSlow(run.worker, now)) {
         return;
     }
     const auto done = run.percent / FullPercent;
@@ -88,7 +88,7 @@
     m_events.write("run_moved",
                    {{"task", run.key.task.toString()},
                     {"worker", run.worker},
-                    {"slowness", m_speeds.slowness(run.worker, now)},
+                    {"slowness", m_state.speeds.slowness(run.worker, now)},
                     {"took_ms", tookMs},
                     {"usual_ms", usualMs},
                     {"rest_here_ms", restHereMs},
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -25,13 +25,14 @@
 
 void FleetPlanner::sendStart(FleetRun &run, TimePoint now)
 {
-    auto *job = findJob(run.key.task.job);
-    auto &worker = findOrCreateWorker(run.worker);
+    auto *job = m_state.findJob(run.key.task.job);
+    auto &worker = m_state.findOrCreateWorker(run.worker);
     if (job == nullptr || job->isEnded() || worker.startedUnixMs != run.workerStartedUnixMs) {
         discardUnstartedRun(RunKey(run.key), "its worker restarted or its job ended before the start request was sent", Millis(0), now);
         return;
     }
-    if (queueOf(*job).needsAdvice && m_advice.verdict(stepOf(run.key.task), run.worker, run.workerStartedUnixMs, now) != AdviceCache::Verdict::Allowed) {
+    if (FleetState::queueOf(*job).needsAdvice
+        && m_state.advice.verdict(stepOf(run.key.task), run.worker, run.workerStartedUnixMs, now) != AdviceCache::Verdict::Allowed) {
         discardUnstartedRun(RunKey(run.key), "its ticket expired before the start request was sent", Millis(0), now);
         return;
     }
@@ -49,12 +50,12 @@
 
 const char *FleetPlanner::reasonNotToStart(const FleetRun &run, const FleetJob &job, TimePoint now) const
 {
-    const auto &worker = m_workers.at(run.worker);
+    const auto &worker = m_state.workers.at(run.worker);
     const auto &spec = job.spec(run.key.task.step);
-    if (!isOpenForStarts(worker, now)) {
+    if (!m_state.isOpenForStarts(worker, now)) {
         return "its worker stopped accepting runs before the start request was sent";
     }
-    if (!isEligible(worker, job, spec)) {
+    if (!FleetState::isEligible(worker, job, spec)) {
         return "its worker is of another kind since it was placed";
     }
     if (!worker.hasRoomFor({})) {
@@ -62,7 +63,7 @@
     }
     if (spec.maxPerWorker > 0) {
         const auto &step = job.occurrences().at(run.key.task.occurrence).steps[static_cast<std::size_t>(run.key.task.step)];
-        if (runsPerWorker(step)[run.worker] > spec.maxPerWorker) {
+        if (m_state.runsPerWorker(step)[run.worker] > spec.maxPerWorker) {
             return "its worker may run too many tasks of the step";
         }
     }
@@ -71,23 +72,23 @@
 
 bool FleetPlanner::mayRepeatStart(const FleetRun &run, TimePoint now) const
 {
-    const auto worker = m_workers.find(run.worker);
-    const auto it = m_jobs.find(run.key.task.job);
+    const auto worker = m_state.workers.find(run.worker);
+    const auto it = m_state.jobs.find(run.key.task.job);
     // A repeated request grants a lease like the first.
-    if (!m_leadership.isValid(now) || run.startSendings >= MaxStartSendings || now >= run.repeatStartUntil || run.isListed || it == m_jobs.end()
+    if (!m_leadership.isValid(now) || run.startSendings >= MaxStartSendings || now >= run.repeatStartUntil || run.isListed || it == m_state.jobs.end()
         || it->second->isEnded()) {
         return false;
     }
-    const auto &queue = queueOf(*it->second);
+    const auto &queue = FleetState::queueOf(*it->second);
     const bool isAllowed =
-        !queue.needsAdvice || m_advice.verdict(stepOf(run.key.task), run.worker, run.workerStartedUnixMs, now) == AdviceCache::Verdict::Allowed;
-    return isAllowed && worker != m_workers.end() && acceptsStarts(worker->second, now) && worker->second.report.service == queue.service;
+        !queue.needsAdvice || m_state.advice.verdict(stepOf(run.key.task), run.worker, run.workerStartedUnixMs, now) == AdviceCache::Verdict::Allowed;
+    return isAllowed && worker != m_state.workers.end() && m_state.acceptsStarts(worker->second, now) && worker->second.report.service == queue.service;
 }
 
 void FleetPlanner::requestStart(FleetRun &run, TimePoint now)
 {
-    auto &worker = findOrCreateWorker(run.worker);
-    const auto *job = findJob(run.key.task.job);
+    auto &worker = m_state.findOrCreateWorker(run.worker);
+    const auto *job = m_state.findJob(run.key.task.job);
     setState(run, RunState::Starting, now);
     ++run.startSendings;
     StartRunRequest request;
@@ -98,7 +99,7 @@
     request.leaseUntilMs = worker.lease.grant(m_limits.lease, now);
     request.fencingToken = m_fencingToken;
     request.checkpoint = run.startedFromCheckpoint;
-    request.ticket = queueOf(*job).needsAdvice ? m_advice.ticket(stepOf(run.key.task), run.worker) : std::string();
+    request.ticket = FleetState::queueOf(*job).needsAdvice ? m_state.advice.ticket(stepOf(run.key.task), run.worker) : std::string();
     request.workerStartedUnixMs = run.workerStartedUnixMs;
     m_port.sendStart(request, StartTimeout);
 }
@@ -106,8 +107,8 @@
 void FleetPlanner::handleStartResponse(const StartRunRequest &request, const WorkerResponse &response, TimePoint now)
 {
     const RunKey key {request.task, request.attempt};
-    auto *run = findRun(key);
-    auto &worker = findOrCreateWorker(request.worker.id);
+    auto *run = m_state.findRun(key);
+    auto &worker = m_state.findOrCreateWorker(request.worker.id);
     // The worker has restarted since the request was sent, so the answer and its clock may be those of the earlier incarnation.
     const bool isRestartKnown = run != nullptr && run->workerStartedUnixMs != request.workerStartedUnixMs;
     const bool isClockBack = response.workerClockMs > 0 && !isRestartKnown && worker.lease.isFromEarlierIncarnation(response.workerClockMs, now);
@@ -154,7 +155,7 @@
         avoid = Millis(0);
         break;
     case WorkerCallOutcome::NoTicket:
-        m_advice.discardTicket(stepOf(request.task), request.worker.id);
+        m_state.advice.discardTicket(stepOf(request.task), request.worker.id);
         reason = "the worker refused its ticket";
         avoid = Millis(0);
         break;
@@ -188,7 +189,7 @@
 
 void FleetPlanner::keepUnconfirmed(FleetRun &run, TimePoint now)
 {
-    auto &worker = findOrCreateWorker(run.worker);
+    auto &worker = m_state.findOrCreateWorker(run.worker);
     setState(run, RunState::Unconfirmed, now);
     run.nextStartAt = now + FirstStartRetryDelay * (1 << (run.startSendings - 1));
     worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
--- a/src/fleet/FleetPlannerStops.cpp
+++ b/src/fleet/FleetPlannerStops.cpp
@@ -12,8 +12,8 @@
 // Each reason here follows from the stored state of the job and from what workers list, so a leader that takes over finds the stops that are owed by itself.
 StopReason FleetPlanner::owedStop(const FleetRun &run) const
 {
-    const auto it = m_jobs.find(run.key.task.job);
-    auto *job = it == m_jobs.end() ? nullptr : it->second.get();
+    const auto it = m_state.jobs.find(run.key.task.job);
+    auto *job = it == m_state.jobs.end() ? nullptr : it->second.get();
     const auto *task = job == nullptr ? nullptr : job->find(run.key.task);
     if (task == nullptr) {
         return StopReason::Orphaned;
@@ -34,7 +34,7 @@
 {
     if (run.stopReason == StopReason::None) {
         run.stopReason = reason;
-        auto &allocations = findOrCreateWorker(run.worker).allocations;
+        auto &allocations = m_state.findOrCreateWorker(run.worker).allocations;
         if (const auto it = allocations.find(run.key); it != allocations.end()) {
             it->second.isStopping = true;
         }
@@ -58,7 +58,7 @@
     if (run.state == RunState::Starting || run.isStopInFlight || run.isStopAnswered || now < run.nextStopAt) {
         return;
     }
-    const auto &worker = findOrCreateWorker(run.worker);
+    const auto &worker = m_state.findOrCreateWorker(run.worker);
     if (worker.report.host.empty()) {
         return;
     }
@@ -69,9 +69,9 @@
 void FleetPlanner::handleStopResponse(const StopRunRequest &request, const WorkerResponse &response, TimePoint now)
 {
     const RunKey key {request.task, request.attempt};
-    auto *run = findRun(key);
+    auto *run = m_state.findRun(key);
     if (run == nullptr) {
-        auto &worker = findOrCreateWorker(request.worker.id);
+        auto &worker = m_state.findOrCreateWorker(request.worker.id);
         for (auto &it : worker.unansweredStarts) {
             if (it.key == key) {
                 it.isStopInFlight = false;
@@ -82,7 +82,7 @@
         return;
     }
     run->isStopInFlight = false;
-    auto &worker = findOrCreateWorker(run->worker);
+    auto &worker = m_state.findOrCreateWorker(run->worker);
     if (response.outcome == WorkerCallOutcome::Done && request.workerStartedUnixMs == run->workerStartedUnixMs) {
         run->isStopAnswered = true;
         run->stopAnsweredSequence = ++m_sequence;
@@ -109,7 +109,7 @@
         }
     }
     for (const auto &key : keys) {
-        auto *run = findRun(key);
+        auto *run = m_state.findRun(key);
         if (run != nullptr) {
             requestStop(*run, reason, now);
         }
@@ -125,7 +125,7 @@
         }
     }
     for (const auto &key : keys) {
-        auto *run = findRun(key);
+        auto *run = m_state.findRun(key);
         if (run != nullptr && run->stopReason == StopReason::None) {
             requestStop(*run, job.isEnded() ? StopReason::NotNeeded : StopReason::GangBroken, now);
         }
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -21,18 +21,9 @@
 
 } // namespace
 
-FleetWorker &FleetPlanner::findOrCreateWorker(const std::string &id)
-{
-    auto &out = m_workers[id];
-    if (out.report.id.empty()) {
-        out.report.id = id;
-    }
-    return out;
-}
-
 void FleetPlanner::workerReported(const WorkerReport &report, TimePoint now)
 {
-    auto &worker = findOrCreateWorker(report.id);
+    auto &worker = m_state.findOrCreateWorker(report.id);
     const bool wasDraining = worker.report.isDraining && worker.isListed;
     const bool isNew = worker.report.host.empty();
     if (contradicts(report, worker)) {
@@ -73,8 +64,8 @@
 
 void FleetPlanner::workerEntryUnreadable(const std::string &id, TimePoint now)
 {
-    const auto it = m_workers.find(id);
-    const bool isKnown = it != m_workers.end() && !it->second.report.host.empty();
+    const auto it = m_state.workers.find(id);
+    const bool isKnown = it != m_state.workers.end() && !it->second.report.host.empty();
     m_events.write("entry_unusable", {{"worker", id}, {"reason", lastReason()}, {"known", static_cast<std::int64_t>(isKnown)}});
     if (isKnown && !it->second.isEntryUnreadable) {
         it->second.isEntryUnreadable = true;
@@ -84,8 +75,8 @@
 
 void FleetPlanner::workerUnlisted(const std::string &id, TimePoint now)
 {
-    const auto it = m_workers.find(id);
-    if (it == m_workers.end() || !it->second.isListed) {
+    const auto it = m_state.workers.find(id);
+    if (it == m_state.workers.end() || !it->second.isListed) {
         return;
     }
     it->second.isListed = false;
@@ -99,7 +90,7 @@
     // until the new incarnation has confirmed or stopped it.
     std::vector<RunKey> unlisted;
     for (const auto &[key, needs] : worker.allocations) {
-        auto *run = findRun(key);
+        auto *run = m_state.findRun(key);
         const bool isAnswered = run != nullptr && run->state == RunState::Running && !run->isListed;
         const bool isUnanswered = run != nullptr && (run->state == RunState::Starting || run->state == RunState::Unconfirmed);
         if (run != nullptr && run->state == RunState::Inherited) {
@@ -115,7 +106,7 @@
             // The new incarnation may be of another kind.
             run->repeatStartUntil = {};
             unlisted.push_back(key);
-            if (auto *job = findJob(key.task.job)) {
+            if (auto *job = m_state.findJob(key.task.job)) {
                 markDirty(*job, key.task);
             }
         }
@@ -140,7 +131,7 @@
     worker.isInventoried = false;
     worker.nextPollAt = now;
     worker.recentFailures.clear();
-    m_speeds.forget(worker.report.id);
+    m_state.speeds.forget(worker.report.id);
 }
 
 void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now)
@@ -158,7 +149,7 @@
     }
     for (auto &it : worker.unansweredStarts) {
         // A run that the planner still knows is stopped by itself, if at all.
-        if (it.mustStop && !it.isStopInFlight && now >= it.nextStopAt && findRun(it.key) == nullptr) {
+        if (it.mustStop && !it.isStopInFlight && now >= it.nextStopAt && m_state.findRun(it.key) == nullptr) {
             it.isStopInFlight = true;
             m_port.sendStop({worker.target(), it.key.task, it.key.attempt, m_fencingToken, worker.startedUnixMs}, UnansweredStopTimeout);
         }
@@ -174,7 +165,7 @@
         }
     }
     for (const auto &key : keys) {
-        auto *run = findRun(key);
+        auto *run = m_state.findRun(key);
         if (run == nullptr) {
             worker.release(key);
             continue;
@@ -202,8 +193,8 @@
     const bool areEndsStored = hasLease && worker.lastSeenEnd == worker.lastStoredEnd;
     // While it is not known whether a run exists, a list is needed at once, whether it has changed or not.
     const bool isEveryRunKnown = std::none_of(worker.allocations.begin(), worker.allocations.end(), [this](const auto &it) {
-        const auto run = m_runs.find(it.first);
-        return run != m_runs.end() && run->second.state == RunState::Unconfirmed;
+        const auto run = m_state.runs.find(it.first);
+        return run != m_state.runs.end() && run->second.state == RunState::Unconfirmed;
     });
     // The last poll that extends the lease is sent shortly before the confirmation expires.
     const auto longestWait = std::clamp(confirmedFor - LastRenewalMargin, Millis(0), m_limits.pollWait);
@@ -216,8 +207,8 @@
 
 void FleetPlanner::handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint now)
 {
-    const auto it = m_workers.find(request.worker.id);
-    if (it == m_workers.end()) {
+    const auto it = m_state.workers.find(request.worker.id);
+    if (it == m_state.workers.end()) {
         return;
     }
     auto &worker = it->second;
@@ -291,7 +282,7 @@
             worker.lastSeenEnd = std::max(worker.lastSeenEnd, row.number);
             worker.unstoredEnds.emplace_back(row.number, row.task.job);
             m_hasUnstoredEnds = true;
-            if (auto *job = findJob(row.task.job)) {
+            if (auto *job = m_state.findJob(row.task.job)) {
                 job->hasBegun = true;
             }
             endRun({row.task, row.attempt}, row.end, row.checkpoint, worker.report.id, now);
@@ -308,7 +299,7 @@
         }
     }
     for (const auto &key : absent) {
-        auto *run = findRun(key);
+        auto *run = m_state.findRun(key);
         if (run == nullptr) {
             worker.release(key);
         } else {
@@ -320,9 +311,9 @@
 void FleetPlanner::reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now)
 {
     const RunKey key {row.task, row.attempt};
-    auto *job = findJob(row.task.job);
+    auto *job = m_state.findJob(row.task.job);
     auto *task = job == nullptr ? nullptr : job->find(row.task);
-    auto *run = findRun(key);
+    auto *run = m_state.findRun(key);
     if (run == nullptr) {
         // The run is not needed any more, but uses the worker's resources until it has ended.
         FleetRun orphan;
@@ -332,8 +323,8 @@
         setState(orphan, RunState::Running, now);
         const bool isKnownStep = job != nullptr && row.task.step >= 0 && row.task.step < static_cast<int>(job->request().steps.size());
         const RunAllocation unknown {worker.report.capacity, 0, false, false, now};
-        worker.allocate(key, isKnownStep ? allocationFor(*job, job->spec(row.task.step), now) : unknown);
-        run = &m_runs.emplace(key, std::move(orphan)).first->second;
+        worker.allocate(key, isKnownStep ? FleetState::allocationFor(*job, job->spec(row.task.step), now) : unknown);
+        run = &m_state.runs.emplace(key, std::move(orphan)).first->second;
         if (task != nullptr) {
             task->activeAttempts.push_back(row.attempt);
             task->lastAttempt = std::max(task->lastAttempt, row.attempt);
--- a/src/fleet/FleetPlannerPlacement.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -3,7 +3,7 @@
 #include <limits>
 #include <tuple>
 
-#include "FleetPlannerBatch.h"
+#include "TaskPlacerSteps.h"
 
 namespace marjoramhaven {
 
@@ -11,7 +11,6 @@
 
 // A job that is late still has part of its value if it completes within this multiple of the time allowed.
 constexpr int LateFactor = 3;
-constexpr Millis UnlistedGracePeriod {2500};
 // Limits the work of one call of plan(); further steps may preempt in the next call.
 constexpr int MaxPreemptingSteps = 4;
 
@@ -27,18 +26,24 @@
 
 } // namespace
 
+TaskPlacer::TaskPlacer(FleetState &state, PlacementActions &actions)
+    : m_state(state)
+    , m_actions(actions)
+{
+}
+
 // Returns true if the task's only run is on a worker that does not answer or is slow.
-bool FleetPlanner::needsSpeculativeRun(const FleetTask &task) const
+bool TaskPlacer::needsSpeculativeRun(const FleetTask &task) const
 {
     if (task.isDone || task.activeAttempts.size() != 1) {
         return false;
     }
-    const auto run = m_runs.find({task.id, task.activeAttempts.front()});
-    const auto worker = run == m_runs.end() ? m_workers.end() : m_workers.find(run->second.worker);
-    return worker != m_workers.end() && run->second.state == RunState::Running && (worker->second.failedPolls > 0 || worker->second.isSlow);
+    const auto run = m_state.runs.find({task.id, task.activeAttempts.front()});
+    const auto worker = run == m_state.runs.end() ? m_state.workers.end() : m_state.workers.find(run->second.worker);
+    return worker != m_state.workers.end() && run->second.state == RunState::Running && (worker->second.failedPolls > 0 || worker->second.isSlow);
 }
 
-FleetPlanner::PendingStepRank FleetPlanner::rankOf(const PendingStep &pending, TimePoint now)
+TaskPlacer::PendingStepRank TaskPlacer::rankOf(const PendingStep &pending, TimePoint now)
 {
     const auto softDeadline = pending.job->softDeadline();
     // Long-running tasks come first: they are few, serve other users all the time and never end by themselves.
@@ -46,14 +51,14 @@
         return {false, -1, 0, softDeadline, pending.job};
     }
     const auto late = latenessClass(*pending.job, now);
-    return {late == 2, queueOf(*pending.job).priority, late, softDeadline, pending.job};
+    return {late == 2, FleetState::queueOf(*pending.job).priority, late, softDeadline, pending.job};
 }
 
-std::vector<FleetPlanner::PendingStep> FleetPlanner::pendingSteps(TimePoint now)
+std::vector<TaskPlacer::PendingStep> TaskPlacer::pendingSteps(TimePoint now)
 {
     std::vector<PendingStep> out;
-    for (const auto &id : m_activeJobs) {
-        auto &job = *m_jobs.at(id);
+    for (const auto &id : m_state.activeJobs) {
+        auto &job = *m_state.jobs.at(id);
         if (job.isEnded() || job.heldBackUntil) {
             continue;
         }
@@ -86,12 +91,8 @@
     return out;
 }
 
-void FleetPlanner::plan(TimePoint now)
+void TaskPlacer::plan(TimePoint now)
 {
-    if (!m_isOpen) {
-        return;
-    }
-    releaseEndedJobs();
     auto pending = pendingSteps(now);
     for (auto &it : pending) {
         it.rank = rankOf(it, now);
@@ -102,9 +103,9 @@
     m_preemptionsLeft = MaxPreemptingSteps;
     m_heldWorkerCount = 0;
     std::vector<FleetWorker *> usable;
-    for (auto &[id, worker] : m_workers) {
+    for (auto &[id, worker] : m_state.workers) {
         worker.isHeld = false;
-        worker.isSlow = m_speeds.isSlow(id, now);
+        worker.isSlow = m_state.speeds.isSlow(id, now);
         if (isUsable(worker, now)) {
             usable.push_back(&worker);
         }
@@ -115,43 +116,18 @@
     prefetchAdvice(usable, now);
 }
 
-bool FleetPlanner::isUsable(const FleetWorker &worker, TimePoint now) const
+bool TaskPlacer::isUsable(const FleetWorker &worker, TimePoint now) const
 {
-    return acceptsStarts(worker, now) && worker.avoidUntil <= now;
+    return m_state.acceptsStarts(worker, now) && worker.avoidUntil <= now;
 }
 
-bool FleetPlanner::acceptsStarts(const FleetWorker &worker, TimePoint now) const
+void TaskPlacer::placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
-    return isOpenForStarts(worker, now) && worker.failedPolls == 0;
-}
-
-bool FleetPlanner::isOpenForStarts(const FleetWorker &worker, TimePoint now) const
-{
-    const bool isListed = worker.isListed || (worker.unlistedSince != TimePoint {} && now - worker.unlistedSince < UnlistedGracePeriod);
-    return isListed && !worker.isEntryUnreadable && worker.isInventoried && !worker.isEarlierPollInFlight && !worker.report.isDraining
-        && worker.startedUnixMs == worker.report.startedUnixMs && !owesStops(worker);
-}
-
-bool FleetPlanner::owesStops(const FleetWorker &worker) const
-{
-    return std::any_of(worker.unansweredStarts.begin(), worker.unansweredStarts.end(), [this](const UnansweredStart &it) {
-        return it.mustStop && !m_runs.contains(it.key);
-    });
-}
-
-bool FleetPlanner::isEligible(const FleetWorker &worker, const FleetJob &job, const StepSpec &spec)
-{
-    const auto &label = spec.requiredLabel;
-    return worker.report.service == queueOf(job).service && (label.empty() || worker.hasLabel(label));
-}
-
-void FleetPlanner::placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
-{
-    const auto needs = reservedResources(*pending.spec);
-    const auto &queue = queueOf(*pending.job);
+    const auto needs = FleetState::reservedResources(*pending.spec);
+    const auto &queue = FleetState::queueOf(*pending.job);
     std::vector<FleetWorker *> withRoom;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
-        return it->hasRoomFor(needs) && !it->isHeld && isEligible(*it, *pending.job, *pending.spec);
+        return it->hasRoomFor(needs) && !it->isHeld && FleetState::isEligible(*it, *pending.job, *pending.spec);
     });
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
     if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
@@ -159,7 +135,7 @@
     }
     const auto name = pending.name();
     const auto isAllowed = [&](const FleetWorker *it) {
-        return !queue.needsAdvice || m_advice.verdict(name, it->report.id, it->startedUnixMs, now) == AdviceCache::Verdict::Allowed;
+        return !queue.needsAdvice || m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now) == AdviceCache::Verdict::Allowed;
     };
     auto ready = withRoom;
     std::erase_if(ready, [&](const FleetWorker *it) {
@@ -184,7 +160,7 @@
         --m_preemptionsLeft;
         std::vector<FleetWorker *> usable;
         std::copy_if(workers.begin(), workers.end(), std::back_inserter(usable), [&](const FleetWorker *it) {
-            return isEligible(*it, *pending.job, *pending.spec);
+            return FleetState::isEligible(*it, *pending.job, *pending.spec);
         });
         preemptFor(pending, usable, now);
         std::erase_if(usable, [&](const FleetWorker *it) {
@@ -199,15 +175,15 @@
 
 // Returns the candidates in the rack where the step has runs already, or else in the rack that fits all waiting tasks with the fewest free slots. Returns all
 // candidates if there is no such rack.
-std::vector<FleetWorker *> FleetPlanner::restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const
+std::vector<FleetWorker *> TaskPlacer::restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const
 {
     std::string best;
-    for (const auto &[worker, count] : runsPerWorker(*pending.step)) {
-        const auto it = m_workers.find(worker);
-        best = it == m_workers.end() ? best : it->second.report.rack;
+    for (const auto &[worker, count] : m_state.runsPerWorker(*pending.step)) {
+        const auto it = m_state.workers.find(worker);
+        best = it == m_state.workers.end() ? best : it->second.report.rack;
     }
     if (best.empty()) {
-        const auto needs = reservedResources(*pending.spec);
+        const auto needs = FleetState::reservedResources(*pending.spec);
         std::map<std::string, std::int64_t> slots;
         for (const auto *it : candidates) {
             const auto fitting = it->slotsFor(needs);
@@ -228,29 +204,15 @@
     return best.empty() || out.empty() ? candidates : out;
 }
 
-std::map<std::string, int> FleetPlanner::runsPerWorker(const FleetStep &step) const
-{
-    std::map<std::string, int> out;
-    for (const auto &task : step.tasks) {
-        for (const auto attempt : task.activeAttempts) {
-            const auto it = m_runs.find({task.id, attempt});
-            if (it != m_runs.end()) {
-                ++out[it->second.worker];
-            }
-        }
-    }
-    return out;
-}
-
-std::set<std::string> FleetPlanner::workersWithGivenUpStarts(const FleetStep &step) const
+std::set<std::string> TaskPlacer::workersWithGivenUpStarts(const FleetStep &step) const
 {
     std::set<std::string> out;
     const auto &first = step.tasks.front().id;
-    for (const auto &[id, worker] : m_workers) {
+    for (const auto &[id, worker] : m_state.workers) {
         for (const auto &it : worker.unansweredStarts) {
             const auto &task = it.key.task;
             const bool isOfStep = task.step == first.step && task.occurrence == first.occurrence && task.job == first.job;
-            if (isOfStep && !m_runs.contains(it.key)) {
+            if (isOfStep && !m_state.runs.contains(it.key)) {
                 out.insert(id);
             }
         }
@@ -258,13 +220,11 @@
     return out;
 }
 
-FleetWorker *FleetPlanner::chooseWorker(const PendingStep &pending,
-                                        const FleetTask &task,
-                                        const std::vector<FleetWorker *> &candidates,
-                                        const StepPlacement &placement) const
+FleetWorker *
+TaskPlacer::chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, const StepPlacement &placement) const
 {
     const auto &spec = *pending.spec;
-    const auto needs = reservedResources(spec);
+    const auto needs = FleetState::reservedResources(spec);
     FleetWorker *best = nullptr;
     std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
     for (auto *it : candidates) {
@@ -286,12 +246,12 @@
     return best;
 }
 
-void FleetPlanner::placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
+void TaskPlacer::placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
 {
     if (candidates.empty()) {
         return;
     }
-    StepPlacement placement {runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
+    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
     std::vector<FleetTask *> left;
     for (auto *task : pending.waiting) {
         auto *worker = chooseWorker(pending, *task, candidates, placement);
@@ -299,15 +259,15 @@
             left.push_back(task);
             continue;
         }
-        createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
+        m_actions.createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
         ++placement.runsPerWorker[worker->report.id];
     }
     pending.waiting = std::move(left);
 }
 
-void FleetPlanner::placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
+void TaskPlacer::placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
 {
-    StepPlacement placement {runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
+    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
     std::int64_t attempt = 0;
     for (const auto *task : pending.waiting) {
         attempt = std::max(attempt, task->lastAttempt + 1);
@@ -319,7 +279,7 @@
             break;
         }
         placed.emplace_back(RunKey {task->id, attempt}, worker);
-        worker->allocate(placed.back().first, allocationFor(*pending.job, *pending.spec, now));
+        worker->allocate(placed.back().first, FleetState::allocationFor(*pending.job, *pending.spec, now));
         ++placement.runsPerWorker[worker->report.id];
     }
     for (const auto &[key, worker] : placed) {
@@ -330,7 +290,7 @@
     }
     for (std::size_t i = 0; i < placed.size(); ++i) {
         auto *worker = placed[i].second;
-        createRun(*pending.job, *pending.waiting[i], *worker, attempt, now);
+        m_actions.createRun(*pending.job, *pending.waiting[i], *worker, attempt, now);
     }
     pending.waiting.clear();
 }
--- a/src/fleet/FleetPlannerAdvice.cpp
+++ b/src/fleet/TaskPlacerAdvice.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "FleetPlannerBatch.h"
+#include "TaskPlacerSteps.h"
 
 namespace marjoramhaven {
 
@@ -18,9 +18,9 @@
 } // namespace
 
 // Returns true if each step that the given one depends on is done, or is running and short enough that tickets issued now are still valid at its end.
-bool FleetPlanner::isStartImminent(const FleetJob &job, const FleetOccurrence &occurrence, const StepSpec &spec)
+bool TaskPlacer::isStartImminent(const FleetJob &job, const FleetOccurrence &occurrence, const StepSpec &spec)
 {
-    const auto validityMs = queueOf(job).ticketValidityMs;
+    const auto validityMs = FleetState::queueOf(job).ticketValidityMs;
     return std::all_of(spec.after.begin(), spec.after.end(), [&](int number) {
         const auto &before = occurrence.steps[static_cast<std::size_t>(number)];
         const bool isRunning = std::all_of(before.tasks.begin(), before.tasks.end(), [](const FleetTask &it) {
@@ -31,11 +31,11 @@
 }
 
 // Requests advice for the next steps of jobs of the highest priority. Otherwise these jobs would lose the time of an advisor request between any two steps.
-void FleetPlanner::prefetchAdvice(const std::vector<FleetWorker *> &workers, TimePoint now)
+void TaskPlacer::prefetchAdvice(const std::vector<FleetWorker *> &workers, TimePoint now)
 {
-    for (const auto &id : m_activeJobs) {
-        auto &job = *m_jobs.at(id);
-        const auto &queue = queueOf(job);
+    for (const auto &id : m_state.activeJobs) {
+        auto &job = *m_state.jobs.at(id);
+        const auto &queue = FleetState::queueOf(job);
         if (job.isEnded() || !queue.needsAdvice || queue.priority != 0) {
             continue;
         }
@@ -47,10 +47,10 @@
                     continue;
                 }
                 PendingStep pending {&job, number, static_cast<int>(i), &step, &spec, {}, {}};
-                const auto needs = reservedResources(spec);
+                const auto needs = FleetState::reservedResources(spec);
                 std::vector<FleetWorker *> candidates;
                 std::copy_if(workers.begin(), workers.end(), std::back_inserter(candidates), [&](const FleetWorker *it) {
-                    return it->hasRoomFor(needs) && isEligible(*it, *pending.job, *pending.spec);
+                    return it->hasRoomFor(needs) && FleetState::isEligible(*it, *pending.job, *pending.spec);
                 });
                 step.isAdvicePrefetched = requestAdvice(pending, candidates, step.tasks.size() * PrefetchFactor, now);
             }
@@ -59,14 +59,14 @@
 }
 
 // Requests advice about candidates without a cached answer or with an expired ticket, sized for `wanted` tasks. Returns false if no request was sent.
-bool FleetPlanner::requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now)
+bool TaskPlacer::requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now)
 {
     const auto name = pending.name();
-    const auto &queue = queueOf(*pending.job);
-    if (!m_advice.mayRequest(queue, now) || m_advice.isRequestBlocked(name, now)) {
+    const auto &queue = FleetState::queueOf(*pending.job);
+    if (!m_state.advice.mayRequest(queue, now) || m_state.advice.isRequestBlocked(name, now)) {
         return false;
     }
-    const auto perWorker = runsPerWorker(*pending.step);
+    const auto perWorker = m_state.runsPerWorker(*pending.step);
     std::vector<FleetWorker *> expired;
     std::vector<FleetWorker *> unknown;
     for (auto *it : candidates) {
@@ -74,7 +74,7 @@
         if (pending.spec->maxPerWorker > 0 && count != perWorker.end() && count->second >= pending.spec->maxPerWorker) {
             continue;
         }
-        const auto verdict = m_advice.verdict(name, it->report.id, it->startedUnixMs, now);
+        const auto verdict = m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now);
         if (verdict == AdviceCache::Verdict::Expired) {
             expired.push_back(it);
         } else if (verdict == AdviceCache::Verdict::Unknown) {
@@ -87,7 +87,7 @@
     std::sort(expired.begin(), expired.end(), hasMoreFreeCpu);
     std::sort(unknown.begin(), unknown.end(), hasMoreFreeCpu);
     const auto maxWorkers = queue.advicePerWorkerMs > SlowAdvicePerWorkerMs ? MaxAdvisedWorkersWhenSlow : MaxAdvisedWorkers;
-    const auto share = m_advice.allowedShare(queue.name);
+    const auto share = m_state.advice.allowedShare(queue.name);
     const auto need = static_cast<double>(wanted) * OverrequestFactor;
     const auto expiredCount = static_cast<double>(expired.size());
     const auto unknownCount = need > expiredCount ? static_cast<std::size_t>(std::ceil((need - expiredCount) / share)) + MinExtraWorkers : 0;
@@ -98,24 +98,12 @@
     for (std::size_t i = 0; i < unknown.size() && i < unknownCount && chosen.size() < maxWorkers; ++i) {
         chosen.emplace_back(unknown[i]->report.id, unknown[i]->startedUnixMs);
     }
-    const auto request = m_advice.createRequest(name, queue, chosen, now);
+    const auto request = m_state.advice.createRequest(name, queue, chosen, now);
     if (!request) {
         return false;
     }
-    m_port.sendAdviceRequest(*request);
+    m_actions.sendAdviceRequest(*request);
     return true;
 }
 
-void FleetPlanner::handleAdviceResponse(const AdviceRequest &request, const AdviceResponse &response, TimePoint now)
-{
-    m_events.write("advice",
-                   {{"step", request.step},
-                    {"helper", request.proxy},
-                    {"asked", static_cast<std::int64_t>(request.workers.size())},
-                    {"allowed", static_cast<std::int64_t>(response.allowed.size())},
-                    {"answered", static_cast<std::int64_t>(response.isAnswered)},
-                    {"reason", response.reason}});
-    m_advice.handleResponse(request.proxy, request.step, response, now);
-}
-
 } // namespace marjoramhaven
--- a/src/fleet/FleetPlannerGangs.cpp
+++ b/src/fleet/TaskPlacerGangs.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <iterator>
 
-#include "FleetPlannerBatch.h"
+#include "TaskPlacerSteps.h"
 
 namespace marjoramhaven {
 
@@ -38,25 +38,25 @@
 
 } // namespace
 
-std::vector<FleetWorker *> FleetPlanner::workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const
+std::vector<FleetWorker *> TaskPlacer::workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers)
 {
-    const auto needs = reservedResources(*pending.spec);
+    const auto needs = FleetState::reservedResources(*pending.spec);
     std::vector<FleetWorker *> out;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
-        return isLargeEnough(*it, needs) && !it->isHeld && isEligible(*it, *pending.job, *pending.spec);
+        return isLargeEnough(*it, needs) && !it->isHeld && FleetState::isEligible(*it, *pending.job, *pending.spec);
     });
     return out;
 }
 
 // Small tasks fill each gap before a gang finds all its gaps at the same time. So the workers that need to free the least for the gang are kept from steps that
 // rank behind it, until it starts.
-void FleetPlanner::holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
+void TaskPlacer::holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const bool isWorthless = std::get<0>(pending.rank);
     auto &step = *pending.step;
     if (now >= step.nextHoldAt) {
         step.nextHoldAt = now + HoldInterval;
-        if (queueOf(*pending.job).needsAdvice) {
+        if (FleetState::queueOf(*pending.job).needsAdvice) {
             requestGangAdvice(pending, workers, now);
         }
         step.heldWorkers.clear();
@@ -65,8 +65,8 @@
         }
     }
     for (const auto &it : step.heldWorkers) {
-        const auto worker = m_workers.find(it);
-        if (worker != m_workers.end() && !worker->second.isHeld) {
+        const auto worker = m_state.workers.find(it);
+        if (worker != m_state.workers.end() && !worker->second.isHeld) {
             worker->second.isHeld = true;
             ++m_heldWorkerCount;
         }
@@ -74,18 +74,18 @@
 }
 
 // Returns the workers to hold, or none if there are not enough for the whole gang.
-std::vector<std::string> FleetPlanner::chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const
+std::vector<std::string> TaskPlacer::chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const
 {
     const auto name = pending.name();
-    const auto needs = reservedResources(*pending.spec);
+    const auto needs = FleetState::reservedResources(*pending.spec);
     auto candidates = workersForGang(pending, workers);
     const auto limit = candidates.size() / (m_heldWorkerCount == 0 ? FirstGangDivisor : HeldWorkersDivisor);
     if (m_heldWorkerCount >= limit) {
         return {};
     }
     std::erase_if(candidates, [&](const FleetWorker *it) {
-        const auto verdict = m_advice.verdict(name, it->report.id, it->startedUnixMs, now);
-        return queueOf(*pending.job).needsAdvice && verdict != AdviceCache::Verdict::Allowed && verdict != AdviceCache::Verdict::Expired;
+        const auto verdict = m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now);
+        return FleetState::queueOf(*pending.job).needsAdvice && verdict != AdviceCache::Verdict::Allowed && verdict != AdviceCache::Verdict::Expired;
     });
     std::vector<std::pair<double, FleetWorker *>> byMissing;
     for (auto *it : candidates) {
@@ -111,17 +111,17 @@
 
 // The advisor's verdict on a worker does not change, only its ticket expires. So a gang asks until it knows enough workers, whether they have room or not, and
 // then only for new tickets once all its tasks have room. Asking again and again without room would keep the advisor from steps that could start.
-void FleetPlanner::requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
+void TaskPlacer::requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const auto name = pending.name();
-    const auto needs = reservedResources(*pending.spec);
+    const auto needs = FleetState::reservedResources(*pending.spec);
     const auto size = pending.waiting.size();
     std::vector<FleetWorker *> withRoom;
     std::vector<FleetWorker *> unknown;
     std::size_t allowed = 0;
     std::int64_t slots = 0;
     for (auto *it : workersForGang(pending, workers)) {
-        const auto verdict = m_advice.verdict(name, it->report.id, it->startedUnixMs, now);
+        const auto verdict = m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now);
         if (verdict == AdviceCache::Verdict::Unknown) {
             unknown.push_back(it);
         } else if (verdict != AdviceCache::Verdict::Forbidden) {
--- a/src/fleet/FleetPlannerPreemption.cpp
+++ b/src/fleet/TaskPlacerPreemption.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "FleetPlannerBatch.h"
+#include "TaskPlacerSteps.h"
 
 namespace marjoramhaven {
 
@@ -26,35 +26,21 @@
 
 } // namespace
 
-FleetResources FleetPlanner::reservedResources(const StepSpec &spec)
+bool TaskPlacer::mayPreempt(const PendingStep &pending, TimePoint now)
 {
-    auto out = spec.needs;
-    if (spec.isBestEffort) {
-        out.cpuMilli = 0;
-    }
-    return out;
-}
-
-RunAllocation FleetPlanner::allocationFor(const FleetJob &job, const StepSpec &spec, TimePoint now)
-{
-    return {reservedResources(spec), queueOf(job).priority, spec.checkpoints && !spec.isGang && !spec.isLongRunning, false, now};
-}
-
-bool FleetPlanner::mayPreempt(const PendingStep &pending, TimePoint now)
-{
-    const bool isUrgent = pending.spec->isLongRunning || queueOf(*pending.job).priority == 0;
+    const bool isUrgent = pending.spec->isLongRunning || FleetState::queueOf(*pending.job).priority == 0;
     return isUrgent && !pending.spec->isGang && now - pending.step->readySince >= PreemptionDelay && now >= pending.step->nextPreemptAt;
 }
 
 // Returns true if the worker has room for a task of the step after preempting runs of lower priority that resume from a checkpoint. Runs that are being stopped
 // already count as gone. Appends the runs to preempt to `victims` unless that is nullptr.
-bool FleetPlanner::canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims)
+bool TaskPlacer::canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims)
 {
-    const auto needs = reservedResources(*pending.spec);
+    const auto needs = FleetState::reservedResources(*pending.spec);
     const auto &capacity = worker.report.capacity;
     FleetResources room {capacity.cpuMilli - worker.used.cpuMilli, capacity.memoryMb - worker.used.memoryMb, capacity.gpus - worker.used.gpus};
     std::vector<std::pair<const RunKey *, const RunAllocation *>> candidates;
-    const int priority = pending.spec->isLongRunning ? 0 : queueOf(*pending.job).priority;
+    const int priority = pending.spec->isLongRunning ? 0 : FleetState::queueOf(*pending.job).priority;
     for (const auto &[key, it] : worker.allocations) {
         if (it.isStopping) {
             add(room, it.needs);
@@ -78,16 +64,16 @@
     return fits(needs, room);
 }
 
-void FleetPlanner::preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now)
+void TaskPlacer::preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now)
 {
     pending.step->nextPreemptAt = now + PreemptionInterval;
-    const auto &queue = queueOf(*pending.job);
+    const auto &queue = FleetState::queueOf(*pending.job);
     const auto name = pending.name();
-    auto perWorker = runsPerWorker(*pending.step);
+    auto perWorker = m_state.runsPerWorker(*pending.step);
     std::vector<std::vector<RunKey>> victimSets;
     std::size_t freedSlots = 0;
     for (auto *it : candidates) {
-        const bool isAllowed = !queue.needsAdvice || m_advice.verdict(name, it->report.id, it->startedUnixMs, now) == AdviceCache::Verdict::Allowed;
+        const bool isAllowed = !queue.needsAdvice || m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now) == AdviceCache::Verdict::Allowed;
         const bool isFull = pending.spec->maxPerWorker > 0 && perWorker[it->report.id] >= pending.spec->maxPerWorker;
         std::vector<RunKey> victims;
         if (!isAllowed || isFull || !canPreemptFor(*it, pending, &victims)) {
@@ -108,9 +94,9 @@
             return;
         }
         for (const auto &key : victims) {
-            auto *run = findRun(key);
+            auto *run = m_state.findRun(key);
             if (run != nullptr && run->state == RunState::Running) {
-                requestStop(*run, StopReason::Preempted, now);
+                m_actions.requestStop(*run, StopReason::Preempted, now);
             }
         }
         stopped += victims.size();
