A process that starts again at its address doesn't register again

Cause: claims are appended on condition that the topic of the leadership ends where the claimant has read to, and each process appended its registration to the same topic at each start. Beside a store that takes 0.1 s an append, the registrations of a third of the processes moved the end for as long.

Now a process registers if the topic holds no registration of it, or one with another address. It also registers when its registration is dropped while it runs, which waited for its next start before.

Evidence: processThatStartsAgainAtItsAddressIsNotRegisteredAgain and processWhoseRegistrationIsMissingRegisters fail on the code before (the first finds a new registration, the second none after the drop).

--- a/include/marjoramhaven/fleetnode/FleetNode.h
+++ b/include/marjoramhaven/fleetnode/FleetNode.h
@@ -82,7 +82,8 @@
     bool applyConfiguration(const std::string &text, const std::string &source);
     void handleHeartbeat(const std::string &from, const FleetHeartbeatMessage &heartbeat);
     void sendHeartbeats();
-    void registerSelf();
+    // Stores where other processes reach this one, unless that is in the log.
+    void registerIfNeeded();
     void forgetNode(const std::string &node);
     // While this process runs the planner, drops the registrations of processes that have had no link to it for long.
     void unregisterLostNodes(TimePoint now);
@@ -146,6 +147,8 @@
     ConfigurationCopyPolicy m_configurationCopies;
     /// Other registered processes, with the time at which each was last linked or registered.
     std::map<std::string, TimePoint> m_unlinkedSince;
+    bool m_isRegistered = false;
+    bool m_isRegistering = false;
     std::unique_ptr<ProgressReader> m_fallbackReader;
     /// When this process last ran the planner or was linked to it, and when it last did neither.
     TimePoint m_lastLinkedAt {};
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -118,7 +118,6 @@
     }
     m_election.setProcessorCores(m_settings.processorCores);
     m_lastLinkedAt = monotonicNow();
-    registerSelf();
     m_leadershipFollower.start();
     m_operatorFollower.start();
     m_ticker.start(static_cast<int>(TickInterval.count()));
@@ -259,10 +258,12 @@
     const auto now = monotonicNow();
     std::vector<std::pair<std::int64_t, LeadershipRecord>> leadershipRecords;
     for (const auto &it : records) {
-        if (!it.value && it.key.starts_with(NodeKeyPrefix)) {
+        const auto record = it.value ? decodeLeadership(*it.value) : std::nullopt;
+        if (it.key == NodeKeyPrefix + m_settings.name) {
+            m_isRegistered = record && record->host == m_settings.peers.host && record->port == m_settings.peers.port;
+        } else if (!it.value && it.key.starts_with(NodeKeyPrefix)) {
             forgetNode(it.key.substr(sizeof(NodeKeyPrefix) - 1));
         }
-        const auto record = it.value ? decodeLeadership(*it.value) : std::nullopt;
         if (!record) {
             continue;
         }
@@ -279,6 +280,9 @@
     m_isLogReachable = true;
     m_jobRecords.setLogReachable(true, now);
     m_election.observeLogLatency(m_leadershipFollower.loadLatency());
+    if (m_leadershipFollower.isLoaded()) {
+        registerIfNeeded();
+    }
     m_election.handleRecords(leadershipRecords, m_leadershipFollower.nextOffset(), now);
     applyLeadership();
     if (const auto sentAt = m_leadershipFollower.completeReadSentAt(); sentAt && m_planner) {
--- a/src/fleetnode/FleetNodePeers.cpp
+++ b/src/fleetnode/FleetNodePeers.cpp
@@ -9,7 +9,7 @@
 
 constexpr Millis RegisterTimeout {1500};
 constexpr Millis RegisterRetryPause {300};
-// A process that the planner had no link with for this long is unregistered. It registers again at its next start.
+// A process that the planner had no link with for this long is unregistered. It registers again when it reads that.
 constexpr Millis LostNodeTimeout {120'000};
 
 std::string newIncarnationId(const std::string &name)
@@ -195,18 +195,23 @@
     m_hub.send(request.proxy, FleetAdviceRequestMessage {call, request.step, request.workers, request.timeout.count()});
 }
 
-void FleetNode::registerSelf()
+// Each record in the topic of the leadership delays the claims, which are appended only at its end. A process that starts again at its address is registered.
+void FleetNode::registerIfNeeded()
 {
+    if (m_isRegistered || m_isRegistering || m_isStopping) {
+        return;
+    }
+    m_isRegistering = true;
     AppendRequest request;
     request.topic = StateTopic::Leadership;
     request.records.push_back({NodeKeyPrefix + m_settings.name, encodeLeadership(ownLeadershipRecord(m_settings)), 0});
     request.timeout = RegisterTimeout;
     m_platform.log.append(std::move(request), [this](const AppendResult &result) {
-        if (result.outcome != AppendOutcome::Stored && !m_isStopping) {
-            QTimer::singleShot(static_cast<int>(RegisterRetryPause.count()), this, [this]() {
-                registerSelf();
-            });
-        }
+        m_isRegistered = m_isRegistered || result.outcome == AppendOutcome::Stored;
+        QTimer::singleShot(static_cast<int>(RegisterRetryPause.count()), this, [this]() {
+            m_isRegistering = false;
+            registerIfNeeded();
+        });
     });
 }
 
--- a/tests/fleetnode/FleetNodeFixture.h
+++ b/tests/fleetnode/FleetNodeFixture.h
@@ -101,12 +101,12 @@
     FleetNodeSettings settings;
     std::unique_ptr<FleetNode> node;
 
-    explicit Node(MemoryLog &it)
+    explicit Node(MemoryLog &it, int peerPort = freePort())
         : log(it)
     {
         settings.name = "node";
         settings.zone = "z";
-        settings.peers = {"127.0.0.1", freePort()};
+        settings.peers = {"127.0.0.1", peerPort};
         const FleetPlatform platform {log,
                                       workers,
                                       advisor,
--- a/tests/fleetnode/LeadershipTest.cpp
+++ b/tests/fleetnode/LeadershipTest.cpp
@@ -36,6 +36,26 @@
     });
 }
 
+constexpr char RegistrationKey[] = "node/node";
+
+// Returns the offset of the newest registration of the process, or -1 if there is none.
+std::int64_t registrationOffset(MemoryLog &log)
+{
+    std::optional<std::int64_t> out;
+    log.newest(StateTopic::Leadership, {}, Millis(500), [&out](const NewestResult &result) {
+        out = -1;
+        for (const auto &it : result.records) {
+            out = it.key == RegistrationKey ? it.offset : *out;
+        }
+    });
+    waitFor(
+        [&out]() {
+            return out.has_value();
+        },
+        1000);
+    return out.value_or(-1);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Leadership)
@@ -78,4 +98,62 @@
     }
 }
 
+// Guards against elections that fail again and again: each process that starts again appends its registration to the topic at whose end claims are appended.
+BOOST_AUTO_TEST_CASE(processThatStartsAgainAtItsAddressIsNotRegisteredAgain)
+{
+    MemoryLog log;
+    const int port = freePort();
+    LeadershipRecord own;
+    own.node = "node";
+    own.host = "127.0.0.1";
+    own.port = port;
+    const auto registeredAt = log.put(StateTopic::Leadership, RegistrationKey, encodeLeadership(own));
+    Node process(log, port);
+    BOOST_REQUIRE(waitFor(
+        [&log]() {
+            return log.end(StateTopic::Leadership) > 1;
+        },
+        3000));
+    waitFor(
+        []() {
+            return false;
+        },
+        500);
+    BOOST_TEST(registrationOffset(log) == registeredAt);
+}
+
+// Guards against a process that nobody can reach: its registration was dropped while it was cut off, or names another address.
+BOOST_AUTO_TEST_CASE(processWhoseRegistrationIsMissingRegisters)
+{
+    MemoryLog log;
+    LeadershipRecord elsewhere;
+    elsewhere.node = "node";
+    elsewhere.host = "127.0.0.1";
+    elsewhere.port = 1;
+    const auto outdatedAt = log.put(StateTopic::Leadership, RegistrationKey, encodeLeadership(elsewhere));
+    Node process(log);
+    const auto isRegisteredAfter = [&log](std::int64_t offset) {
+        return waitFor(
+            [&log, offset]() {
+                return registrationOffset(log) > offset;
+            },
+            3000);
+    };
+    BOOST_REQUIRE(isRegisteredAfter(outdatedAt));
+    AppendRequest drop;
+    drop.topic = StateTopic::Leadership;
+    drop.records.push_back({RegistrationKey, std::nullopt, 0});
+    drop.timeout = Millis(1000);
+    std::int64_t droppedAt = -1;
+    log.append(std::move(drop), [&droppedAt](const AppendResult &result) {
+        droppedAt = result.offset;
+    });
+    BOOST_REQUIRE(waitFor(
+        [&droppedAt]() {
+            return droppedAt >= 0;
+        },
+        1000));
+    BOOST_TEST(isRegisteredAfter(droppedAt));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
