Claims of leadership are spread while the log is slow

Cause: each process waits for its latency to the log before it claims, with a maximum of 0.4 s, and knew that latency from its start only. Beside a store that takes 0.1 s an append, all processes claimed at once, and their claims waited in the topic behind each other.

Now the latency is that of the newest read without a record, claims are drawn from a range of eight latencies (at most 2 s; a few ms beside a healthy log), and small VMs wait in units of the latency where that is longer.

Evidence: claimsAreSpreadWhileTheLogIsSlow fails on the code before (44 claims before the first is known, now at most 12).

--- a/include/marjoramhaven/fleet/PlannerElection.h
+++ b/include/marjoramhaven/fleet/PlannerElection.h
@@ -43,9 +43,11 @@
     Millis maxReadGap {1300};
     /// Maximum of the delay, proportional to the latency of the log, that lets processes near the log claim first.
     Millis maxLatencyDelay {400};
+    /// Maximum of the range over which the processes spread their claims. The range is proportional to the latency of the log.
+    Millis maxClaimSpread {2000};
     /// VMs with at least this many cores claim without an extra delay; smaller ones wait longer the smaller they are.
     double largeVmCores = 0.5;
-    /// Unit of the extra delay of small VMs.
+    /// Unit of the extra delay of small VMs, or the latency of the log if that is longer.
     Millis smallVmDelay {100};
 };
 
@@ -100,6 +102,9 @@
     void apply(std::int64_t offset, const LeadershipRecord &record, TimePoint now);
     void adoptOwnClaim(std::int64_t offset);
     bool mayClaim(TimePoint now) const;
+    // Returns how long after the leader is missed this process claims. A log that answers slowly also takes long to append, so claims of many processes at once
+    // would delay the first that is stored.
+    Millis claimDelay() const;
 
     const LeadershipRecord m_self;
     const ElectionTimings m_times;
@@ -114,8 +119,8 @@
     TimePoint m_readingSince {};
     std::optional<TimePoint> m_lastReadAt;
     std::optional<TimePoint> m_linkLostAt;
-    Millis m_latencyDelay {0};
-    Millis m_smallVmDelay {0};
+    Millis m_logLatency {0};
+    double m_smallVmFactor = 0;
     TimePoint m_nextHeartbeatAt {};
     std::int64_t m_heartbeatNumber = 0;
     /// The claim or heartbeat whose append is not answered yet.
--- a/include/marjoramhaven/fleetnode/TopicFollower.h
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -59,8 +59,8 @@
     bool isLoaded() const { return m_isLoaded; }
     /// Returns the offset of the next record.
     std::int64_t nextOffset() const { return m_next; }
-    /// Returns how long the first page of the last load took.
-    Millis loadLatency() const { return m_loadLatency; }
+    /// Returns how long the log took for the newest call whose own wait for a record is known: the first page of a load, or a read that found no record.
+    Millis latency() const { return m_latency; }
     /// Returns when the log last answered a read of this follower.
     TimePoint lastAnswerAt() const { return m_lastAnswerAt; }
     /// Returns the latest time at which the log is known to have had no record that was not passed to onRecords; std::nullopt if it is known for no time.
@@ -109,7 +109,7 @@
     std::vector<std::function<void(bool)>> m_waitingRefreshes;
     bool m_isRefreshing = false;
     int m_consecutiveFailures = 0;
-    Millis m_loadLatency {0};
+    Millis m_latency {0};
     TimePoint m_lastAnswerAt {};
     std::optional<TimePoint> m_currentAsOf;
     std::optional<TimePoint> m_completeReadSentAt;
--- a/src/fleet/PlannerElection.cpp
+++ b/src/fleet/PlannerElection.cpp
@@ -1,6 +1,7 @@
 #include "marjoramhaven/fleet/PlannerElection.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "marjoramhaven/base/LastReason.h"
 #include "marjoramhaven/base/Msgpack.h"
@@ -12,6 +13,9 @@
 
 // Before it claims leadership, a process waits for its latency to the log times this factor.
 constexpr int LatencyMultiple = 4;
+// Claims of all processes are spread over this many latencies, so that few of them are under way when the first is stored.
+constexpr int SpreadMultiple = 8;
+constexpr std::size_t SpreadSteps = 1000;
 
 using LeadershipTuple = std::tuple<std::string, std::string, int, std::string, std::int64_t, std::int64_t, bool>;
 
@@ -102,14 +106,24 @@
 
 void PlannerElection::observeLogLatency(Millis delay)
 {
-    m_latencyDelay = std::min(m_times.maxLatencyDelay, delay * LatencyMultiple);
+    m_logLatency = delay;
+}
+
+Millis PlannerElection::claimDelay() const
+{
+    // The end of the range grows with the latency, since a process learns that another has claimed only after that time.
+    const auto range = std::min(m_times.maxClaimSpread, m_logLatency * SpreadMultiple);
+    const auto draw = std::hash<std::string> {}(m_self.node + std::to_string(m_leaderClaimOffset)) % SpreadSteps;
+    const auto spread = range * static_cast<std::int64_t>(draw) / static_cast<std::int64_t>(SpreadSteps);
+    const auto smallVmUnit = std::max(m_times.smallVmDelay, m_logLatency);
+    const Millis smallVm(static_cast<std::int64_t>(m_smallVmFactor * static_cast<double>(smallVmUnit.count())));
+    return std::min(m_times.maxLatencyDelay, m_logLatency * LatencyMultiple) + spread + smallVm;
 }
 
 void PlannerElection::setProcessorCores(double cores)
 {
     if (cores > 0 && cores < m_times.largeVmCores) {
-        const auto factor = std::min(m_times.largeVmCores / cores - 1, 3.0);
-        m_smallVmDelay = Millis(static_cast<std::int64_t>(factor * static_cast<double>(m_times.smallVmDelay.count())));
+        m_smallVmFactor = std::min(m_times.largeVmCores / cores - 1, 3.0);
     }
 }
 
@@ -138,7 +152,7 @@
     if (m_isWithdrawn || m_mustRead || !m_end || !m_lastReadAt || now - *m_lastReadAt > m_times.maxReadGap) {
         return false;
     }
-    const auto pause = m_latencyDelay + m_smallVmDelay;
+    const auto pause = claimDelay();
     if (!m_leader || (m_leader->node == m_self.node && m_leader->incarnation != m_self.incarnation)) {
         return now - m_readingSince >= pause;
     }
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -279,7 +279,8 @@
     }
     m_isLogReachable = true;
     m_jobRecords.setLogReachable(true, now);
-    m_election.observeLogLatency(m_leadershipFollower.loadLatency());
+    // Reads of the operator's topic seldom find a record, so they tell how fast the log is now.
+    m_election.observeLogLatency(m_operatorFollower.isLoaded() ? m_operatorFollower.latency() : m_leadershipFollower.latency());
     if (m_leadershipFollower.isLoaded()) {
         registerIfNeeded();
     }
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -55,7 +55,7 @@
         }
         setReachable(true, {});
         if (m_loadedUpToKey.empty()) {
-            m_loadLatency = monotonicNow() - sentAt;
+            m_latency = monotonicNow() - sentAt;
             m_loadSentAt = sentAt;
             m_loadEnd = result.end;
         }
@@ -192,9 +192,12 @@
         return it.offset < m_next;
     });
     m_next = std::max(m_next, result.next);
+    // A read that ended without a record shows that there was none until the end of its wait, unless the log answered early.
+    const bool hasWaited = result.records.empty() && m_lastAnswerAt >= sentAt + waited;
+    if (hasWaited) {
+        m_latency = m_lastAnswerAt - sentAt - waited;
+    }
     if (m_next >= result.end) {
-        // A read that ended without a record shows that there was none until the end of its wait, unless the log answered early.
-        const bool hasWaited = result.records.empty() && m_lastAnswerAt >= sentAt + waited;
         m_currentAsOf = hasWaited ? sentAt + waited : sentAt;
         m_completeReadSentAt = sentAt;
     }
--- a/tests/fleet/PlannerElectionTest.cpp
+++ b/tests/fleet/PlannerElectionTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <memory>
 
 #include "marjoramhaven/fleet/PlannerElection.h"
 
@@ -344,4 +345,38 @@
     }
 }
 
+// Guards against an election that takes seconds: the log is slow, and the claims of all processes wait there behind each other, of which only the first counts.
+BOOST_AUTO_TEST_CASE(claimsAreSpreadWhileTheLogIsSlow)
+{
+    constexpr int ProcessCount = 44;
+    constexpr int MaxClaims = 12;
+    const Millis latency {200};
+    SimulatedLog log;
+    PlannerElection leaving(recordOf("leaving"), {});
+    std::vector<std::unique_ptr<PlannerElection>> others;
+    for (int i = 0; i < ProcessCount; ++i) {
+        others.push_back(std::make_unique<PlannerElection>(recordOf("p" + std::to_string(i)), ElectionTimings {}));
+        others.back()->observeLogLatency(latency);
+    }
+    log.step(leaving);
+    leaving.withdraw();
+    log.step(leaving);
+    // All processes read at the same time that the leader leaves, and learn of a claim only when it has taken the log's latency.
+    std::optional<TimePoint> firstClaimAt;
+    int claims = 0;
+    for (int ms = 0; ms < 3000 && (!firstClaimAt || log.now - *firstClaimAt < latency); ms += 10) {
+        for (const auto &it : others) {
+            const auto unread = ms == 0 ? log.records : std::vector<std::pair<std::int64_t, LeadershipRecord>> {};
+            it->handleRecords(unread, log.end(), log.now);
+            if (it->nextAppend(log.now)) {
+                firstClaimAt = firstClaimAt.value_or(log.now);
+                ++claims;
+            }
+        }
+        log.now += Millis(10);
+    }
+    BOOST_TEST(claims >= 1);
+    BOOST_TEST(claims <= MaxClaims);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleetnode/TopicFollowerTest.cpp
+++ b/tests/fleetnode/TopicFollowerTest.cpp
@@ -177,4 +177,29 @@
     BOOST_TEST(topic.keys.size() == 3U);
 }
 
+// Guards against processes that claim leadership all at once, because they know how fast the log was when they started and not how slow it is now.
+BOOST_AUTO_TEST_CASE(latencyIsThatOfTheNewestReadWithoutARecord)
+{
+    constexpr Millis SlowAnswer {150};
+    static constexpr Millis SlowLatency {75};
+    FollowedTopic topic;
+    BOOST_REQUIRE(waitFor(
+        [&topic]() {
+            return topic.follower.isLoaded();
+        },
+        1000));
+    const auto waitForLatency = [&topic](bool isSlow) {
+        return waitFor(
+            [&topic, isSlow]() {
+                return (topic.follower.latency() >= SlowLatency) == isSlow;
+            },
+            3000);
+    };
+    BOOST_TEST(waitForLatency(false));
+    topic.log.readDelays[StateTopic::Jobs] = SlowAnswer;
+    BOOST_TEST(waitForLatency(true));
+    topic.log.readDelays[StateTopic::Jobs] = Millis(2);
+    BOOST_TEST(waitForLatency(false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
