--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -86,6 +86,7 @@
     void injectIntoNode(SoakFault fault);
     void injectIntoStore(SoakFault fault);
     void injectIntoWorker(SoakFault fault);
+    void refuseStops();
     void cutOffLeader();
     // Cuts a process and these workers off from all else, or ends that.
     void setCutOff(std::size_t node, const std::vector<std::size_t> &workers, bool isCutOff);
@@ -102,6 +103,8 @@
     // Returns the bandwidth in bytes per second of the link from the log to a process; 0 if it is not limited.
     static std::int64_t linkBandwidth(std::size_t node) { return node % 2 == 1 ? SmallVmBandwidth : 0; }
     Millis randomFaultDuration();
+    // Draws a time between two for the faults that are drawn apart.
+    Millis laterDuration(std::size_t fromMs, std::size_t toMs);
     // Faults that are drawn apart from the others, so that a seed still gives the order of those that it gave before these were added.
     void drawLaterFaults(std::vector<std::pair<Millis, SoakFault>> &faults);
     std::size_t randomBelow(std::size_t bound) { return static_cast<std::size_t>(m_random() % bound); }
