Soak: a killed process counts as down until its next start

The check excepted only requests that were sent before the signal.

A request to a process that is down isn't cut off by it: nobody has read it. The exception now lasts until the next start. For processes that were not killed, and for those that got SIGTERM, the check is as it was.

--- a/tests/soak/NodeProcess.cpp
+++ b/tests/soak/NodeProcess.cpp
@@ -61,6 +61,10 @@
 
 void NodeProcess::start()
 {
+    if (m_isKilled) {
+        m_interruptedAt = monotonicNow();
+    }
+    m_isKilled = false;
     m_isEndExpected = false;
     m_isPaused = false;
     m_process = std::make_unique<QProcess>();
@@ -79,6 +83,7 @@
     if (number == SIGKILL || number == SIGSTOP || (number == SIGCONT && m_isPaused)) {
         m_interruptedAt = monotonicNow();
         m_isPaused = number == SIGSTOP;
+        m_isKilled = m_isKilled || number == SIGKILL;
     }
     if (isRunning()) {
         ::kill(static_cast<pid_t>(m_process->processId()), number);
--- a/tests/soak/NodeProcess.h
+++ b/tests/soak/NodeProcess.h
@@ -31,8 +31,9 @@
     bool isEnding() const { return m_isEndExpected; }
     /// Sends a signal. After SIGKILL or SIGTERM, the end of the process is expected.
     void signal(int number);
-    /// Returns whether the process was killed, paused or resumed since a time.
-    bool wasInterrupted(TimePoint since) const { return m_interruptedAt >= since || m_isPaused; }
+    /// Returns whether the process was killed, paused or resumed since a time, or was down or paused then. A killed process counts as down until its next
+    /// start.
+    bool wasInterrupted(TimePoint since) const { return m_interruptedAt >= since || m_isPaused || m_isKilled; }
     /// Returns whether the process ended without having been sent SIGKILL or SIGTERM.
     bool hasEndedUnexpectedly() const;
     /// Waits up to 8 s for the process to end, so that it can be started again.
@@ -49,7 +50,8 @@
     int m_peerPort = 0;
     bool m_isEndExpected = false;
     bool m_isPaused = false;
-    /// When the process last got SIGKILL, SIGSTOP or SIGCONT.
+    bool m_isKilled = false;
+    /// When the process last got SIGKILL, SIGSTOP or SIGCONT, or was started after SIGKILL.
     TimePoint m_interruptedAt {};
     std::unique_ptr<QProcess> m_process;
 };
