--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -138,8 +138,9 @@
     void requestStart(FleetRun &run, TimePoint now);
     void keepUnconfirmed(FleetRun &run, TimePoint now);
     // FleetPlannerStops.cpp: stop requests
-    // Returns why a run has to be stopped whatever its worker and its progress are, or StopReason::None.
-    StopReason owedStop(const FleetRun &run) const;
+    // Returns why a run of this job and task has to be stopped whatever its worker and its progress are, or StopReason::None. Job and task are nullptr if there
+    // is none any more.
+    static StopReason owedStop(const FleetRun &run, FleetJob *job, const FleetTask *task);
     void requestStop(FleetRun &run, StopReason reason, TimePoint now) override;
     void sendAdviceRequest(const AdviceRequest &request) override { m_port.sendAdviceRequest(request); }
     void trySendStop(FleetRun &run, TimePoint now);
--- a/include/marjoramhaven/fleetnode/TopicFollower.h
+++ b/include/marjoramhaven/fleetnode/TopicFollower.h
@@ -42,6 +42,8 @@
                   CatchUp catchUp = CatchUp::ReadAll,
                   QObject *parent = nullptr);
 
+    /// How long a load waits for each answer. The log answers behind the appends that wait at the topic.
+    Millis loadTimeout {2000};
     /// Called with new records in the order of their offsets. A record without a value drops its key. The list is empty when a read returned nothing new.
     std::function<void(const std::vector<KeyedRecord> &)> onRecords;
     /// Called when the log stops or starts to answer; the reason is empty when it starts.
--- a/src/fleet/FleetPlannerStops.cpp
+++ b/src/fleet/FleetPlannerStops.cpp
@@ -10,12 +10,9 @@
 } // namespace
 
 // Each reason here follows from the stored state of the job and from what workers list, so a leader that takes over finds the stops that are owed by itself.
-StopReason FleetPlanner::owedStop(const FleetRun &run) const
+StopReason FleetPlanner::owedStop(const FleetRun &run, FleetJob *job, const FleetTask *task)
 {
-    const auto it = m_state.jobs.find(run.key.task.job);
-    auto *job = it == m_state.jobs.end() ? nullptr : it->second.get();
-    const auto *task = job == nullptr ? nullptr : job->find(run.key.task);
-    if (task == nullptr) {
+    if (job == nullptr || task == nullptr) {
         return StopReason::Orphaned;
     }
     if (job->isEnded()) {
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -352,7 +352,7 @@
     if (task != nullptr && !task->isDone) {
         observeRunningRun(*run, worker, *job->findStep(row.task.occurrence, row.task.step), job->spec(row.task.step), now);
     }
-    if (const auto reason = owedStop(*run); reason != StopReason::None && run->stopReason == StopReason::None) {
+    if (const auto reason = owedStop(*run, job, task); reason != StopReason::None && run->stopReason == StopReason::None) {
         requestStop(*run, reason, now);
     } else if (run->isStopAnswered && now - run->stopAnsweredAt > m_limits.stopTime + m_limits.pollWait + PollResponseMargin) {
         // The run goes on although its worker has confirmed the stop.
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -15,6 +15,8 @@
 constexpr Millis LongPollWait {1000};
 // Workers update their entries all the time; the pause lets one read return several updates.
 constexpr Millis WorkerReadPause {200};
+// Up to 2 s of appends may wait at a topic of jobs, all of whose processes send refused records again.
+constexpr Millis JobLoadTimeout {3000};
 constexpr char AcceptancePrefix[] = "job/";
 constexpr char CancellationPrefix[] = "cancel/";
 
@@ -45,6 +47,8 @@
     , m_workerFollower(m_services.log, StateTopic::Workers, LongPollWait, WorkerReadPause)
 {
     m_planner.configurationChanged(configuration);
+    m_jobFollower.loadTimeout = JobLoadTimeout;
+    m_alternateJobFollower.loadTimeout = JobLoadTimeout;
     m_jobFollower.onRecords = [this](const std::vector<KeyedRecord> &records) {
         handleJobRecords(records);
     };
--- a/src/fleetnode/PlannerHostStore.cpp
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-// The log answers after the appends that wait at it already, which are up to 2 s.
-constexpr Millis LoadTimeout {3000};
+constexpr Millis LoadTimeout {2000};
 // Decisions that are made within this time share one append.
 constexpr Millis MinStoreInterval {12};
 constexpr Millis StoreTimeout {1200};
--- a/src/fleetnode/TopicFollower.cpp
+++ b/src/fleetnode/TopicFollower.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// The log answers after the appends that wait at it already, which are up to 2 s.
-constexpr Millis LoadTimeout {3000};
 constexpr Millis MinRetryPause {50};
 constexpr Millis MaxRetryPause {400};
 constexpr int MaxRetryPauseDoublings = 4;
@@ -46,7 +44,7 @@
 {
     const auto sentAt = monotonicNow();
     const std::weak_ptr<bool> alive = m_alive;
-    m_log.newest(m_topic, m_loadedUpToKey, LoadTimeout, [this, alive, sentAt](const NewestResult &result) {
+    m_log.newest(m_topic, m_loadedUpToKey, loadTimeout, [this, alive, sentAt](const NewestResult &result) {
         if (alive.expired()) {
             return;
         }
--- a/tests/fleetnode/TopicFollowerTest.cpp
+++ b/tests/fleetnode/TopicFollowerTest.cpp
@@ -209,6 +209,7 @@
     MemoryLog log;
     log.readDelays[StateTopic::Jobs] = LongestQueue + Millis(300);
     TopicFollower follower(log, StateTopic::Jobs, Wait, Millis(0));
+    follower.loadTimeout = LongestQueue + Millis(1000);
     follower.onRecords = [](const std::vector<KeyedRecord> & /*records*/) {};
     follower.onReachabilityChanged = [](bool /*isReachable*/, const std::string & /*reason*/) {};
     follower.start();
