--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -44,7 +44,8 @@
     const auto violations = soak.run();
     BOOST_TEST_MESSAGE("seed " << seed << ": " << soak.accepted() << " jobs accepted, " << soak.startCount() << " runs, " << soak.checkedConfigurationCount()
                                << " answers checked against the configuration, " << soak.injected().size() << " faults");
-    BOOST_TEST(violations.empty());
+    BOOST_TEST(violations.empty(),
+               "seed " << seed << ": " << violations.size() << " violations, the first: " << (violations.empty() ? "" : violations.front()));
     BOOST_TEST(soak.accepted() > 0);
     BOOST_TEST(soak.checkedConfigurationCount() > 0);
     if (violations.empty()) {
