The planner's answer to a worker's restart is split into named parts

handleWorkerRestart had grown into many cases. Its parts are now functions of their own: which starts of the previous leader may yet be carried out, which runs may exist in the new incarnation, which stops are owed there, and what is forgotten.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -154,6 +154,11 @@
     void recordTaskFailure(FleetJob &job, FleetTask &task, std::int64_t attempt, const std::string &worker, TimePoint now);
     // FleetPlannerWorkers.cpp: workers
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
+    // Parts of handleWorkerRestart(): starts that may yet be carried out, runs that may exist in the new incarnation, and what is owed and forgotten there.
+    void rememberInheritedStarts(FleetWorker &worker, TimePoint now);
+    std::vector<RunKey> keepUnlistedRuns(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
+    static void oweStopsOfUnansweredStarts(FleetWorker &worker, TimePoint now);
+    void forgetIncarnation(FleetWorker &worker, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -86,44 +86,71 @@
 
 void FleetPlanner::handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now)
 {
-    // The new incarnation may have received a start request that is not answered yet, or whose answer came before the restart was known. Such a run is kept
-    // until the new incarnation has confirmed or stopped it.
-    std::vector<RunKey> unlisted;
+    rememberInheritedStarts(worker, now);
+    const auto kept = startedUnixMs == 0 ? std::vector<RunKey> {} : keepUnlistedRuns(worker, startedUnixMs, now);
+    markRunsLost(worker, "worker restarted", kept, now);
+    oweStopsOfUnansweredStarts(worker, now);
+    forgetIncarnation(worker, now);
+    worker.startedUnixMs = startedUnixMs;
+    if (!kept.empty()) {
+        // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease.
+        worker.lease.assumeGrantedUntil(now + m_limits.maxLease);
+    }
+    stopUnansweredStarts(worker, now);
+}
+
+// The previous leader may have sent the start request of a run that no list has shown just before the takeover.
+void FleetPlanner::rememberInheritedStarts(FleetWorker &worker, TimePoint now)
+{
+    for (const auto &[key, needs] : worker.allocations) {
+        const auto *run = m_state.findRun(key);
+        if (run != nullptr && run->state == RunState::Inherited) {
+            rememberUnansweredStart(worker, key, run->workerStartedUnixMs, now);
+        }
+    }
+}
+
+// The new incarnation may have received a start request that is not answered yet, or whose answer came before the restart was known. Such a run is kept until
+// the new incarnation has confirmed or stopped it. Returns these runs.
+std::vector<RunKey> FleetPlanner::keepUnlistedRuns(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now)
+{
+    std::vector<RunKey> kept;
     for (const auto &[key, needs] : worker.allocations) {
         auto *run = m_state.findRun(key);
         const bool isAnswered = run != nullptr && run->state == RunState::Running && !run->isListed;
         const bool isUnanswered = run != nullptr && (run->state == RunState::Starting || run->state == RunState::Unconfirmed);
-        if (run != nullptr && run->state == RunState::Inherited) {
-            // The previous leader may have sent its start request just before.
-            rememberUnansweredStart(worker, key, run->workerStartedUnixMs, now);
+        if (!isAnswered && !isUnanswered) {
+            continue;
         }
-        if (startedUnixMs != 0 && (isAnswered || isUnanswered)) {
-            if (isAnswered) {
-                setState(*run, RunState::Unconfirmed, now);
-            }
-            run->workerStartedUnixMs = startedUnixMs;
-            run->isStopAnswered = false;
-            // The new incarnation may be of another kind.
-            run->repeatStartUntil = {};
-            unlisted.push_back(key);
-            if (auto *job = m_state.findJob(key.task.job)) {
-                markDirty(*job, key.task);
-            }
+        if (isAnswered) {
+            setState(*run, RunState::Unconfirmed, now);
+        }
+        run->workerStartedUnixMs = startedUnixMs;
+        run->isStopAnswered = false;
+        // The new incarnation may be of another kind.
+        run->repeatStartUntil = {};
+        kept.push_back(key);
+        if (auto *job = m_state.findJob(key.task.job)) {
+            markDirty(*job, key.task);
         }
     }
-    markRunsLost(worker, "worker restarted", unlisted, now);
+    return kept;
+}
+
+// A stop that an earlier incarnation confirmed binds the present one to nothing.
+void FleetPlanner::oweStopsOfUnansweredStarts(FleetWorker &worker, TimePoint now)
+{
     for (auto &it : worker.unansweredStarts) {
         it.mustStop = true;
         it.isStopInFlight = false;
         it.nextStopAt = now;
     }
-    worker.startedUnixMs = startedUnixMs;
-    stopUnansweredStarts(worker, now);
+}
+
+// Forgets what the earlier incarnation said of its clock, its lists and its speed; the next list is due at once.
+void FleetPlanner::forgetIncarnation(FleetWorker &worker, TimePoint now)
+{
     worker.lease.reset();
-    if (!unlisted.empty()) {
-        // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease.
-        worker.lease.assumeGrantedUntil(now + m_limits.maxLease);
-    }
     worker.lastStoredEnd = 0;
     worker.lastSeenEnd = 0;
     worker.unstoredEnds.clear();
