Calls to a worker's next incarnation carry a higher fencing token

Cause: all calls of a leader carried one token. A worker that restarts under its id has seen none, so a call that was sent to one incarnation and is carried out late by the next is accepted there: a poll's acknowledgement deletes ends that nobody has read, and a poll or a start lengthens the lease on a clock that has begun anew.

Fix: a leader may use the offset of any own record of leadership that the log has confirmed, since the claim of each successor is behind it. Polls that bind nothing (no lease, no acknowledgement: to a worker that does not answer, or that is not inventoried) raise the worker's token to the newest. A new incarnation is open only once it has answered a poll whose token is higher than those of all starts, leases and acknowledgements that were sent to its predecessors. What was carried out before that may have granted the longest lease, which is assumed from then on. The refusal of a request that a later one of the same leader has overtaken is no sign of another leader; at its first sending it was not carried out, at a later one nothing is known of the first.

The simulated log now lets heartbeats raise tokens, and polls may be delayed and carried out by the next incarnation. Two tests let a new incarnation answer one more poll before what they check, since the first one grants a lease to the old incarnation and opens nothing any more; their checks are the same: nothingStartsOnARestartedWorkerBeforeAnOwedStopIsConfirmed and clockOfAnEarlierIncarnationDoesNotMoveTheLeasesOfTheNextOne.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -54,6 +55,9 @@
 
     /// Records that the log showed this planner's process to be the leader at `asOf`, which is when the confirming call was sent.
     void confirmLeadership(TimePoint asOf, TimePoint now);
+    /// Lets requests carry a higher fencing token from now on where they need one. It has to be lower than the token of each later leader; a lower one than
+    /// the newest so far changes nothing.
+    void raiseFencingToken(std::int64_t token);
     /// Adds an accepted job; does nothing if it is known already.
     void jobAccepted(FleetJobRequest request, TimePoint now);
     /// Cancels a job. The cancellation may arrive before the job itself.
@@ -102,7 +106,7 @@
     std::int64_t pendingJobCount(const std::string &host, const std::string &prefix) const;
     /// Returns true if there are changes for takeBatch().
     bool hasUnstoredChanges() const { return !m_dirtyJobs.empty() || !m_droppedRecords.empty() || m_hasUnstoredEnds; }
-    /// Returns the fencing token that this planner's requests carry.
+    /// Returns the fencing token of this planner's claim of leadership, the lowest that its requests carry.
     std::int64_t fencingToken() const { return m_fencingToken; }
     /// Returns the time since the newest confirmation of leadership, or `std::nullopt` if there was none.
     std::optional<Millis> confirmationAge(TimePoint now) const { return m_leadership.age(now); }
@@ -155,6 +159,7 @@
     // FleetPlannerWorkers.cpp: workers
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
+    void assumeLateLease(FleetWorker &worker, TimePoint now) const;
     static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
@@ -163,6 +168,10 @@
     // Returns true if an entry names another address or service for the incarnation that the worker itself has confirmed.
     static bool contradicts(const WorkerReport &report, const FleetWorker &worker);
     void sendPollIfDue(FleetWorker &worker, TimePoint now);
+    // Returns the fencing token of the requests that are sent to a worker now.
+    std::int64_t tokenFor(const FleetWorker &worker) const { return std::max(worker.fencingToken, m_fencingToken); }
+    // Returns true if a request with this token was refused because a later request of this planner had carried a higher one.
+    bool isOwnFence(std::int64_t token, const FleetWorker &worker) const { return token < tokenFor(worker); }
     // FleetPlannerMonitoring.cpp: periodic checks of workers and runs
     void checkLeadership(TimePoint now);
     void checkWorker(FleetWorker &worker, TimePoint now);
@@ -181,6 +190,8 @@
     EventLog &m_events;
     const PlannerLimits m_limits;
     const std::int64_t m_fencingToken;
+    /// The highest fencing token that requests may carry.
+    std::int64_t m_newestToken;
     bool m_isOpen = false;
     TimePoint m_openedAt;
     LeadershipConfirmation m_leadership;
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -84,6 +84,15 @@
     std::int64_t startedUnixMs = 0;
     /// True if this incarnation of the worker has listed all its runs under this planner's fencing token.
     bool isInventoried = false;
+    /// Fencing token of the requests that are sent to the worker now; it only grows. 0 until one had to be raised.
+    std::int64_t fencingToken = 0;
+    /// Highest fencing token of the requests that may change what a later incarnation of the worker does: starts, and polls that grant a lease or acknowledge
+    /// ends.
+    std::int64_t bindingToken = 0;
+    /// Lowest fencing token under which the present incarnation refuses all that was sent to its predecessors; 0 if none of them was sent anything.
+    std::int64_t requiredToken = 0;
+    /// Highest fencing token of the polls that the present incarnation has answered.
+    std::int64_t answeredToken = 0;
     WorkerLease lease;
     TimePoint lastResponseAt {};
     TimePoint drainingSince {};
@@ -120,6 +129,10 @@
 
     /// Returns the address for calls to the worker.
     WorkerAddress target() const { return {report.id, report.host, report.port}; }
+    /// Returns true if the present incarnation has answered a poll with a higher fencing token than this, and so refuses a request with this token.
+    bool hasAnsweredAbove(std::int64_t token) const { return answeredToken > token; }
+    /// Returns true if the present incarnation refuses all requests that were sent to its predecessors.
+    bool refusesEarlierRequests() const { return answeredToken >= requiredToken; }
     /// Returns true if the worker has these resources free.
     bool hasRoomFor(const FleetResources &needs) const;
     /// Returns how many tasks with these needs fit into the worker's free resources.
--- a/include/marjoramhaven/fleet/PlannerElection.h
+++ b/include/marjoramhaven/fleet/PlannerElection.h
@@ -91,6 +91,9 @@
     bool isLeading() const { return m_ownClaim.has_value(); }
     /// Returns the fencing token of this process's claim.
     std::int64_t fencingToken() const { return m_ownClaim.value_or(-1) + 1; }
+    /// Returns the highest fencing token that this process may use: the base is its newest claim or heartbeat that the log has confirmed. Since each of these
+    /// is appended behind all records that its writer knows, the token of each later leader is higher.
+    std::int64_t newestFencingToken() const { return m_newestOwnRecord + 1; }
     /// Returns the newest known record of the leader, or an empty optional if no leader is known.
     const std::optional<LeadershipRecord> &leader() const { return m_leader; }
     /// Returns the leader's fencing token.
@@ -114,6 +117,8 @@
     std::optional<std::int64_t> m_ownClaim;
     /// Offset of the newest claim with which this process became the leader; -1 if it never was.
     std::int64_t m_newestOwnClaim = -1;
+    /// Offset of the newest claim or heartbeat of this process in the log; -1 before the first.
+    std::int64_t m_newestOwnRecord = -1;
     TimePoint m_leaderSeenAt {};
     /// Start of the current series of answered reads without a gap.
     TimePoint m_readingSince {};
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -63,6 +63,8 @@
     /// Removes a process that was added by addAdvisorProxy().
     void removeAdvisorProxy(const std::string &process);
 
+    /// See FleetPlanner::raiseFencingToken().
+    void raiseFencingToken(std::int64_t token) { m_planner.raiseFencingToken(token); }
     /// See FleetPlanner::confirmLeadership().
     void confirmLeadership(TimePoint asOf) { m_planner.confirmLeadership(asOf, monotonicNow()); }
 
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -20,6 +20,7 @@
     , m_events(events)
     , m_limits(limits)
     , m_fencingToken(fencingToken)
+    , m_newestToken(fencingToken)
     , m_openedAt(now)
     , m_leadership(limits.leadershipBound)
     , m_placer(m_state, *this)
@@ -112,6 +113,11 @@
     checkLeadership(now);
 }
 
+void FleetPlanner::raiseFencingToken(std::int64_t token)
+{
+    m_newestToken = std::max(m_newestToken, token);
+}
+
 void FleetPlanner::markDirty(FleetJob &job)
 {
     m_dirtyJobs.insert(job.id());
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -206,7 +206,8 @@
                     {"to", static_cast<std::int64_t>(percent)}});
     run.isThrottleInFlight = true;
     run.speedChangedAt = now;
-    m_port.sendThrottle({m_state.findOrCreateWorker(run.worker).target(), run.key.task, run.key.attempt, percent, m_fencingToken}, ThrottleTimeout);
+    const auto &worker = m_state.findOrCreateWorker(run.worker);
+    m_port.sendThrottle({worker.target(), run.key.task, run.key.attempt, percent, tokenFor(worker)}, ThrottleTimeout);
 }
 
 void FleetPlanner::handleThrottleResponse(const ThrottleRunRequest &request, const WorkerResponse &response, TimePoint now)
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -97,7 +97,8 @@
     request.attempt = run.key.attempt;
     request.payload = job->request().payload;
     request.leaseUntilMs = worker.lease.grant(m_limits.lease, now);
-    request.fencingToken = m_fencingToken;
+    request.fencingToken = tokenFor(worker);
+    worker.bindingToken = request.fencingToken;
     request.checkpoint = run.startedFromCheckpoint;
     request.ticket = FleetState::queueOf(*job).needsAdvice ? m_state.advice.ticket(stepOf(run.key.task), run.worker) : std::string();
     request.workerStartedUnixMs = run.workerStartedUnixMs;
@@ -135,6 +136,8 @@
     if (run == nullptr || run->state != RunState::Starting) {
         return;
     }
+    // A worker that refuses a request because of a later one of this planner has not carried it out.
+    const bool isFencedByItself = response.outcome == WorkerCallOutcome::Fenced && isOwnFence(request.fencingToken, worker);
     const char *reason = "refused";
     Millis pause {0};
     Millis avoid = AvoidAfterRefusal;
@@ -149,8 +152,10 @@
         keepUnconfirmed(*run, now);
         return;
     case WorkerCallOutcome::Fenced:
-        m_port.fencedByWorker(request.worker.id);
-        reason = "fenced";
+        if (!isFencedByItself) {
+            m_port.fencedByWorker(request.worker.id);
+        }
+        reason = isFencedByItself ? "fenced by a later request" : "fenced";
         pause = PauseAfterRefusal;
         avoid = Millis(0);
         break;
@@ -179,7 +184,7 @@
         break;
     }
     worker.avoidUntil = std::max(worker.avoidUntil, now + avoid);
-    if (run->startSendings > 1) {
+    if (run->startSendings > 1 || (isFencedByItself && response.sendings > 1)) {
         // The refusal proves nothing about the earlier requests, whose outcome is not known.
         keepUnconfirmed(*run, now);
     } else {
--- a/src/fleet/FleetPlannerStops.cpp
+++ b/src/fleet/FleetPlannerStops.cpp
@@ -60,7 +60,7 @@
         return;
     }
     run.isStopInFlight = true;
-    m_port.sendStop({worker.target(), run.key.task, run.key.attempt, m_fencingToken, run.workerStartedUnixMs}, StopTimeout);
+    m_port.sendStop({worker.target(), run.key.task, run.key.attempt, tokenFor(worker), run.workerStartedUnixMs}, StopTimeout);
 }
 
 void FleetPlanner::handleStopResponse(const StopRunRequest &request, const WorkerResponse &response, TimePoint now)
@@ -87,7 +87,7 @@
         worker.nextPollAt = std::min(worker.nextPollAt, now);
         return;
     }
-    if (response.outcome == WorkerCallOutcome::Fenced) {
+    if (response.outcome == WorkerCallOutcome::Fenced && !isOwnFence(request.fencingToken, worker)) {
         m_port.fencedByWorker(request.worker.id);
     }
     run->nextStopAt = now + StopRetryDelay;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -120,10 +120,11 @@
     worker.startedUnixMs = startedUnixMs;
     stopUnansweredStarts(worker, now);
     worker.lease.reset();
-    if (!unlisted.empty()) {
-        // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease.
-        worker.lease.assumeGrantedUntil(now + m_limits.maxLease);
+    if (worker.bindingToken > 0) {
+        worker.requiredToken = worker.bindingToken + 1;
+        assumeLateLease(worker, now);
     }
+    worker.answeredToken = 0;
     worker.lastStoredEnd = 0;
     worker.lastSeenEnd = 0;
     worker.unstoredEnds.clear();
@@ -134,6 +135,12 @@
     m_state.speeds.forget(worker.report.id);
 }
 
+// A late request carries a lease end on the clock of an earlier incarnation. The present one limits it to the longest lease from its arrival.
+void FleetPlanner::assumeLateLease(FleetWorker &worker, TimePoint now) const
+{
+    worker.lease.assumeGrantedUntil(now + LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease));
+}
+
 void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now)
 {
     std::erase_if(worker.unansweredStarts, [&key](const auto &it) {
@@ -151,7 +158,7 @@
         // A run that the planner still knows is stopped by itself, if at all.
         if (it.mustStop && !it.isStopInFlight && now >= it.nextStopAt && m_state.findRun(it.key) == nullptr) {
             it.isStopInFlight = true;
-            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, m_fencingToken, worker.startedUnixMs}, UnansweredStopTimeout);
+            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, tokenFor(worker), worker.startedUnixMs}, UnansweredStopTimeout);
         }
     }
 }
@@ -183,13 +190,20 @@
     }
     PollWorkerRequest request;
     request.worker = worker.target();
-    request.fencingToken = m_fencingToken;
     // Polls to a worker that does not answer don't renew its lease, so that the lease certainly expires. They acknowledge no ended runs either, because the
     // worker may have restarted and numbers its ended runs from 1 again.
     const bool hasLease = worker.isInventoried && worker.failedPolls == 0;
+    if (!hasLease) {
+        // The next incarnation has seen no token, and refuses what was sent to this one only under a higher token.
+        worker.fencingToken = m_newestToken;
+    }
+    request.fencingToken = tokenFor(worker);
     request.acknowledged = hasLease ? worker.lastStoredEnd : 0;
     const auto confirmedFor = m_leadership.remaining(now);
     request.leaseUntilMs = hasLease && confirmedFor > Millis(0) ? worker.lease.grant(m_limits.lease, now) : 0;
+    if (request.acknowledged > 0 || request.leaseUntilMs > 0) {
+        worker.bindingToken = request.fencingToken;
+    }
     const bool areEndsStored = hasLease && worker.lastSeenEnd == worker.lastStoredEnd;
     // While it is not known whether a run exists, a list is needed at once, whether it has changed or not.
     const bool isEveryRunKnown = std::none_of(worker.allocations.begin(), worker.allocations.end(), [this](const auto &it) {
@@ -253,17 +267,26 @@
     if (worker.startedUnixMs == 0) {
         worker.startedUnixMs = response.startedUnixMs;
     }
+    worker.answeredToken = std::max(worker.answeredToken, request.fencingToken);
     worker.lease.observe(response.workerClockMs, now);
     worker.lastListClockMs = std::max(worker.lastListClockMs, response.workerClockMs);
     reconcileRuns(worker, response, request.sequence, now);
-    if (!worker.isInventoried) {
+    if (!worker.isInventoried && worker.refusesEarlierRequests()) {
         worker.isInventoried = true;
+        if (worker.requiredToken > 0) {
+            assumeLateLease(worker, now);
+        }
         m_events.write("worker_inventory",
                        {{"worker", request.worker.id},
                         {"running", static_cast<std::int64_t>(response.running.size())},
                         {"ended", static_cast<std::int64_t>(response.ended.size())}});
     }
     throttleBestEffortRuns(worker, now);
+    if (!worker.isInventoried) {
+        // Either the next poll carries a token that is high enough, or none will before the next heartbeat in the log.
+        worker.nextPollAt = now + (m_newestToken >= worker.requiredToken ? PollInterval : PollRetryDelay);
+        return;
+    }
     const auto interval = worker.lastSeenEnd > worker.lastStoredEnd ? PollIntervalWhileStoring : PollInterval;
     worker.nextPollAt = now + (m_leadership.isValid(now) ? interval : PollIntervalWhileUnconfirmed);
 }
--- a/src/fleet/PlannerElection.cpp
+++ b/src/fleet/PlannerElection.cpp
@@ -64,6 +64,9 @@
     if (isNewLeader) {
         m_linkLostAt.reset();
     }
+    if (record.incarnation == m_self.incarnation) {
+        m_newestOwnRecord = std::max(m_newestOwnRecord, offset);
+    }
     if (record.incarnation != m_self.incarnation) {
         m_ownClaim.reset();
     } else if (record.claimOffset < 0) {
--- a/src/fleetnode/FleetNode.cpp
+++ b/src/fleetnode/FleetNode.cpp
@@ -287,6 +287,7 @@
     m_election.handleRecords(leadershipRecords, m_leadershipFollower.nextOffset(), now);
     applyLeadership();
     if (const auto sentAt = m_leadershipFollower.completeReadSentAt(); sentAt && m_planner) {
+        m_planner->raiseFencingToken(m_election.newestFencingToken());
         m_planner->confirmLeadership(*sentAt);
     }
     appendLeadershipIfDue(now);
@@ -318,6 +319,7 @@
         applyLeadership();
         const auto claimOffset = isClaim ? result.offset : record.claimOffset;
         if (result.outcome == AppendOutcome::Stored && m_planner && m_planner->planner().fencingToken() == claimOffset + 1) {
+            m_planner->raiseFencingToken(m_election.newestFencingToken());
             m_planner->confirmLeadership(sentAt);
         }
     });
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -124,7 +124,7 @@
 void FakeFleet::openPlanner()
 {
     auto process = std::make_shared<PlannerProcess>(*this);
-    ++m_fencingToken;
+    m_fencingToken += TokensPerPlanner;
     m_writerFence = m_fencingToken;
     PlannerLimits limits;
     limits.tasksPerPart = m_options.tasksPerPart;
@@ -166,7 +166,9 @@
 {
     after(m_options.appendDelay, [this, process, sentAt = m_now]() {
         if (hasLog(*process) && process->planner->fencingToken() == m_fencingToken) {
-            process->receive([this, process, sentAt]() {
+            const auto token = process->planner->fencingToken() + ++process->heartbeats;
+            process->receive([this, process, sentAt, token]() {
+                process->planner->raiseFencingToken(token);
                 process->planner->confirmLeadership(sentAt, m_now);
             });
         }
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -78,6 +78,8 @@
     void unlistWorker(int worker);
     /// Lets this share of the requests to workers time out and be carried out later.
     void setDelayedRequestShare(double share);
+    /// The same for polls, which all other requests leave alone.
+    void setDelayedPollShare(double share);
     /// Lets this share of the workers' responses get lost after the request was carried out.
     void setLostResponseShare(double share);
     /// Lets a worker refuse this share of its requests as unhealthy. Half of the refusals answer a second sending: the channel of the first one broke, after
@@ -159,6 +161,7 @@
     bool m_isLogUp = true;
     bool m_hasFaults = false;
     double m_delayedRequestShare = 0;
+    double m_delayedPollShare = 0;
     double m_lostResponseShare = 0;
     int m_adviceCalls = 0;
     int m_expiredTickets = 0;
--- a/tests/fleet/FakeFleetFaults.cpp
+++ b/tests/fleet/FakeFleetFaults.cpp
@@ -115,6 +115,12 @@
     m_delayedRequestShare = share;
 }
 
+void FakeFleet::setDelayedPollShare(double share)
+{
+    m_hasFaults = true;
+    m_delayedPollShare = share;
+}
+
 void FakeFleet::setLostResponseShare(double share)
 {
     m_hasFaults = true;
--- a/tests/fleet/FakeFleetPlanner.h
+++ b/tests/fleet/FakeFleetPlanner.h
@@ -13,6 +13,8 @@
 inline constexpr Millis MaxExecutionDelay {12000};
 inline constexpr Millis MinExecutionDelay {2000};
 inline constexpr Millis WorkerStep {5};
+/// Distance of the claims of two planners in the topic of leadership, in which heartbeats lie.
+inline constexpr std::int64_t TokensPerPlanner = 1'000'000;
 
 /// One planner's process in a FakeFleet, which sends the planner's requests through the simulated network.
 struct FakeFleet::PlannerProcess
@@ -23,6 +25,7 @@
     bool isFrozen = false;
     bool isDead = false;
     bool isStoring = false;
+    std::int64_t heartbeats = 0;
     std::vector<std::function<void()>> delayedCallbacks;
 
     explicit PlannerProcess(FakeFleet &owner)
@@ -73,14 +76,7 @@
             finish(Response {});
         });
         if (fleet.chance(fleet.m_delayedRequestShare)) {
-            const auto span = (MaxExecutionDelay - MinExecutionDelay).count();
-            const auto later = MinExecutionDelay + Millis(static_cast<std::int64_t>(fleet.m_random() % static_cast<std::uint64_t>(span)));
-            // The delayed request waits inside the worker or on the way to it.
-            fleet.after(later, [this, self, i, request, startedUnixMs = fleet.m_workers[i]->report().startedUnixMs]() {
-                if (fleet.m_options.delayedRequestsOutliveWorkers || fleet.m_workers[i]->report().startedUnixMs == startedUnixMs) {
-                    request(*fleet.m_workers[i]);
-                }
-            });
+            executeLate<Response>(self, i, request);
             return;
         }
         if (fleet.chance(fleet.m_refusedRequestShares[i])) {
@@ -101,6 +97,19 @@
         });
     }
 
+    // Lets a worker carry out a request long after its timeout. Until then the request waits inside the worker or on the way to it.
+    template<typename Response>
+    void executeLate(const std::shared_ptr<PlannerProcess> &self, std::size_t i, std::function<Response(FleetWorkerModel &)> request)
+    {
+        const auto span = (MaxExecutionDelay - MinExecutionDelay).count();
+        const auto later = MinExecutionDelay + Millis(static_cast<std::int64_t>(fleet.m_random() % static_cast<std::uint64_t>(span)));
+        fleet.after(later, [this, self, i, request, startedUnixMs = fleet.m_workers[i]->report().startedUnixMs]() {
+            if (fleet.m_options.delayedRequestsOutliveWorkers || fleet.m_workers[i]->report().startedUnixMs == startedUnixMs) {
+                request(*fleet.m_workers[i]);
+            }
+        });
+    }
+
     // Lets an unhealthy worker refuse a request, at its first or its second sending.
     template<typename Response>
     void refuse(std::size_t i, std::function<Response(FleetWorkerModel &)> request, std::function<void(const Response &)> finish)
@@ -188,6 +197,12 @@
         fleet.after(timeout, [finish]() {
             finish(PollWorkerResponse {});
         });
+        if (fleet.chance(fleet.m_delayedPollShare)) {
+            executeLate<PollWorkerResponse>(process, i, [this, request](FleetWorkerModel &it) {
+                return it.poll(request, fleet.m_now);
+            });
+            return;
+        }
         if (fleet.chance(fleet.m_refusedRequestShares[i])) {
             PollWorkerResponse refusal;
             refusal.outcome = WorkerCallOutcome::Unhealthy;
--- a/tests/fleet/PlannerElectionTest.cpp
+++ b/tests/fleet/PlannerElectionTest.cpp
@@ -322,6 +322,31 @@
     BOOST_TEST(!election.isLeading());
 }
 
+// Guards against calls of a leader that its worker can't tell from those before the worker restarted: their token is as low.
+BOOST_AUTO_TEST_CASE(heartbeatsRaiseTheTokenBelowThatOfEachSuccessor)
+{
+    SimulatedLog log;
+    PlannerElection first(recordOf("first"), {});
+    PlannerElection second(recordOf("second"), {});
+    log.step(first);
+    BOOST_REQUIRE(first.isLeading());
+    BOOST_TEST(first.newestFencingToken() == first.fencingToken());
+    for (int i = 1; i <= 3; ++i) {
+        log.now += Millis(500);
+        // A heartbeat counts only once the log has confirmed it, by an answer or in a read.
+        BOOST_TEST(log.step(first, i != 2));
+        BOOST_TEST(first.newestFencingToken() == first.fencingToken() + (i == 2 ? 1 : i));
+        log.step(first);
+        BOOST_TEST(first.newestFencingToken() == first.fencingToken() + i);
+    }
+    const auto newest = first.newestFencingToken();
+    log.stepUntilLeader(second);
+    BOOST_TEST(second.fencingToken() > newest);
+    log.step(first);
+    BOOST_TEST(!first.isLeading());
+    BOOST_TEST(first.newestFencingToken() == newest);
+}
+
 // Guards against a fleet that nobody plans until a timeout: a process won the election after it had begun to stop, and ended without a word.
 BOOST_AUTO_TEST_CASE(claimThatIsStoredAfterItsProcessBeganToStopIsGivenUpAtOnce)
 {
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -15,13 +15,14 @@
     std::vector<ThrottleRunRequest> throttles;
     std::vector<PollWorkerRequest> polls;
     std::vector<AdviceRequest> advice;
+    std::vector<std::string> fences;
 
     void sendStart(const StartRunRequest &request, Millis /*timeout*/) override { starts.push_back(request); }
     void sendStop(const StopRunRequest &request, Millis /*timeout*/) override { stops.push_back(request); }
     void sendThrottle(const ThrottleRunRequest &request, Millis /*timeout*/) override { throttles.push_back(request); }
     void sendPoll(const PollWorkerRequest &request, Millis /*timeout*/) override { polls.push_back(request); }
     void sendAdviceRequest(const AdviceRequest &request) override { advice.push_back(request); }
-    void fencedByWorker(const std::string & /*worker*/) override { }
+    void fencedByWorker(const std::string &worker) override { fences.push_back(worker); }
 };
 
 /// A planner whose workers "w0", "w1", ... answer only what the test says. The workers are listed and inventoried, and each has room for one task.
@@ -50,10 +51,11 @@
         planner.tick(0, now);
     }
 
-    /// Confirms that the planner's process is the leader, unless the test has cut it off from the log.
+    /// Confirms that the planner's process is the leader, unless the test has cut it off from the log. Each confirmation is a heartbeat in the log.
     void confirm()
     {
         if (!isCutFromLog) {
+            planner.raiseFencingToken(++newestToken);
             planner.confirmLeadership(now, now);
         }
     }
@@ -132,9 +134,10 @@
     QueuePolicy queue;
     TimePoint now = atMillis(100'000);
     bool isCutFromLog = false;
+    std::int64_t newestToken = 7;
     EventLog events {"test", -1};
     RecordingTransport port;
-    FleetPlanner planner {port, events, PlannerLimits {}, 7, now};
+    FleetPlanner planner {port, events, PlannerLimits {}, newestToken, now};
 };
 
 } // namespace marjoramhaven::test
--- a/tests/fleet/PossibleRunsTest.cpp
+++ b/tests/fleet/PossibleRunsTest.cpp
@@ -130,6 +130,8 @@
     script.answerPoll("w0", {}, Reborn);
     script.planner.workerReported(entry, script.now);
     BOOST_REQUIRE_EQUAL(script.port.stops.size(), 2U);
+    // The owed stop is all that the new incarnation waits for.
+    script.answerPoll("w0", {}, Reborn);
     script.submit("other", 1000);
     script.planAndStore();
     BOOST_TEST(script.port.starts.size() == 1U);
--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -184,6 +184,10 @@
     script.planner.handlePollResponse(script.lastPoll("w0"), list, script.now);
     script.planner.handleStartResponse(start, script.done(), script.now);
     script.advance(Millis(25));
+    // The first poll under a higher fencing token than that of the start grants no lease.
+    list.workerClockMs += 25;
+    script.planner.handlePollResponse(script.lastPoll("w0"), list, script.now);
+    script.advance(Millis(25));
     const auto poll = script.lastPoll("w0");
     BOOST_TEST(poll.leaseUntilMs > 0);
     BOOST_TEST(poll.leaseUntilMs <= list.workerClockMs + 25 + PlannerLimits {}.lease.count());
