--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -9,6 +9,7 @@
 #include "marjoramhaven/base/Time.h"
 #include "marjoramhaven/fleet/FleetClients.h"
 #include "marjoramhaven/fleet/LeadershipConfirmation.h"
+#include "marjoramhaven/fleet/WorkerCallHistory.h"
 
 namespace marjoramhaven {
 
@@ -94,6 +95,8 @@
     /// Highest fencing token of the polls that the present incarnation has answered.
     std::int64_t answeredToken = 0;
     WorkerLease lease;
+    /// What the polls asked for, for the event log.
+    WorkerCallHistory calls;
     TimePoint lastResponseAt {};
     TimePoint drainingSince {};
     /// Polls without an answer since the last answered one.
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -29,7 +29,9 @@
 class PlannerScript
 {
 public:
-    explicit PlannerScript(int workers = 2)
+    /// The planner writes its events to `eventDescriptor`, or discards them if that is negative.
+    explicit PlannerScript(int workers = 2, int eventDescriptor = -1)
+        : events("test", eventDescriptor)
     {
         queue.service = "svc";
         queue.maxAttempts = 3;
@@ -135,7 +137,7 @@
     TimePoint now = atMillis(100'000);
     bool isCutFromLog = false;
     std::int64_t newestToken = 7;
-    EventLog events {"test", -1};
+    EventLog events;
     RecordingTransport port;
     FleetPlanner planner {port, events, PlannerLimits {}, newestToken, now};
 };
