The incarnation that answers the newest poll is the present one

Cause: the time of start that identifies an incarnation was also taken for an order. If the machine's clock steps back before the worker restarts, the new incarnation looks older: its lists were dropped as answers of an earlier one, its entry as one that was behind, and since it answered, it never counted as silent.

An entry that names another incarnation is followed by a poll, unless that incarnation is known to have ended: then a read of the list was behind.

--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -82,6 +82,8 @@
     TimePoint unlistedSince {};
     /// Start of the incarnation that last listed its runs, in milliseconds since the Unix epoch; 0 before the first list.
     std::int64_t startedUnixMs = 0;
+    /// Starts of the newest earlier incarnations, oldest first. A start identifies an incarnation and does not order two of them.
+    std::vector<std::int64_t> earlierStarts;
     /// True if this incarnation of the worker has listed all its runs under this planner's fencing token.
     bool isInventoried = false;
     /// Fencing token of the requests that are sent to the worker now; it only grows. 0 until one had to be raised.
@@ -129,6 +131,10 @@
 
     /// Returns the address for calls to the worker.
     WorkerAddress target() const { return {report.id, report.host, report.port}; }
+    /// Records that the present incarnation has ended.
+    void rememberIncarnation();
+    /// Returns true if the incarnation that started then has ended.
+    bool hadIncarnation(std::int64_t unixMs) const;
     /// Returns true if the present incarnation has answered a poll with a higher fencing token than this, and so refuses a request with this token.
     bool hasAnsweredAbove(std::int64_t token) const { return answeredToken > token; }
     /// Returns true if the present incarnation refuses all requests that were sent to its predecessors.
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -35,7 +35,7 @@
     worker.report = report;
     worker.isListed = true;
     worker.isEntryUnreadable = false;
-    if (worker.startedUnixMs != 0 && report.startedUnixMs > worker.startedUnixMs && !isRestartKnown) {
+    if (worker.startedUnixMs != 0 && report.startedUnixMs != worker.startedUnixMs && !isRestartKnown && !worker.hadIncarnation(report.startedUnixMs)) {
         // Anybody may write an entry. What became of the runs is decided by what the worker itself lists, which the old incarnation can't answer any more.
         m_events.write("worker_reborn", {{"worker", report.id}, {"born_ms", report.startedUnixMs}, {"was_born_ms", worker.startedUnixMs}});
         // Nothing starts there until the list is in, and the poll for it acknowledges no ended runs.
@@ -58,8 +58,10 @@
 bool FleetPlanner::contradicts(const WorkerReport &report, const FleetWorker &worker)
 {
     const auto &known = worker.report;
-    const bool isSameIncarnation = worker.startedUnixMs != 0 && known.startedUnixMs == worker.startedUnixMs && report.startedUnixMs <= worker.startedUnixMs;
-    return isSameIncarnation && (report.host != known.host || report.port != known.port || report.service != known.service);
+    // Reads of the list may be behind, so an entry of an earlier incarnation tells nothing new.
+    const bool isKnownIncarnation = report.startedUnixMs == worker.startedUnixMs || worker.hadIncarnation(report.startedUnixMs);
+    const bool isConfirmed = worker.startedUnixMs != 0 && known.startedUnixMs == worker.startedUnixMs;
+    return isConfirmed && isKnownIncarnation && (report.host != known.host || report.port != known.port || report.service != known.service);
 }
 
 void FleetPlanner::workerEntryUnreadable(const std::string &id, TimePoint now)
@@ -117,6 +119,7 @@
         it.isStopInFlight = false;
         it.nextStopAt = now;
     }
+    worker.rememberIncarnation();
     worker.startedUnixMs = startedUnixMs;
     stopUnansweredStarts(worker, now);
     worker.lease.reset();
@@ -258,10 +261,7 @@
     worker.failedPolls = 0;
     worker.lastResponseAt = now;
     if (worker.startedUnixMs != 0 && response.startedUnixMs != 0 && response.startedUnixMs != worker.startedUnixMs) {
-        if (response.startedUnixMs < worker.startedUnixMs) {
-            worker.nextPollAt = now + PollRetryDelay;
-            return;
-        }
+        // Whichever incarnation answers the newest poll is the present one. Its time of start may be the earlier one, since the machine's clock may step back.
         handleWorkerRestart(worker, response.startedUnixMs, now);
     }
     if (worker.startedUnixMs == 0) {
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -9,6 +9,8 @@
 
 // Maximum age of a clock reading when it arrives.
 constexpr Millis MaxReadingAge {3000};
+// Entries are behind by seconds at most, in which a worker restarts only a few times.
+constexpr std::size_t MaxEarlierStarts = 8;
 
 } // namespace
 
@@ -115,6 +117,22 @@
     });
 }
 
+void FleetWorker::rememberIncarnation()
+{
+    if (startedUnixMs == 0 || hadIncarnation(startedUnixMs)) {
+        return;
+    }
+    earlierStarts.push_back(startedUnixMs);
+    if (earlierStarts.size() > MaxEarlierStarts) {
+        earlierStarts.erase(earlierStarts.begin());
+    }
+}
+
+bool FleetWorker::hadIncarnation(std::int64_t unixMs) const
+{
+    return std::find(earlierStarts.begin(), earlierStarts.end(), unixMs) != earlierStarts.end();
+}
+
 bool FleetWorker::hasLabel(const std::string &label) const
 {
     return std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
--- a/tests/fleet/IncarnationsTest.cpp
+++ b/tests/fleet/IncarnationsTest.cpp
@@ -190,6 +190,62 @@
     BOOST_TEST(script.port.fences.size() == 1U);
 }
 
+// Guards against a worker that is polled for ever and keeps tasks waiting: its machine's clock stepped back before it restarted.
+BOOST_AUTO_TEST_CASE(incarnationThatLooksOlderIsThePresentOne)
+{
+    constexpr std::int64_t Later = 1000;
+    constexpr std::int64_t Earlier = 500;
+    for (const bool isEntryFirst : {false, true}) {
+        PlannerScript script(1);
+        auto entry = script.entry("w0");
+        entry.startedUnixMs = Later;
+        script.answerPoll("w0", {}, Later);
+        script.planner.workerReported(entry, script.now);
+        script.answerPoll("w0", {}, Later);
+        script.submit("j", 4000);
+        script.planAndStore();
+        BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+        script.planner.handleStartResponse(script.port.starts.back(), script.done(), script.now);
+        script.answerPoll("w0", {{{"j", 0, 0, 0}, 1, {}, 1, 0}}, Later);
+        entry.startedUnixMs = Earlier;
+        const auto earlierPoll = script.lastPoll("w0");
+        if (isEntryFirst) {
+            script.planner.workerReported(entry, script.now);
+            BOOST_TEST(!isBinding(script.lastPoll("w0")));
+            BOOST_TEST(script.lastPoll("w0").fencingToken > earlierPoll.fencingToken);
+            script.planner.handlePollResponse(earlierPoll, NoList, script.now);
+        }
+        script.answerPoll("w0", {}, Earlier);
+        script.planner.workerReported(entry, script.now);
+        script.answerPoll("w0", {}, Earlier);
+        script.planAndStore();
+        BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+        BOOST_TEST(script.port.starts.back().workerStartedUnixMs == Earlier);
+    }
+}
+
+// Guards against calls to the address of an incarnation that has ended: a read of the list that is behind, after a restart with an earlier time of start.
+BOOST_AUTO_TEST_CASE(entryOfAnEarlierIncarnationMovesNoAddress)
+{
+    for (const std::int64_t startedUnixMs : {2, 1000}) {
+        PlannerScript script(1);
+        auto stale = script.entry("w0");
+        stale.startedUnixMs = 500;
+        script.answerPoll("w0", {}, stale.startedUnixMs);
+        script.planner.workerReported(stale, script.now);
+        auto entry = stale;
+        entry.startedUnixMs = startedUnixMs;
+        entry.port += 100;
+        script.planner.workerReported(entry, script.now);
+        script.answerPoll("w0", {}, startedUnixMs);
+        script.answerPoll("w0", {}, startedUnixMs);
+        script.planner.workerReported(stale, script.now);
+        script.answerPoll("w0", {}, startedUnixMs);
+        script.advance(Millis(1000));
+        BOOST_TEST(script.lastPoll("w0").worker.port == entry.port);
+    }
+}
+
 // Guards against tasks that start again after they are done: polls that were sent to one incarnation of a worker are carried out late by the next.
 BOOST_AUTO_TEST_CASE(latePollsDeleteNoEndsOfTheNextIncarnation)
 {
