The longest lease of a restarted worker is measured on its clock

A restarted worker may carry out a start from before under the longest lease.

Now the bound is the one that successors use, 10.2 s.

Evidence: leaseOfARestartedWorkerIsMeasuredOnItsClock fails on the code before (no run is left 10.2 s after the restart: "runCount() == 1U has failed [0 != 1]").

--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -93,8 +93,8 @@
     forgetIncarnation(worker, now);
     worker.startedUnixMs = startedUnixMs;
     if (!kept.empty()) {
-        // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease.
-        worker.lease.assumeGrantedUntil(now + m_limits.maxLease);
+        // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease on its own clock.
+        worker.lease.assumeGrantedUntil(now + LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease));
     }
     stopUnansweredStarts(worker, now);
 }
--- a/tests/fleet/LeaseTest.cpp
+++ b/tests/fleet/LeaseTest.cpp
@@ -149,6 +149,30 @@
     BOOST_TEST(script.port.starts.front().leaseUntilMs > 0);
 }
 
+// Guards against a task that runs twice: a restarted worker whose clock is slow carries out a start from before, under the longest lease, and falls silent.
+BOOST_AUTO_TEST_CASE(leaseOfARestartedWorkerIsMeasuredOnItsClock)
+{
+    PlannerScript script(1);
+    script.submit("j", 4000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    const auto restartedAt = script.now;
+    script.answerPoll("w0", {}, 2);
+    script.planner.handleStartResponse(script.port.starts.front(), {}, script.now);
+    constexpr Millis Step {25};
+    const auto passTimeUntil = [&script, restartedAt](Millis time) {
+        while (script.now - restartedAt < time) {
+            script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+            script.advance(Step);
+        }
+    };
+    const Millis slowest(PlannerLimits {}.maxLease.count() * 100 / 98);
+    passTimeUntil(slowest - Step);
+    BOOST_TEST(script.planner.runCount() == 1U);
+    passTimeUntil(slowest + Millis(100));
+    BOOST_TEST(script.planner.runCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(runsAreStoppedWithoutAConfirmation)
 {
     PlannerScript script(1);
