A task whose given-up start may still be carried out waits for it, or goes back to its worker

Cause: a start whose outcome was not known was stopped and its task placed elsewhere. A confirmed stop holds within one incarnation of a worker. The next one may carry the start out, up to 12 s after it was sent, while the task runs elsewhere.

Now a task waits while nothing is known of what the worker is bound to: it is silent, not listed yet, or has restarted and not confirmed the stop. It waits at most until no run of that start can be left: 13 s, and the longest lease beyond that where the worker is still silent. A long-running task waits for 4.5 s at most. Once the start is closed, the task goes back to that worker, for which it waits for up to 1 s; a crash of the worker then takes the task's run with it. The same is looked at again before a start is sent. A run that is lost with its incarnation while an earlier sending of its start may be under way is covered likewise.

--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -42,6 +42,7 @@
     struct StepPlacement {
         std::map<std::string, int> runsPerWorker;
         std::set<std::string> doubtful;
+        TimePoint now {};
     };
 
     // TaskPlacer.cpp
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "FleetPlannerBatch.h"
+#include "GivenUpStarts.h"
 
 namespace marjoramhaven {
 
@@ -78,8 +79,12 @@
     std::erase_if(worker.recentFailures, [now](const auto &it) {
         return now - it.first > FailureWindow;
     });
-    std::erase_if(worker.unansweredStarts, [now](const auto &it) {
-        return now - it.since > MaxExecutionDelay;
+    // A run that was carried out late goes on for the longest lease where nothing is known of its worker.
+    const auto longestRun = LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease);
+    std::erase_if(worker.unansweredStarts, [&](auto &it) {
+        const bool isStillOpen = isOpen(worker, it);
+        it.lastOpenAt = isStillOpen ? now : it.lastOpenAt;
+        return now - it.since > MaxExecutionDelay + (isStillOpen ? longestRun : Millis(0));
     });
     stopUnansweredStarts(worker, now);
     sendPollIfDue(worker, now);
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "FleetPlannerBatch.h"
+#include "GivenUpStarts.h"
 
 namespace marjoramhaven {
 
@@ -61,6 +62,9 @@
     if (!worker.hasRoomFor({})) {
         return "its worker has less room than when it was placed";
     }
+    if (!spec.allowsSpeculation && givenUpStartsOf(m_state, run.key.task).mustWait(spec.isLongRunning, now)) {
+        return "an earlier start of its task may be carried out now";
+    }
     if (spec.maxPerWorker > 0) {
         const auto &step = job.occurrences().at(run.key.task.occurrence).steps[static_cast<std::size_t>(run.key.task.step)];
         if (m_state.runsPerWorker(step)[run.worker] > spec.maxPerWorker) {
--- a/src/fleet/FleetPlannerStops.cpp
+++ b/src/fleet/FleetPlannerStops.cpp
@@ -81,6 +81,9 @@
     run->isStopInFlight = false;
     auto &worker = m_state.findOrCreateWorker(run->worker);
     if (response.outcome == WorkerCallOutcome::Done && request.workerStartedUnixMs == run->workerStartedUnixMs) {
+        for (auto &it : worker.unansweredStarts) {
+            it.mustStop = it.mustStop && !(it.key == key && request.workerStartedUnixMs == worker.startedUnixMs);
+        }
         run->isStopAnswered = true;
         run->stopAnsweredSequence = ++m_sequence;
         run->stopAnsweredAt = now;
--- /dev/null
+++ b/src/fleet/GivenUpStarts.cpp
@@ -0,0 +1,71 @@
+#include "GivenUpStarts.h"
+
+#include <algorithm>
+
+namespace marjoramhaven {
+
+namespace {
+
+// A long-running task must be at work again soon, so it waits for less time than a start request may be under way.
+constexpr Millis LongestWaitOfLongRunningTask {4500};
+// A worker that was sent a start that it did not answer is avoided for a moment, and may get other work meanwhile.
+constexpr Millis LongestWaitForWorker {1000};
+
+} // namespace
+
+bool isOpen(const FleetWorker &worker, const UnansweredStart &start)
+{
+    return start.mustStop || !worker.isInventoried || worker.failedPolls > 0 || worker.startedUnixMs == 0;
+}
+
+void GivenUpStarts::add(const FleetState &state, const FleetWorker &on, const UnansweredStart &start)
+{
+    if (state.runs.contains(start.key)) {
+        return;
+    }
+    isAnyOpen = isAnyOpen || isOpen(on, start);
+    if (worker.empty() || start.since < oldest) {
+        oldest = start.since;
+    }
+    closedSince = std::max({closedSince, start.since, start.lastOpenAt});
+    if (worker.empty() || start.since > newest) {
+        newest = start.since;
+        worker = on.report.id;
+    }
+}
+
+bool GivenUpStarts::mustWait(bool isLongRunning, TimePoint now) const
+{
+    return isAnyOpen && (!isLongRunning || now - oldest < LongestWaitOfLongRunningTask);
+}
+
+bool GivenUpStarts::isBoundToWorker(bool isLongRunning, TimePoint now) const
+{
+    return !worker.empty() && now - closedSince < LongestWaitForWorker && (!isLongRunning || now - oldest < LongestWaitOfLongRunningTask);
+}
+
+std::map<FleetTaskId, GivenUpStarts> givenUpStarts(const FleetState &state)
+{
+    std::map<FleetTaskId, GivenUpStarts> out;
+    for (const auto &[id, worker] : state.workers) {
+        for (const auto &it : worker.unansweredStarts) {
+            out[it.key.task].add(state, worker, it);
+        }
+    }
+    return out;
+}
+
+GivenUpStarts givenUpStartsOf(const FleetState &state, const FleetTaskId &task)
+{
+    GivenUpStarts out;
+    for (const auto &[id, worker] : state.workers) {
+        for (const auto &it : worker.unansweredStarts) {
+            if (it.key.task == task) {
+                out.add(state, worker, it);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace marjoramhaven
--- /dev/null
+++ b/src/fleet/GivenUpStarts.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "marjoramhaven/fleet/FleetState.h"
+
+namespace marjoramhaven {
+
+/// Starts of one task that were given up and that their workers, or these workers' next incarnations, may still carry out.
+struct GivenUpStarts {
+    /// True if one of them may be carried out at any moment, because what its worker is bound to is not known.
+    bool isAnyOpen = false;
+    /// When the planner learned that the outcome of the first of them is not known.
+    TimePoint oldest {};
+    /// When the planner learned that the outcome of the last of them is not known, and its worker.
+    TimePoint newest {};
+    std::string worker;
+    /// Since when none of them is open, unless one is.
+    TimePoint closedSince {};
+
+    /// Adds a start on a worker.
+    void add(const FleetState &state, const FleetWorker &on, const UnansweredStart &start);
+    /// Returns true if the task must not start anywhere now.
+    bool mustWait(bool isLongRunning, TimePoint now) const;
+    /// Returns true if the task must start on `worker` or wait for it now. If that one restarts and carries out the start that was given up, the task's new run
+    /// is gone with the earlier incarnation.
+    bool isBoundToWorker(bool isLongRunning, TimePoint now) const;
+};
+
+/// Returns true if it is not known that the present incarnation of the worker refuses a start.
+bool isOpen(const FleetWorker &worker, const UnansweredStart &start);
+
+/// Returns the starts that were given up of all tasks that have any.
+std::map<FleetTaskId, GivenUpStarts> givenUpStarts(const FleetState &state);
+
+/// Returns the starts of one task that were given up.
+GivenUpStarts givenUpStartsOf(const FleetState &state, const FleetTaskId &task);
+
+} // namespace marjoramhaven
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -3,6 +3,7 @@
 #include <limits>
 #include <tuple>
 
+#include "GivenUpStarts.h"
 #include "TaskPlacerSteps.h"
 
 namespace marjoramhaven {
@@ -24,6 +25,17 @@
     return now <= job.acceptedAt() + allowed * LateFactor ? 1 : 2;
 }
 
+// Removes the tasks that wait for the worker on which a start of them was given up; room elsewhere is no use to them.
+template<typename PendingStep>
+void leaveOutBoundTasks(const FleetState &state, PendingStep &pending, TimePoint now)
+{
+    const auto givenUp = givenUpStarts(state);
+    std::erase_if(pending.waiting, [&](const FleetTask *task) {
+        const auto it = pending.spec->allowsSpeculation ? givenUp.end() : givenUp.find(task->id);
+        return it != givenUp.end() && it->second.isBoundToWorker(pending.spec->isLongRunning, now) && !task->failedOn.contains(it->second.worker);
+    });
+}
+
 } // namespace
 
 TaskPlacer::TaskPlacer(FleetState &state, PlacementActions &actions)
@@ -57,6 +69,11 @@
 std::vector<TaskPlacer::PendingStep> TaskPlacer::pendingSteps(TimePoint now)
 {
     std::vector<PendingStep> out;
+    const auto givenUp = givenUpStarts(m_state);
+    const auto mustWait = [&](const FleetTask &task, const StepSpec &spec) {
+        const auto it = spec.allowsSpeculation ? givenUp.end() : givenUp.find(task.id);
+        return it != givenUp.end() && it->second.mustWait(spec.isLongRunning, now);
+    };
     for (const auto &id : m_state.activeJobs) {
         auto &job = *m_state.jobs.at(id);
         if (job.isEnded() || job.heldBackUntil) {
@@ -71,7 +88,7 @@
                 }
                 PendingStep pending {&job, number, static_cast<int>(i), &step, &spec, {}, {}};
                 for (auto &task : step.tasks) {
-                    if (task.isWaiting(now) || (spec.allowsSpeculation && needsSpeculativeRun(task))) {
+                    if ((task.isWaiting(now) && !mustWait(task, spec)) || (spec.allowsSpeculation && needsSpeculativeRun(task))) {
                         pending.waiting.push_back(&task);
                     }
                 }
@@ -148,6 +165,7 @@
         placeGang(pending, ready, now);
     } else {
         placeTasks(pending, ready, now);
+        leaveOutBoundTasks(m_state, pending, now);
     }
     if (pending.waiting.empty()) {
         return;
@@ -225,8 +243,10 @@
 {
     const auto &spec = *pending.spec;
     const auto needs = FleetState::reservedResources(spec);
+    const auto givenUp = spec.allowsSpeculation ? GivenUpStarts {} : givenUpStartsOf(m_state, task.id);
+    const bool isBound = givenUp.isBoundToWorker(spec.isLongRunning, placement.now) && !task.failedOn.contains(givenUp.worker);
     FleetWorker *best = nullptr;
-    std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
+    std::tuple<bool, bool, bool, bool, bool, std::int64_t> bestRank;
     for (auto *it : candidates) {
         const auto runs = placement.runsPerWorker.find(it->report.id);
         const bool isFull = spec.maxPerWorker > 0 && runs != placement.runsPerWorker.end() && runs->second >= spec.maxPerWorker;
@@ -236,8 +256,14 @@
         const bool hasFailed = !task.failedOn.empty() && task.failedOn.contains(it->report.id);
         const bool isFar = !spec.preferredRack.empty() && !it->hasLabel(spec.preferredRack);
         const auto left = it->report.capacity.cpuMilli - it->used.cpuMilli - needs.cpuMilli;
+        const bool hasGivenUp = it->report.id == givenUp.worker;
+        if (isBound && !hasGivenUp) {
+            continue;
+        }
+        const bool isElsewhere = !hasGivenUp || it->isSlow;
+        const bool isDoubtful = !hasGivenUp && placement.doubtful.contains(it->report.id);
         // Best fit keeps large free blocks for large tasks; best-effort tasks go to the worker with the most free CPU.
-        const std::tuple rank(hasFailed, placement.doubtful.contains(it->report.id), it->isSlow, isFar, spec.isBestEffort ? -left : left);
+        const std::tuple rank(hasFailed, isElsewhere, isDoubtful, it->isSlow, isFar, spec.isBestEffort ? -left : left);
         if (best == nullptr || rank < bestRank) {
             best = it;
             bestRank = rank;
@@ -251,7 +277,7 @@
     if (candidates.empty()) {
         return;
     }
-    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
+    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step), now};
     std::vector<FleetTask *> left;
     for (auto *task : pending.waiting) {
         auto *worker = chooseWorker(pending, *task, candidates, placement);
@@ -267,7 +293,7 @@
 
 void TaskPlacer::placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
 {
-    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
+    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step), now};
     std::int64_t attempt = 0;
     for (const auto *task : pending.waiting) {
         attempt = std::max(attempt, task->lastAttempt + 1);
--- a/tests/fleet/EvidenceTest.cpp
+++ b/tests/fleet/EvidenceTest.cpp
@@ -70,8 +70,12 @@
     script.planner.handlePollResponse(poll, script.list({}), script.now);
     script.planAndStore();
     BOOST_TEST(script.port.starts.size() == 1U);
+    BOOST_TEST(script.planner.runCount() == 1U);
     script.advance(Millis(25));
     script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({}), script.now);
+    BOOST_TEST(script.planner.runCount() == 0U);
+    // The task goes back to its worker, which is avoided for a moment after a request without an answer.
+    script.advance(Millis(400));
     script.planAndStore();
     BOOST_TEST(script.port.starts.size() == 2U);
 }
--- /dev/null
+++ b/tests/fleet/LateStartsTest.cpp
@@ -0,0 +1,71 @@
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+#include "FakeFleet.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+// Number of seeds for each scenario, as in FaultsTest.
+std::uint64_t seedCount()
+{
+    const char *text = std::getenv("FLEET_SEEDS");
+    return text == nullptr ? 6 : std::strtoull(text, nullptr, 10);
+}
+
+StepSpec smallStep(std::int64_t estimateMs)
+{
+    StepSpec out;
+    out.taskCount = 4;
+    out.needs = {500, 500, 0};
+    out.estimateMs = estimateMs;
+    return out;
+}
+
+// Returns the violations of a fleet whose workers restart while requests to them are under way, which their next incarnations carry out.
+std::vector<std::string> runScenario(std::uint64_t seed)
+{
+    FakeFleetOptions options;
+    options.seed = seed;
+    options.delayedRequestsOutliveWorkers = true;
+    FakeFleet fleet(options);
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 6; ++i) {
+        fleet.setDelayedRequestShare(0.3);
+        fleet.submit(fleet.makeJob("j" + std::to_string(i), {smallStep(3000 + static_cast<std::int64_t>(random() % 4000))}));
+        fleet.run(Millis(300));
+        fleet.setDelayedRequestShare(0);
+        fleet.run(Millis(1000 + random() % 2000));
+        // The restarts are noticed late.
+        const auto first = static_cast<int>(random() % static_cast<std::uint64_t>(options.workers));
+        const auto second = (first + 1) % options.workers;
+        for (const auto worker : {first, second}) {
+            fleet.setUnresponsive(worker, true);
+            fleet.restartWorker(worker);
+        }
+        fleet.run(Millis(3000 + random() % 3000));
+        fleet.setUnresponsive(first, false);
+        fleet.setUnresponsive(second, false);
+        fleet.run(Millis(random() % 3000));
+    }
+    return fleet.violations();
+}
+
+} // namespace
+
+// Starts that their workers carry out late, after the planner has given them up.
+BOOST_AUTO_TEST_SUITE(LateStarts)
+
+// Guards against two runs of one task: a start that was given up is carried out by the next incarnation of its worker while the task runs elsewhere.
+BOOST_AUTO_TEST_CASE(restartedWorkersThatCarryOutLateStartsCauseNoViolation)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount() * 2; ++seed) {
+        const auto violations = runScenario(seed);
+        BOOST_TEST(violations.empty(), "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
