A refusal elsewhere is no proof that a worker has been replaced

Cause: when a call was refused because it is meant for another worker, all runs of the known worker counted as lost at once. That holds where the worker itself has answered. An entry by another writer can name the address of another worker, while the known one works on elsewhere.

Fix: the refusal is proof only at the address at which the worker answered its newest poll. Elsewhere it counts as a poll without an answer: the lease isn't renewed, and the runs are kept until it has expired.

refusalAtAnAddressWhereTheWorkerNeverAnsweredEndsNoRuns failed before: check script.planner.runCount() == 1U has failed [0 != 1]

--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -95,6 +95,9 @@
     std::int64_t requiredToken = 0;
     /// Highest fencing token of the polls that the present incarnation has answered.
     std::int64_t answeredToken = 0;
+    /// Address at which the worker answered its newest poll.
+    std::string answeredHost;
+    int answeredPort = 0;
     WorkerLease lease;
     TimePoint lastResponseAt {};
     TimePoint drainingSince {};
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -239,8 +239,8 @@
         worker.nextPollAt = now + PollRetryDelay;
         return;
     }
-    if (response.outcome == WorkerCallOutcome::OtherIncarnation) {
-        // Another worker answers at this address, so the known one no longer exists.
+    if (response.outcome == WorkerCallOutcome::OtherIncarnation && request.worker.host == worker.answeredHost && request.worker.port == worker.answeredPort) {
+        // Another worker answers where the known one did, so that one no longer exists. Elsewhere, its entry names a wrong address.
         m_events.write("worker_replaced", {{"worker", request.worker.id}});
         handleWorkerRestart(worker, 0, now);
         worker.nextPollAt = now + Millis(10 * PollRetryDelay.count());
@@ -268,6 +268,8 @@
         worker.startedUnixMs = response.startedUnixMs;
     }
     worker.answeredToken = std::max(worker.answeredToken, request.fencingToken);
+    worker.answeredHost = request.worker.host;
+    worker.answeredPort = request.worker.port;
     worker.lease.observe(response.workerClockMs, now);
     worker.lastListClockMs = std::max(worker.lastListClockMs, response.workerClockMs);
     reconcileRuns(worker, response, request.sequence, now);
--- a/tests/fleet/IncarnationsTest.cpp
+++ b/tests/fleet/IncarnationsTest.cpp
@@ -246,6 +246,50 @@
     }
 }
 
+// Guards against a task that runs twice: a foreign entry led to another worker, whose refusal was taken for the end of all runs of the one that goes on.
+BOOST_AUTO_TEST_CASE(refusalAtAnAddressWhereTheWorkerNeverAnsweredEndsNoRuns)
+{
+    for (const bool isEntryCorrected : {true, false}) {
+        PlannerScript script(1);
+        script.submit("j", 60000);
+        script.planAndStore();
+        BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+        script.planner.handleStartResponse(script.port.starts.back(), script.done(), script.now);
+        const std::vector<RunningRunInfo> running {{{"j", 0, 0, 0}, 1, {}, 1, 0}};
+        script.answerPoll("w0", running);
+        auto foreign = script.entry("w0");
+        foreign.startedUnixMs = 1000;
+        foreign.port += 1;
+        script.planner.workerReported(foreign, script.now);
+        PollWorkerResponse other;
+        other.outcome = WorkerCallOutcome::OtherIncarnation;
+        // The lease that the run holds is not renewed, and lasts for a while.
+        for (int i = 0; i < 20; ++i) {
+            BOOST_TEST(script.lastPoll("w0").worker.port == foreign.port);
+            script.planner.handlePollResponse(script.lastPoll("w0"), other, script.now);
+            script.advance(Millis(100));
+            BOOST_TEST(script.planner.runCount() == 1U);
+        }
+        if (isEntryCorrected) {
+            script.planner.workerReported(script.entry("w0"), script.now);
+            script.planner.handlePollResponse(script.lastPoll("w0"), other, script.now);
+            script.advance(Millis(100));
+            BOOST_TEST(script.lastPoll("w0").worker.port == script.entry("w0").port);
+            script.answerPoll("w0", running);
+            script.planAndStore();
+            BOOST_TEST(script.port.starts.size() == 1U);
+            BOOST_TEST(script.port.stops.empty());
+            continue;
+        }
+        const auto longest = LeadershipConfirmation::longestLease(Millis(0), PlannerLimits {}.lease);
+        for (Millis passed {0}; passed < longest; passed += Millis(100)) {
+            script.planner.handlePollResponse(script.lastPoll("w0"), other, script.now);
+            script.advance(Millis(100));
+        }
+        BOOST_TEST(script.planner.runCount() == 0U);
+    }
+}
+
 // Guards against tasks that start again after they are done: polls that were sent to one incarnation of a worker are carried out late by the next.
 BOOST_AUTO_TEST_CASE(latePollsDeleteNoEndsOfTheNextIncarnation)
 {
