--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -98,6 +98,9 @@
     std::int64_t requiredToken = 0;
     /// Highest fencing token of the polls that the present incarnation has answered.
     std::int64_t answeredToken = 0;
+    /// Address at which the worker answered its newest poll.
+    std::string answeredHost;
+    int answeredPort = 0;
     WorkerLease lease;
     /// What the polls asked for, for the event log.
     WorkerCallHistory calls;
