A replaced worker holds no task back; given-up starts are gathered once a plan

A new leader takes 421 for proof if the entry is that of the incarnation on which the previous leader started the runs; without that, runs of replaced workers waited 8.2 s after a takeover.

An incarnation that has answered under a higher token refuses earlier starts, so an owed stop doesn't hold the task back any more. The placer gathers the given-up starts once a plan, no longer for each step and task.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -181,6 +181,8 @@
     void reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now);
     // Returns true if an entry names another address or service for the incarnation that the worker itself has confirmed.
     static bool contradicts(const WorkerReport &report, const FleetWorker &worker);
+    // Returns true if the incarnation on which the runs of a worker are was at this address.
+    bool isAddressKnown(const FleetWorker &worker, const WorkerAddress &address) const;
     void sendPollIfDue(FleetWorker &worker, TimePoint now);
     // Returns the fencing token of the requests that are sent to a worker now.
     std::int64_t tokenFor(const FleetWorker &worker) const { return std::max(worker.fencingToken, m_fencingToken); }
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -98,6 +98,8 @@
     std::int64_t requiredToken = 0;
     /// Highest fencing token of the polls that the present incarnation has answered.
     std::int64_t answeredToken = 0;
+    /// True while another worker answers where this one did. What was sent to this one can't be carried out there.
+    bool isReplaced = false;
     /// Address at which the worker answered its newest poll.
     std::string answeredHost;
     int answeredPort = 0;
--- a/src/fleet/GivenUpStarts.h
+++ b/include/marjoramhaven/fleet/GivenUpStarts.h
@@ -13,9 +13,9 @@
     bool isAnyOpen = false;
     /// When the planner learned that the outcome of the first of them is not known.
     TimePoint oldest {};
-    /// When the planner learned that the outcome of the last of them is not known, and its worker.
-    TimePoint newest {};
+    /// Worker of the last of them that takes tasks, and when the planner learned that its outcome is not known. Empty if there is none.
     std::string worker;
+    TimePoint newest {};
     /// Since when none of them is open, unless one is.
     TimePoint closedSince {};
 
@@ -28,8 +28,9 @@
     bool isBoundToWorker(bool isLongRunning, TimePoint now) const;
 };
 
-/// Returns true if it is not known that the present incarnation of the worker refuses a start.
-bool isOpen(const FleetWorker &worker, const UnansweredStart &start);
+/// Returns true if a start that was given up may be carried out by the worker now: the worker is silent and may have restarted, or its present incarnation has
+/// not answered under a higher fencing token yet.
+bool mayCarryOutEarlierStarts(const FleetWorker &worker);
 
 /// Returns the starts that were given up of all tasks that have any.
 std::map<FleetTaskId, GivenUpStarts> givenUpStarts(const FleetState &state);
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -10,6 +10,7 @@
 #include "marjoramhaven/base/Time.h"
 #include "marjoramhaven/fleet/FleetClients.h"
 #include "marjoramhaven/fleet/FleetState.h"
+#include "marjoramhaven/fleet/GivenUpStarts.h"
 
 namespace marjoramhaven {
 
@@ -48,6 +49,10 @@
     // TaskPlacer.cpp
     std::vector<PendingStep> pendingSteps(TimePoint now);
     bool needsSpeculativeRun(const FleetTask &task) const;
+    // Returns the starts of a task that were given up when plan() began; none of a step that allows speculative runs.
+    GivenUpStarts givenUpStartsOf(const FleetTask &task, const StepSpec &spec) const;
+    // Removes the tasks that wait for the worker on which a start of them was given up; room elsewhere is no use to them.
+    void leaveOutBoundTasks(PendingStep &pending, TimePoint now) const;
     static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
     bool isUsable(const FleetWorker &worker, TimePoint now) const;
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
@@ -75,6 +80,8 @@
 
     FleetState &m_state;
     PlacementActions &m_actions;
+    /// Starts that were given up when plan() began.
+    std::map<FleetTaskId, GivenUpStarts> m_givenUpStarts;
     /// Number of workers that this call of plan() holds for gangs.
     std::size_t m_heldWorkerCount = 0;
     /// Number of steps for which this call of plan() may still preempt runs.
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "FleetPlannerBatch.h"
-#include "GivenUpStarts.h"
+#include "marjoramhaven/fleet/GivenUpStarts.h"
 
 namespace marjoramhaven {
 
@@ -79,13 +79,12 @@
     std::erase_if(worker.recentFailures, [now](const auto &it) {
         return now - it.first > FailureWindow;
     });
-    // A run that was carried out late goes on for the longest lease where nothing is known of its worker.
-    const auto longestRun = LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease);
-    std::erase_if(worker.unansweredStarts, [&](auto &it) {
-        const bool isStillOpen = isOpen(worker, it);
-        it.lastOpenAt = isStillOpen ? now : it.lastOpenAt;
-        return now - it.since > MaxExecutionDelay + (isStillOpen ? longestRun : Millis(0));
+    std::erase_if(worker.unansweredStarts, [now](const auto &it) {
+        return now - it.since > MaxExecutionDelay;
     });
+    for (auto &it : worker.unansweredStarts) {
+        it.lastOpenAt = mayCarryOutEarlierStarts(worker) ? now : it.lastOpenAt;
+    }
     stopUnansweredStarts(worker, now);
     sendPollIfDue(worker, now);
     const bool isSilent = worker.failedPolls > 0 || worker.report.host.empty();
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 
 #include "FleetPlannerBatch.h"
-#include "GivenUpStarts.h"
+#include "marjoramhaven/fleet/GivenUpStarts.h"
 
 namespace marjoramhaven {
 
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -64,6 +64,18 @@
     return isConfirmed && isKnownIncarnation && (report.host != known.host || report.port != known.port || report.service != known.service);
 }
 
+bool FleetPlanner::isAddressKnown(const FleetWorker &worker, const WorkerAddress &address) const
+{
+    if (!worker.answeredHost.empty()) {
+        return address.host == worker.answeredHost && address.port == worker.answeredPort;
+    }
+    // The worker has not answered since the takeover. Its entry holds for the incarnation on which the previous leader started the runs.
+    return std::all_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
+        const auto run = m_state.runs.find(it.first);
+        return run == m_state.runs.end() || run->second.workerStartedUnixMs == worker.report.startedUnixMs;
+    });
+}
+
 void FleetPlanner::workerEntryUnreadable(const std::string &id, TimePoint now)
 {
     const auto it = m_state.workers.find(id);
@@ -291,10 +303,11 @@
         worker.nextPollAt = now + PollRetryDelay;
         return;
     }
-    if (response.outcome == WorkerCallOutcome::OtherIncarnation && request.worker.host == worker.answeredHost && request.worker.port == worker.answeredPort) {
+    if (response.outcome == WorkerCallOutcome::OtherIncarnation && isAddressKnown(worker, request.worker)) {
         // Another worker answers where the known one did, so that one no longer exists. Elsewhere, its entry names a wrong address.
         m_events.write("worker_replaced", {{"worker", request.worker.id}});
         handleWorkerRestart(worker, 0, now);
+        worker.isReplaced = true;
         worker.nextPollAt = now + Millis(10 * PollRetryDelay.count());
         return;
     }
@@ -321,6 +334,7 @@
     }
     worker.answeredToken = std::max(worker.answeredToken, request.fencingToken);
     worker.calls.pollAnswered();
+    worker.isReplaced = false;
     worker.answeredHost = request.worker.host;
     worker.answeredPort = request.worker.port;
     worker.lease.observe(response.workerClockMs, now);
--- a/src/fleet/GivenUpStarts.cpp
+++ b/src/fleet/GivenUpStarts.cpp
@@ -1,4 +1,4 @@
-#include "GivenUpStarts.h"
+#include "marjoramhaven/fleet/GivenUpStarts.h"
 
 #include <algorithm>
 
@@ -13,22 +13,21 @@
 
 } // namespace
 
-bool isOpen(const FleetWorker &worker, const UnansweredStart &start)
+bool mayCarryOutEarlierStarts(const FleetWorker &worker)
 {
-    return start.mustStop || !worker.isInventoried || worker.failedPolls > 0 || worker.startedUnixMs == 0;
+    return !worker.isReplaced && (!worker.isInventoried || worker.failedPolls > 0);
 }
 
 void GivenUpStarts::add(const FleetState &state, const FleetWorker &on, const UnansweredStart &start)
 {
-    if (state.runs.contains(start.key)) {
+    if (state.runs.contains(start.key) || on.isReplaced) {
         return;
     }
-    isAnyOpen = isAnyOpen || isOpen(on, start);
-    if (worker.empty() || start.since < oldest) {
-        oldest = start.since;
-    }
+    isAnyOpen = isAnyOpen || mayCarryOutEarlierStarts(on);
+    oldest = oldest == TimePoint {} ? start.since : std::min(oldest, start.since);
     closedSince = std::max({closedSince, start.since, start.lastOpenAt});
-    if (worker.empty() || start.since > newest) {
+    const bool mayTakeItBack = on.isListed && !on.report.isDraining;
+    if (mayTakeItBack && (worker.empty() || start.since > newest)) {
         newest = start.since;
         worker = on.report.id;
     }
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -3,7 +3,6 @@
 #include <limits>
 #include <tuple>
 
-#include "GivenUpStarts.h"
 #include "TaskPlacerSteps.h"
 
 namespace marjoramhaven {
@@ -25,17 +24,6 @@
     return now <= job.acceptedAt() + allowed * LateFactor ? 1 : 2;
 }
 
-// Removes the tasks that wait for the worker on which a start of them was given up; room elsewhere is no use to them.
-template<typename PendingStep>
-void leaveOutBoundTasks(const FleetState &state, PendingStep &pending, TimePoint now)
-{
-    const auto givenUp = givenUpStarts(state);
-    std::erase_if(pending.waiting, [&](const FleetTask *task) {
-        const auto it = pending.spec->allowsSpeculation ? givenUp.end() : givenUp.find(task->id);
-        return it != givenUp.end() && it->second.isBoundToWorker(pending.spec->isLongRunning, now) && !task->failedOn.contains(it->second.worker);
-    });
-}
-
 } // namespace
 
 TaskPlacer::TaskPlacer(FleetState &state, PlacementActions &actions)
@@ -69,11 +57,6 @@
 std::vector<TaskPlacer::PendingStep> TaskPlacer::pendingSteps(TimePoint now)
 {
     std::vector<PendingStep> out;
-    const auto givenUp = givenUpStarts(m_state);
-    const auto mustWait = [&](const FleetTask &task, const StepSpec &spec) {
-        const auto it = spec.allowsSpeculation ? givenUp.end() : givenUp.find(task.id);
-        return it != givenUp.end() && it->second.mustWait(spec.isLongRunning, now);
-    };
     for (const auto &id : m_state.activeJobs) {
         auto &job = *m_state.jobs.at(id);
         if (job.isEnded() || job.heldBackUntil) {
@@ -88,7 +71,8 @@
                 }
                 PendingStep pending {&job, number, static_cast<int>(i), &step, &spec, {}, {}};
                 for (auto &task : step.tasks) {
-                    if ((task.isWaiting(now) && !mustWait(task, spec)) || (spec.allowsSpeculation && needsSpeculativeRun(task))) {
+                    if ((task.isWaiting(now) && !givenUpStartsOf(task, spec).mustWait(spec.isLongRunning, now))
+                        || (spec.allowsSpeculation && needsSpeculativeRun(task))) {
                         pending.waiting.push_back(&task);
                     }
                 }
@@ -108,8 +92,23 @@
     return out;
 }
 
+GivenUpStarts TaskPlacer::givenUpStartsOf(const FleetTask &task, const StepSpec &spec) const
+{
+    const auto it = spec.allowsSpeculation ? m_givenUpStarts.end() : m_givenUpStarts.find(task.id);
+    return it == m_givenUpStarts.end() ? GivenUpStarts {} : it->second;
+}
+
+void TaskPlacer::leaveOutBoundTasks(PendingStep &pending, TimePoint now) const
+{
+    std::erase_if(pending.waiting, [&](const FleetTask *task) {
+        const auto givenUp = givenUpStartsOf(*task, *pending.spec);
+        return givenUp.isBoundToWorker(pending.spec->isLongRunning, now) && !task->failedOn.contains(givenUp.worker);
+    });
+}
+
 void TaskPlacer::plan(TimePoint now)
 {
+    m_givenUpStarts = givenUpStarts(m_state);
     auto pending = pendingSteps(now);
     for (auto &it : pending) {
         it.rank = rankOf(it, now);
@@ -165,7 +164,7 @@
         placeGang(pending, ready, now);
     } else {
         placeTasks(pending, ready, now);
-        leaveOutBoundTasks(m_state, pending, now);
+        leaveOutBoundTasks(pending, now);
     }
     if (pending.waiting.empty()) {
         return;
@@ -243,7 +242,7 @@
 {
     const auto &spec = *pending.spec;
     const auto needs = FleetState::reservedResources(spec);
-    const auto givenUp = spec.allowsSpeculation ? GivenUpStarts {} : givenUpStartsOf(m_state, task.id);
+    const auto givenUp = givenUpStartsOf(task, spec);
     const bool isBound = givenUp.isBoundToWorker(spec.isLongRunning, placement.now) && !task.failedOn.contains(givenUp.worker);
     FleetWorker *best = nullptr;
     std::tuple<bool, bool, bool, bool, bool, std::int64_t> bestRank;
--- a/tests/fleet/EventEvidenceTest.cpp
+++ b/tests/fleet/EventEvidenceTest.cpp
@@ -189,6 +189,8 @@
             BOOST_REQUIRE_EQUAL(script->port.stops.size(), 1U);
             script->planner.handleStopResponse(script->port.stops.back(), script->done(), script->now);
             script->answerPoll("w0", {});
+            // The worker is avoided for a moment after a request without an answer.
+            script->advance(Millis(400));
             script->answerPoll("w0", {});
             script->planAndStore();
         }
