--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -111,6 +111,12 @@
 
 private:
     struct Batch;
+    // Start requests of one task that its workers may still carry out.
+    struct PossibleStarts {
+        std::int64_t count = 0;
+        std::string newestWorker;
+        TimePoint newestSince {};
+    };
 
     // FleetPlanner.cpp: jobs
     // Notes that a job has changes to store: of its state, or also of a task.
@@ -141,6 +147,8 @@
     // Returns why a run of this job and task has to be stopped whatever its worker and its progress are, or StopReason::None. Job and task are nullptr if there
     // is none any more.
     static StopReason owedStop(const FleetRun &run, FleetJob *job, const FleetTask *task);
+    // Returns how many other runs of the task their workers have confirmed.
+    std::int64_t otherRunsAtWork(const FleetRun &run) const;
     void requestStop(FleetRun &run, StopReason reason, TimePoint now) override;
     void sendAdviceRequest(const AdviceRequest &request) override { m_port.sendAdviceRequest(request); }
     void trySendStop(FleetRun &run, TimePoint now);
@@ -157,6 +165,7 @@
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
+    std::map<FleetTaskId, PossibleStarts> possibleStarts() const;
     void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
     void reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now);
     void reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now);
@@ -186,6 +195,8 @@
     LeadershipConfirmation m_leadership;
     FleetState m_state;
     TaskPlacer m_placer;
+    /// Gathered when plan() begins, for the event log.
+    std::map<FleetTaskId, PossibleStarts> m_possibleStarts;
     /// Whether leadership was confirmed when this was last checked.
     bool m_isConfirmed = false;
     std::set<std::string> m_jobsToRelease;
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -9,6 +9,7 @@
 #include "marjoramhaven/base/Time.h"
 #include "marjoramhaven/fleet/FleetClients.h"
 #include "marjoramhaven/fleet/LeadershipConfirmation.h"
+#include "marjoramhaven/fleet/WorkerCallHistory.h"
 
 namespace marjoramhaven {
 
@@ -85,6 +86,8 @@
     /// True if this incarnation of the worker has listed all its runs under this planner's fencing token.
     bool isInventoried = false;
     WorkerLease lease;
+    /// What the polls asked for, for the event log.
+    WorkerCallHistory calls;
     TimePoint lastResponseAt {};
     TimePoint drainingSince {};
     /// Polls without an answer since the last answered one.
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -264,6 +264,7 @@
 {
     if (m_isOpen) {
         releaseEndedJobs();
+        m_possibleStarts = possibleStarts();
         m_placer.plan(now);
     }
 }
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -43,12 +43,16 @@
         job.state = FleetJobState::Running;
     }
     markDirty(job, task.id);
+    const auto earlier = m_possibleStarts.find(task.id);
+    const auto possible = earlier == m_possibleStarts.end() ? PossibleStarts {} : earlier->second;
     m_events.write("run_placed",
                    {{"task", task.id.toString()},
                     {"attempt", attempt},
                     {"worker", run.worker},
                     {"answer_age_ms", (now - worker.lastResponseAt).count()},
                     {"cpu_left", worker.report.capacity.cpuMilli - worker.used.cpuMilli},
+                    {"possible_starts", possible.count},
+                    {"newest_possible_start", possible.newestWorker},
                     {"job_age_ms", (now - job.acceptedAt()).count()},
                     {"resumes", static_cast<std::int64_t>(!run.checkpoint.empty())}});
     return m_state.runs.emplace(run.key, std::move(run)).first->second;
--- a/src/fleet/FleetPlannerStops.cpp
+++ b/src/fleet/FleetPlannerStops.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "FleetPlannerBatch.h"
 
 namespace marjoramhaven {
@@ -27,6 +29,19 @@
     return isBroken ? StopReason::GangBroken : StopReason::None;
 }
 
+std::int64_t FleetPlanner::otherRunsAtWork(const FleetRun &run) const
+{
+    const auto job = m_state.jobs.find(run.key.task.job);
+    const auto *task = job == m_state.jobs.end() ? nullptr : job->second->find(run.key.task);
+    if (task == nullptr) {
+        return 0;
+    }
+    return std::count_if(task->activeAttempts.begin(), task->activeAttempts.end(), [&](std::int64_t attempt) {
+        const auto it = m_state.runs.find({run.key.task, attempt});
+        return attempt != run.key.attempt && it != m_state.runs.end() && it->second.state == RunState::Running;
+    });
+}
+
 void FleetPlanner::requestStop(FleetRun &run, StopReason reason, TimePoint now)
 {
     if (run.stopReason == StopReason::None) {
@@ -40,6 +55,8 @@
                         {"attempt", run.key.attempt},
                         {"worker", run.worker},
                         {"reason", std::string(nameOf(reason))},
+                        {"born_ms", run.workerStartedUnixMs},
+                        {"others_at_work", otherRunsAtWork(run)},
                         {"percent", static_cast<std::int64_t>(run.percent)}});
     }
     if (run.state == RunState::Planned) {
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -120,6 +120,7 @@
     worker.startedUnixMs = startedUnixMs;
     stopUnansweredStarts(worker, now);
     worker.lease.reset();
+    worker.calls.restarted();
     if (!unlisted.empty()) {
         // Their start requests carry a lease end on the clock of the old incarnation, which the new one limits to the longest lease.
         worker.lease.assumeGrantedUntil(now + m_limits.maxLease);
@@ -156,6 +157,21 @@
     }
 }
 
+std::map<FleetTaskId, FleetPlanner::PossibleStarts> FleetPlanner::possibleStarts() const
+{
+    std::map<FleetTaskId, PossibleStarts> out;
+    for (const auto &[id, worker] : m_state.workers) {
+        for (const auto &it : worker.unansweredStarts) {
+            auto &starts = out[it.key.task];
+            if (++starts.count == 1 || it.since >= starts.newestSince) {
+                starts.newestWorker = id;
+                starts.newestSince = it.since;
+            }
+        }
+    }
+    return out;
+}
+
 void FleetPlanner::markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now)
 {
     std::vector<RunKey> keys;
@@ -170,7 +186,15 @@
             worker.release(key);
             continue;
         }
-        m_events.write("run_lost", {{"task", key.task.toString()}, {"attempt", key.attempt}, {"worker", worker.report.id}, {"reason", std::string(reason)}});
+        m_events.write("run_lost",
+                       {{"task", key.task.toString()},
+                        {"attempt", key.attempt},
+                        {"worker", worker.report.id},
+                        {"reason", std::string(reason)},
+                        {"born_ms", run->workerStartedUnixMs},
+                        {"answer_age_ms", worker.lastResponseAt == TimePoint {} ? WorkerCallHistory::None : (now - worker.lastResponseAt).count()},
+                        {"lease_age_ms", worker.calls.leaseAgeMs(now)},
+                        {"answered_lease_age_ms", worker.calls.answeredLeaseAgeMs(now)}});
         const auto checkpoint = run->checkpoint;
         endRun(key, RunEnd::LeaseExpired, checkpoint, worker.report.id, now);
     }
@@ -202,6 +226,7 @@
     request.sequence = ++m_sequence;
     worker.isPollInFlight = true;
     worker.pollSequence = request.sequence;
+    worker.calls.pollSent(request.acknowledged, request.leaseUntilMs > 0, now);
     m_port.sendPoll(request, request.wait + PollResponseMargin);
 }
 
@@ -253,6 +278,7 @@
     if (worker.startedUnixMs == 0) {
         worker.startedUnixMs = response.startedUnixMs;
     }
+    worker.calls.pollAnswered();
     worker.lease.observe(response.workerClockMs, now);
     worker.lastListClockMs = std::max(worker.lastListClockMs, response.workerClockMs);
     reconcileRuns(worker, response, request.sequence, now);
@@ -383,7 +409,15 @@
         return;
     case RunState::Running:
         if (run.stateSequence < requestSequence) {
-            m_events.write("run_vanished", {{"task", key.task.toString()}, {"attempt", key.attempt}, {"worker", worker.report.id}});
+            m_events.write("run_vanished",
+                           {{"task", key.task.toString()},
+                            {"attempt", key.attempt},
+                            {"worker", worker.report.id},
+                            {"born_ms", worker.startedUnixMs},
+                            {"acknowledged", worker.calls.acknowledged()},
+                            {"earlier_acknowledged", worker.calls.earlierAcknowledged()},
+                            {"earlier_acknowledged_age_ms", worker.calls.earlierAcknowledgedAgeMs(now)},
+                            {"lease_age_ms", worker.calls.leaseAgeMs(now)}});
             const auto checkpoint = run.checkpoint;
             endRun(key, RunEnd::LeaseExpired, checkpoint, worker.report.id, now);
         }
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -28,7 +28,9 @@
 class PlannerScript
 {
 public:
-    explicit PlannerScript(int workers = 2)
+    /// The planner writes its events to `eventDescriptor`, or discards them if that is negative.
+    explicit PlannerScript(int workers = 2, int eventDescriptor = -1)
+        : events("test", eventDescriptor)
     {
         queue.service = "svc";
         queue.maxAttempts = 3;
@@ -132,7 +134,7 @@
     QueuePolicy queue;
     TimePoint now = atMillis(100'000);
     bool isCutFromLog = false;
-    EventLog events {"test", -1};
+    EventLog events;
     RecordingTransport port;
     FleetPlanner planner {port, events, PlannerLimits {}, 7, now};
 };
