Workers of the wire stand-in carry out calls late, also in their next incarnation

A test names the calls that a worker keeps without an answer, and when the worker carries them out; by then it may have started again under its id. It may also say that it started earlier than before. changeRun and pollOf are what handleWorker did, in functions of their own.

--- a/include/marjoramhaven/standin/FleetWorkerModel.h
+++ b/include/marjoramhaven/standin/FleetWorkerModel.h
@@ -86,6 +86,9 @@
     bool hasEndAfter(std::int64_t acknowledged) const { return !m_ended.empty() && m_ended.back().number > acknowledged; }
     /// Restarts the worker: all runs end without a report, and the worker forgets leases, fencing tokens, ended runs and closed attempts.
     void restart(TimePoint now);
+    /// Restarts the worker as an incarnation that reports this start, in milliseconds since the Unix epoch. After a step of the worker's clock, it may be
+    /// earlier than that of the incarnation before.
+    void restartAs(std::int64_t startedUnixMs, TimePoint now);
 
     /// Counts the running members of a gang on this worker: the runs of the same step and attempt.
     int gangMemberCount(const FleetTaskId &member, std::int64_t attempt) const;
--- a/src/standin/FleetWorkerModel.cpp
+++ b/src/standin/FleetWorkerModel.cpp
@@ -211,6 +211,11 @@
 }
 
 void FleetWorkerModel::restart(TimePoint now)
+{
+    restartAs(m_report.startedUnixMs + 1 + (now - TimePoint {}).count(), now);
+}
+
+void FleetWorkerModel::restartAs(std::int64_t startedUnixMs, TimePoint now)
 {
     for (const auto &it : m_runs) {
         m_onEvent({RunEvent::Kind::Ended, m_report.id, it.task, it.attempt, RunEnd::LeaseExpired, now});
@@ -222,7 +227,7 @@
     m_leaseUntilMs = 0;
     m_lastEndNumber = 0;
     m_instanceStartedAt = now;
-    m_report.startedUnixMs += 1 + (now - TimePoint {}).count();
+    m_report.startedUnixMs = startedUnixMs;
 }
 
 int FleetWorkerModel::gangMemberCount(const FleetTaskId &member, std::int64_t attempt) const
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -162,9 +162,14 @@
     writeInventoryEntry(worker);
 }
 
-void WireStandIn::restartWorker(std::size_t worker)
+void WireStandIn::restartWorker(std::size_t worker, std::optional<Millis> bornChange)
 {
-    m_workers[worker]->restart(monotonicNow());
+    const auto now = monotonicNow();
+    if (bornChange) {
+        m_workers[worker]->restartAs(m_workers[worker]->report().startedUnixMs + bornChange->count(), now);
+    } else {
+        m_workers[worker]->restart(now);
+    }
     std::erase_if(m_pendingPolls, [worker](const PendingPoll &it) {
         return it.worker == worker;
     });
@@ -405,6 +410,7 @@
     for (auto &it : m_workers) {
         it->advance(now);
     }
+    carryOutKeptCalls();
     std::vector<PendingPoll> answered;
     std::erase_if(m_pendingPolls, [&](PendingPoll &it) {
         const bool isDue = it.until <= now || m_workers[it.worker]->hasEndAfter(it.request.acknowledged);
@@ -434,31 +440,62 @@
 
 void WireStandIn::handleWorker(std::size_t number, const HttpRequest &request, HttpRespond respond)
 {
-    const auto now = monotonicNow();
-    auto &worker = *m_workers[number];
-    const auto body = Json::parse(request.body.toStdString());
-    if (request.header("Expected-Instance").toStdString() != worker.report().id) {
+    if (request.header("Expected-Instance").toStdString() != m_workers[number]->report().id) {
         HttpResponse out;
         out.status = 421;
         respond(out);
-        return;
-    }
-    const auto fencingToken = body.value("fencing-token", std::int64_t(0));
-    if (request.path == "/v1/hold") {
-        PollWorkerRequest pollRequest;
-        pollRequest.fencingToken = fencingToken;
-        pollRequest.leaseUntilMs = body.value("deadline-ms", std::int64_t(0));
-        pollRequest.acknowledged = body.value("ack-cursor", std::int64_t(0));
-        const auto wait = Millis(body.value("wait-ms", std::int64_t(0)));
-        worker.poll(pollRequest, now);
-        m_pendingPolls.push_back({number, pollRequest, now + wait, std::move(respond)});
+    } else if (isCallKept && isCallKept(number, request)) {
+        m_keptCalls.push_back({number, request});
+    } else if (request.path == "/v1/hold") {
+        const auto poll = pollOf(request);
+        const auto now = monotonicNow();
+        m_workers[number]->poll(poll, now);
+        m_pendingPolls.push_back({number, poll, now + poll.wait, std::move(respond)});
         answerDueRequests();
-        return;
-    }
-    if (request.path == "/v1/run-stop" && m_isRefusingStops) {
+    } else if (request.path == "/v1/run-stop" && m_isRefusingStops) {
         respond(json(503, Json::object()));
-        return;
+    } else {
+        respond(changeRun(number, request));
     }
+}
+
+PollWorkerRequest WireStandIn::pollOf(const HttpRequest &request)
+{
+    const auto body = Json::parse(request.body.toStdString());
+    PollWorkerRequest out;
+    out.fencingToken = body.value("fencing-token", std::int64_t(0));
+    out.leaseUntilMs = body.value("deadline-ms", std::int64_t(0));
+    out.acknowledged = body.value("ack-cursor", std::int64_t(0));
+    out.wait = Millis(body.value("wait-ms", std::int64_t(0)));
+    return out;
+}
+
+void WireStandIn::carryOutKeptCalls()
+{
+    std::vector<KeptCall> due;
+    std::erase_if(m_keptCalls, [&](const KeptCall &it) {
+        const bool isDue = isKeptCallDue && isKeptCallDue(it.worker, it.request);
+        if (isDue) {
+            due.push_back(it);
+        }
+        return isDue;
+    });
+    for (const auto &it : due) {
+        ++m_lateCallCount;
+        if (it.request.path == "/v1/hold") {
+            m_workers[it.worker]->poll(pollOf(it.request), monotonicNow());
+        } else {
+            changeRun(it.worker, it.request);
+        }
+    }
+}
+
+HttpResponse WireStandIn::changeRun(std::size_t number, const HttpRequest &request)
+{
+    const auto now = monotonicNow();
+    auto &worker = *m_workers[number];
+    const auto body = Json::parse(request.body.toStdString());
+    const auto fencingToken = body.value("fencing-token", std::int64_t(0));
     const auto task = *FleetTaskId::parse(body.value("task", ""));
     const auto attempt = body.value("attempt", std::int64_t(0));
     WorkerResponse answer;
@@ -480,7 +517,7 @@
     } else {
         answer = worker.stop({{}, task, attempt, fencingToken}, now);
     }
-    respond(json(statusOf(answer.outcome), {{"clock-ms", answer.workerClockMs}, {"reason", wireReasonOf(answer.outcome)}}));
+    return json(statusOf(answer.outcome), {{"clock-ms", answer.workerClockMs}, {"reason", wireReasonOf(answer.outcome)}});
 }
 
 } // namespace marjoramhaven::test
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -52,8 +52,16 @@
     /// Publishes another port for a worker, such as that of a proxy.
     void advertisePort(std::size_t worker, int port);
     int workerPort(std::size_t worker) const { return m_workers[worker]->report().port; }
-    /// Restarts a worker under the same id: all its runs are lost.
-    void restartWorker(std::size_t worker);
+    /// Restarts a worker under the same id: all its runs are lost. It says that it started so much later than the incarnation before, or by a unique time if
+    /// that is not set.
+    void restartWorker(std::size_t worker, std::optional<Millis> bornChange = std::nullopt);
+    /// If set and true for a call to a worker, the worker leaves the call unanswered and keeps it.
+    std::function<bool(std::size_t worker, const HttpRequest &call)> isCallKept;
+    /// If set and true for a kept call, the worker carries it out, in whichever incarnation it is. Asked after each advance of the workers, before they answer
+    /// polls.
+    std::function<bool(std::size_t worker, const HttpRequest &call)> isKeptCallDue;
+    /// Returns how many kept calls have been carried out.
+    int lateCallCount() const { return m_lateCallCount; }
     /// Returns the simulated behaviour of a task. If not set, every task runs for 150 ms and succeeds.
     std::function<TaskBehaviour(const FleetTaskId &)> taskBehaviour;
     /// Called for each start and end of a run, if set.
@@ -89,6 +97,11 @@
         HttpRespond respond;
     };
 
+    struct KeptCall {
+        std::size_t worker = 0;
+        HttpRequest request;
+    };
+
     void handleStore(const HttpRequest &request, const PortView &view, HttpRespond respond);
     HttpResponse append(const HttpRequest &request);
     bool hasTooLargeRecord(const QByteArray &records) const;
@@ -97,6 +110,9 @@
     static std::string valueIn(const PortView &view, const std::string &topic, const std::string &value);
     HttpResponse readRecords(const PendingRead &reader) const;
     void handleWorker(std::size_t worker, const HttpRequest &request, HttpRespond respond);
+    HttpResponse changeRun(std::size_t worker, const HttpRequest &request);
+    static PollWorkerRequest pollOf(const HttpRequest &request);
+    void carryOutKeptCalls();
     void answerDueRequests();
     void writeInventory();
     void writeInventoryEntry(std::size_t worker);
@@ -115,6 +131,8 @@
     std::map<std::string, Topic> m_topics;
     std::vector<PendingRead> m_pendingReads;
     std::vector<PendingPoll> m_pendingPolls;
+    std::vector<KeptCall> m_keptCalls;
+    int m_lateCallCount = 0;
     std::vector<std::unique_ptr<FleetWorkerModel>> m_workers;
     std::vector<std::unique_ptr<HttpServer>> m_workerServers;
     std::map<std::size_t, int> m_advertisedPorts;
