Test: a late acknowledgement deletes no end of the next incarnation

Fails until polls of one incarnation have no effect in the next: check late.platform.startCountOf(taskOf(Second)) == 1 has failed [2 != 1]. The poll that acknowledged the first end of the incarnation before deletes the first end of the next, which nobody has read; the run vanishes, and its task starts again.

--- a/tests/adapter/LateCallsTest.cpp
+++ b/tests/adapter/LateCallsTest.cpp
@@ -183,4 +183,32 @@
     BOOST_TEST(late.mostAtOnce == 1);
 }
 
+// Guards against a task that runs twice because the end of its run was deleted, unread, by a poll that acknowledged ends of the incarnation before.
+BOOST_AUTO_TEST_CASE(lateAcknowledgementDeletesNoEndOfTheNextIncarnation)
+{
+    LateFleet late(1);
+    late.submit(First);
+    BOOST_REQUIRE(late.isCompletedWithin(First, Millis(StartWithinMs)));
+    bool isKept = false;
+    late.platform.isCallKept = [&isKept](std::size_t, const HttpRequest &call) {
+        const bool isAcknowledging = call.path == "/v1/hold" && Json::parse(call.body.toStdString()).value("ack-cursor", 0) > 0;
+        const bool keeps = isAcknowledging && !isKept;
+        isKept = isKept || isAcknowledging;
+        return keeps;
+    };
+    BOOST_REQUIRE(waitFor(
+        [&isKept]() {
+            return isKept;
+        },
+        ReadyWithinMs));
+    late.platform.restartWorker(0);
+    late.platform.isKeptCallDue = [&late](std::size_t worker, const HttpRequest &) {
+        return late.platform.startCountOf(taskOf(Second)) > 0 && late.platform.worker(worker).hasEndAfter(0);
+    };
+    late.submit(Second);
+    BOOST_TEST(late.isCompletedWithin(Second, Millis(StartWithinMs)));
+    BOOST_TEST(late.platform.lateCallCount() == 1);
+    BOOST_TEST(late.platform.startCountOf(taskOf(Second)) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
