Test: a given-up start that the next incarnation carries out first

Fails until a task whose start may still be carried out waits or starts where that one can't work beside it: check late.mostAtOnce == 1 has failed [2 != 1]. The new incarnation has seen no fencing token and no stop, so it carries the start out before the planner's first call, while the task is at work elsewhere.

--- a/tests/adapter/LateCallsTest.cpp
+++ b/tests/adapter/LateCallsTest.cpp
@@ -211,4 +211,17 @@
     BOOST_TEST(late.platform.startCountOf(taskOf(Second)) == 1);
 }
 
+// Guards against two runs of a task: its start was given up, and is the first call that the next incarnation of the worker carries out.
+BOOST_AUTO_TEST_CASE(givenUpStartThatTheNextIncarnationCarriesOutFirstIsTheOnlyRun)
+{
+    LateFleet late(2);
+    late.useLongTasks();
+    const auto worker = late.loseStartOf(First);
+    late.carryOutLateCalls();
+    late.platform.restartWorker(worker);
+    wait(Millis(1000));
+    BOOST_TEST(late.platform.lateCallCount() == 1);
+    BOOST_TEST(late.mostAtOnce == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
