Test: a worker that says that it started earlier than before

Fails until the order of incarnations doesn't depend on a clock: check late.isCompletedWithin(Second, Millis(5000)) has failed, check late.platform.startCountOf(taskOf(Second)) == 1 has failed [0 != 1]. The lists of the new incarnation are ignored, and nothing is started on it.

--- a/tests/adapter/LateCallsTest.cpp
+++ b/tests/adapter/LateCallsTest.cpp
@@ -224,4 +224,16 @@
     BOOST_TEST(late.mostAtOnce == 1);
 }
 
+// Guards against a worker whose runs and ends are ignored for ever, because the clock that its start is read from went back.
+BOOST_AUTO_TEST_CASE(workerThatSaysItStartedEarlierThanBeforeIsTakenUpAgain)
+{
+    LateFleet late(1);
+    late.submit(First);
+    BOOST_REQUIRE(late.isCompletedWithin(First, Millis(StartWithinMs)));
+    late.platform.restartWorker(0, Millis(-500));
+    late.submit(Second);
+    BOOST_TEST(late.isCompletedWithin(Second, Millis(5000)));
+    BOOST_TEST(late.platform.startCountOf(taskOf(Second)) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
