Test: an entry with a later start and another worker's address

Fails until an answer of another worker proves nothing about the runs of the one that was meant: check late.mostAtOnce == 1 has failed [2 != 1]. The planner calls the address of the entry, gets status 421, and takes all runs of the worker for lost, which is at work.

--- a/tests/adapter/LateCallsTest.cpp
+++ b/tests/adapter/LateCallsTest.cpp
@@ -236,4 +236,14 @@
     BOOST_TEST(late.platform.startCountOf(taskOf(Second)) == 1);
 }
 
+// Guards against a second run of a task at work: an entry with a later start named another worker's address, which answered for itself.
+BOOST_AUTO_TEST_CASE(answerAtTheAddressOfAWrongLaterEntryStartsNothingAgain)
+{
+    LateFleet late(2);
+    late.startOnFirstWorker();
+    late.platform.put("keyed.servers", "i-0", late.entryAtOtherAddress(Millis(100)));
+    wait(Millis(3000));
+    BOOST_TEST(late.mostAtOnce == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
