A young incarnation may hold a lease that an earlier leader's call granted

Cause: the longest lease was assumed at the inventory only if this leader had sent something binding to the predecessor, so a new leader assumed nothing of the old one's late grants. The worker's clock begins anew with each incarnation, so its reading tells how old the incarnation is: one that is younger than the longest delay of a call and the longest lease together may hold such a lease.

youngIncarnationMayHoldALeaseOfThePreviousLeader failed before: critical check script.planner.runCount() == 1U has failed [0 != 1]. Two more tests close mutations that no test caught: longestLeaseCountsFromTheAnswerThatOpensTheIncarnation (no assumption at the inventory: [0 != 1]) and startUnderTheRaisedTokenBindsTheNextIncarnationToo (starts that don't bind: check !isBinding has failed).

worker_inventory tells the incarnation and the lowest end that it lists: above 1, a late acknowledgement has deleted ends there.

--- a/include/marjoramhaven/fleet/PlannerLimits.h
+++ b/include/marjoramhaven/fleet/PlannerLimits.h
@@ -15,6 +15,8 @@
     Millis leadershipBound {3000};
     /// Longest lease that a worker accepts, whatever the request says.
     Millis maxLease {10000};
+    /// A request without an answer is carried out within this time or never.
+    Millis maxExecutionDelay {13000};
     /// How long a worker may hold back its answer to a poll while no run ends.
     Millis pollWait {1000};
     Millis stopTime {400};
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -21,8 +21,6 @@
 constexpr Millis DrainMargin {800};
 constexpr Millis ThrottleTimeout {600};
 constexpr Millis ThrottleRetryDelay {150};
-// A request without an answer is carried out within this time or never.
-constexpr Millis MaxExecutionDelay {13000};
 constexpr Millis SpeedUpInterval {700};
 constexpr double ThrottleAboveRatio = 0.9;
 constexpr double SpeedUpBelowRatio = 0.6;
@@ -79,8 +77,8 @@
     std::erase_if(worker.recentFailures, [now](const auto &it) {
         return now - it.first > FailureWindow;
     });
-    std::erase_if(worker.unansweredStarts, [now](const auto &it) {
-        return now - it.since > MaxExecutionDelay;
+    std::erase_if(worker.unansweredStarts, [this, now](const auto &it) {
+        return now - it.since > m_limits.maxExecutionDelay;
     });
     for (auto &it : worker.unansweredStarts) {
         it.lastOpenAt = mayCarryOutEarlierStarts(worker) ? now : it.lastOpenAt;
@@ -223,7 +221,7 @@
     run->isThrottleInFlight = false;
     const bool isDone = response.outcome == WorkerCallOutcome::Done;
     if (response.outcome == WorkerCallOutcome::Unknown || response.sendings > 1) {
-        run->speedUncertainUntil = now + MaxExecutionDelay;
+        run->speedUncertainUntil = now + m_limits.maxExecutionDelay;
     }
     run->isSpeedKnown = isDone && now >= run->speedUncertainUntil;
     if (isDone) {
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -342,13 +342,16 @@
     reconcileRuns(worker, response, request.sequence, now);
     if (!worker.isInventoried && worker.refusesEarlierRequests()) {
         worker.isInventoried = true;
-        if (worker.requiredToken > 0) {
+        if (Millis(response.workerClockMs) < m_limits.maxExecutionDelay + m_limits.maxLease) {
+            // A call to an earlier incarnation, perhaps of an earlier leader, may have granted this one a lease before it had seen this fencing token.
             assumeLateLease(worker, now);
         }
         m_events.write("worker_inventory",
                        {{"worker", request.worker.id},
+                        {"born_ms", response.startedUnixMs},
                         {"running", static_cast<std::int64_t>(response.running.size())},
-                        {"ended", static_cast<std::int64_t>(response.ended.size())}});
+                        {"ended", static_cast<std::int64_t>(response.ended.size())},
+                        {"first_end", response.ended.empty() ? 0 : response.ended.front().number}});
     }
     throttleBestEffortRuns(worker, now);
     if (!worker.isInventoried) {
--- a/tests/adapter/LateCallsTest.cpp
+++ b/tests/adapter/LateCallsTest.cpp
@@ -84,7 +84,7 @@
 
     bool isAtWork(const std::string &job) { return workersOf[taskOf(job)].size() == 1; }
 
-    // Submits a job whose start request has no answer, and returns the worker that keeps the request, once the task is at work elsewhere.
+    // Submits a job whose start request has no answer, and returns the worker that keeps the request, once the task is at work.
     std::size_t loseStartOf(const std::string &job)
     {
         std::optional<std::size_t> out;
--- a/tests/fleet/IncarnationsTest.cpp
+++ b/tests/fleet/IncarnationsTest.cpp
@@ -139,6 +139,98 @@
     }
 }
 
+// Guards against a task that runs twice: a poll of the previous leader had granted a young incarnation the longest lease before the new leader called it.
+BOOST_AUTO_TEST_CASE(youngIncarnationMayHoldALeaseOfThePreviousLeader)
+{
+    constexpr std::int64_t Young = 2000;
+    PlannerScript script(0);
+    script.planner.workerReported(script.entry("w0"), script.now);
+    script.advance(Millis(25));
+    auto answer = script.list({});
+    answer.workerClockMs = Young;
+    script.planner.handlePollResponse(script.lastPoll("w0"), answer, script.now);
+    const auto openedAt = script.now;
+    script.submit("j", 60000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    const auto start = script.port.starts.back();
+    script.planner.handleStartResponse(start, {WorkerCallOutcome::Done, Young, "done"}, script.now);
+    script.advance(Millis(25));
+    answer.workerClockMs = Young + 25;
+    answer.running = {{start.task, start.attempt, {}, 1, 0}};
+    script.planner.handlePollResponse(script.lastPoll("w0"), answer, script.now);
+    const auto longest = Millis(static_cast<std::int64_t>(static_cast<double>(PlannerLimits {}.maxLease.count()) / MinClockRate));
+    while (script.now + Millis(100) < openedAt + longest) {
+        script.advance(Millis(100));
+        script.planner.handlePollResponse(script.lastPoll("w0"), NoList, script.now);
+        BOOST_REQUIRE_EQUAL(script.planner.runCount(), 1U);
+    }
+    script.advance(Millis(1000));
+    BOOST_TEST(script.planner.runCount() == 0U);
+}
+
+// Guards against the same for an incarnation that stays closed for seconds, in which a late call may still grant it the longest lease.
+BOOST_AUTO_TEST_CASE(longestLeaseCountsFromTheAnswerThatOpensTheIncarnation)
+{
+    PlannerScript script(1);
+    storeOneEnd(script);
+    script.isCutFromLog = true;
+    script.planner.handlePollResponse(script.lastPoll("w0"), NoList, script.now);
+    script.advance(Millis(100));
+    script.answerPoll("w0", {});
+    BOOST_REQUIRE(isBinding(script.lastPoll("w0")));
+    auto young = script.list({});
+    young.startedUnixMs = Reborn;
+    for (int i = 0; i < 20; ++i) {
+        young.workerClockMs = 100 * i + 1;
+        script.planner.handlePollResponse(script.lastPoll("w0"), young, script.now);
+        script.advance(Millis(100));
+    }
+    auto entry = script.entry("w0");
+    entry.startedUnixMs = Reborn;
+    script.planner.workerReported(entry, script.now);
+    script.isCutFromLog = false;
+    for (int i = 0; i < 2; ++i) {
+        script.advance(Millis(100));
+        young.workerClockMs += 100;
+        script.planner.handlePollResponse(script.lastPoll("w0"), young, script.now);
+    }
+    const auto openedAt = script.now;
+    script.submit("j", 60000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    script.planner.handleStartResponse(script.port.starts.back(), {WorkerCallOutcome::Done, young.workerClockMs, "done"}, script.now);
+    const auto longest = Millis(static_cast<std::int64_t>(static_cast<double>(PlannerLimits {}.maxLease.count()) / MinClockRate));
+    while (script.now + Millis(200) < openedAt + longest) {
+        script.advance(Millis(100));
+        script.planner.handlePollResponse(script.lastPoll("w0"), NoList, script.now);
+        BOOST_REQUIRE_EQUAL(script.planner.runCount(), 1U);
+    }
+}
+
+// Guards against an incarnation that is open though a start to its predecessor carried the same token: it was sent after the token had been raised.
+BOOST_AUTO_TEST_CASE(startUnderTheRaisedTokenBindsTheNextIncarnationToo)
+{
+    PlannerScript script(1);
+    storeOneEnd(script);
+    script.submit("j", 1000);
+    script.planner.plan(script.now);
+    const auto batch = script.planner.takeBatch(script.now);
+    script.planner.handlePollResponse(script.lastPoll("w0"), NoList, script.now);
+    script.advance(Millis(100));
+    const auto raised = script.lastPoll("w0").fencingToken;
+    script.planner.batchStored(batch.number, script.now);
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+    BOOST_TEST(script.port.starts.back().fencingToken == raised);
+    script.isCutFromLog = true;
+    restart(script);
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(!isBinding(script.lastPoll("w0")));
+        script.answerPoll("w0", {}, Reborn);
+        script.advance(Millis(100));
+    }
+}
+
 // Guards against a leader that steps down, or a task that starts twice, because its own higher token fenced a call that it had sent before.
 BOOST_AUTO_TEST_CASE(fenceOfAnOwnHigherTokenIsNoSuccessor)
 {
