--- a/tests/fleet/LateStartsTest.cpp
+++ b/tests/fleet/LateStartsTest.cpp
@@ -26,7 +26,7 @@
 }
 
 // Returns the violations of a fleet whose workers restart while requests to them are under way, which their next incarnations carry out.
-std::vector<std::string> runScenario(std::uint64_t seed)
+std::vector<std::string> runScenario(std::uint64_t seed, Millis lateFor)
 {
     FakeFleetOptions options;
     options.seed = seed;
@@ -36,7 +36,7 @@
     for (int i = 0; i < 6; ++i) {
         fleet.setDelayedRequestShare(0.3);
         fleet.submit(fleet.makeJob("j" + std::to_string(i), {smallStep(3000 + static_cast<std::int64_t>(random() % 4000))}));
-        fleet.run(Millis(300));
+        fleet.run(lateFor);
         fleet.setDelayedRequestShare(0);
         fleet.run(Millis(1000 + random() % 2000));
         // The restarts are noticed late.
@@ -63,7 +63,16 @@
 BOOST_AUTO_TEST_CASE(restartedWorkersThatCarryOutLateStartsCauseNoViolation)
 {
     for (std::uint64_t seed = 1; seed <= seedCount() * 2; ++seed) {
-        const auto violations = runScenario(seed);
+        const auto violations = runScenario(seed, Millis(300));
+        BOOST_TEST(violations.empty(), "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+    }
+}
+
+// Guards against the same where several starts of a task are given up one after the other.
+BOOST_AUTO_TEST_CASE(tasksWhoseStartsAreLateAgainAndAgainCauseNoViolation)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount() * 5; ++seed) {
+        const auto violations = runScenario(seed, Millis(1500));
         BOOST_TEST(violations.empty(), "seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
     }
 }
