A task whose start was given up goes back to its worker at once, or elsewhere

It waited up to a second for its worker, which is avoided for 0.4 s after a request without an answer. Now the avoidance doesn't hold for that task, and if its worker can't take it, it goes elsewhere as before.

--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -70,8 +70,6 @@
     bool mustStop = false;
     bool isStopInFlight = false;
     TimePoint nextStopAt {};
-    /// When it was last not known that the present incarnation of the worker refuses the request.
-    TimePoint lastOpenAt {};
 };
 
 /// State of one worker as the planner knows it.
--- a/include/marjoramhaven/fleet/GivenUpStarts.h
+++ b/include/marjoramhaven/fleet/GivenUpStarts.h
@@ -16,16 +16,11 @@
     /// Worker of the last of them that takes tasks, and when the planner learned that its outcome is not known. Empty if there is none.
     std::string worker;
     TimePoint newest {};
-    /// Since when none of them is open, unless one is.
-    TimePoint closedSince {};
 
     /// Adds a start on a worker.
     void add(const FleetState &state, const FleetWorker &on, const UnansweredStart &start);
     /// Returns true if the task must not start anywhere now.
     bool mustWait(bool isLongRunning, TimePoint now) const;
-    /// Returns true if the task must start on `worker` or wait for it now. If that one restarts and carries out the start that was given up, the task's new run
-    /// is gone with the earlier incarnation.
-    bool isBoundToWorker(bool isLongRunning, TimePoint now) const;
 };
 
 /// Returns true if a start that was given up may be carried out by the worker now: the worker is silent and may have restarted, or its present incarnation has
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -43,7 +43,6 @@
     struct StepPlacement {
         std::map<std::string, int> runsPerWorker;
         std::set<std::string> doubtful;
-        TimePoint now {};
     };
 
     // TaskPlacer.cpp
@@ -51,8 +50,10 @@
     bool needsSpeculativeRun(const FleetTask &task) const;
     // Returns the starts of a task that were given up when plan() began; none of a step that allows speculative runs.
     GivenUpStarts givenUpStartsOf(const FleetTask &task, const StepSpec &spec) const;
-    // Removes the tasks that wait for the worker on which a start of them was given up; room elsewhere is no use to them.
-    void leaveOutBoundTasks(PendingStep &pending, TimePoint now) const;
+    // Returns the worker on which a start of the task was given up, if it takes the task now. If it restarts then and carries that start out, the task's new
+    // run is gone with the earlier incarnation.
+    FleetWorker *workerToGoBackTo(const PendingStep &pending, const FleetTask &task, TimePoint now) const;
+    void placeTasksThatGoBack(PendingStep &pending, TimePoint now);
     static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
     bool isUsable(const FleetWorker &worker, TimePoint now) const;
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 
 #include "FleetPlannerBatch.h"
-#include "marjoramhaven/fleet/GivenUpStarts.h"
 
 namespace marjoramhaven {
 
@@ -80,9 +79,6 @@
     std::erase_if(worker.unansweredStarts, [this, now](const auto &it) {
         return now - it.since > m_limits.maxExecutionDelay;
     });
-    for (auto &it : worker.unansweredStarts) {
-        it.lastOpenAt = mayCarryOutEarlierStarts(worker) ? now : it.lastOpenAt;
-    }
     stopUnansweredStarts(worker, now);
     sendPollIfDue(worker, now);
     const bool isSilent = worker.failedPolls > 0 || worker.report.host.empty();
--- a/src/fleet/GivenUpStarts.cpp
+++ b/src/fleet/GivenUpStarts.cpp
@@ -8,8 +8,6 @@
 
 // A long-running task must be at work again soon, so it waits for less time than a start request may be under way.
 constexpr Millis LongestWaitOfLongRunningTask {4500};
-// A worker that was sent a start that it did not answer is avoided for a moment, and may get other work meanwhile.
-constexpr Millis LongestWaitForWorker {1000};
 
 } // namespace
 
@@ -25,7 +23,6 @@
     }
     isAnyOpen = isAnyOpen || mayCarryOutEarlierStarts(on);
     oldest = oldest == TimePoint {} ? start.since : std::min(oldest, start.since);
-    closedSince = std::max({closedSince, start.since, start.lastOpenAt});
     const bool mayTakeItBack = on.isListed && !on.report.isDraining;
     if (mayTakeItBack && (worker.empty() || start.since > newest)) {
         newest = start.since;
@@ -38,11 +35,6 @@
     return isAnyOpen && (!isLongRunning || now - oldest < LongestWaitOfLongRunningTask);
 }
 
-bool GivenUpStarts::isBoundToWorker(bool isLongRunning, TimePoint now) const
-{
-    return !worker.empty() && now - closedSince < LongestWaitForWorker && (!isLongRunning || now - oldest < LongestWaitOfLongRunningTask);
-}
-
 std::map<FleetTaskId, GivenUpStarts> givenUpStarts(const FleetState &state)
 {
     std::map<FleetTaskId, GivenUpStarts> out;
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -98,11 +98,33 @@
     return it == m_givenUpStarts.end() ? GivenUpStarts {} : it->second;
 }
 
-void TaskPlacer::leaveOutBoundTasks(PendingStep &pending, TimePoint now) const
+FleetWorker *TaskPlacer::workerToGoBackTo(const PendingStep &pending, const FleetTask &task, TimePoint now) const
 {
-    std::erase_if(pending.waiting, [&](const FleetTask *task) {
-        const auto givenUp = givenUpStartsOf(*task, *pending.spec);
-        return givenUp.isBoundToWorker(pending.spec->isLongRunning, now) && !task->failedOn.contains(givenUp.worker);
+    const auto &spec = *pending.spec;
+    const auto it = m_state.workers.find(givenUpStartsOf(task, spec).worker);
+    if (it == m_state.workers.end() || task.failedOn.contains(it->first)) {
+        return nullptr;
+    }
+    // That it did not answer the start is no reason to avoid it here, unlike for other tasks.
+    auto &worker = it->second;
+    const bool isAllowed = !FleetState::queueOf(*pending.job).needsAdvice
+        || m_state.advice.verdict(pending.name(), it->first, worker.startedUnixMs, now) == AdviceCache::Verdict::Allowed;
+    const bool isFull = spec.maxPerWorker > 0 && m_state.runsPerWorker(*pending.step)[it->first] >= spec.maxPerWorker;
+    const bool mayTakeIt = m_state.acceptsStarts(worker, now) && FleetState::isEligible(worker, *pending.job, spec) && !worker.isSlow && !worker.isHeld;
+    return mayTakeIt && isAllowed && !isFull && worker.hasRoomFor(FleetState::reservedResources(spec)) ? &worker : nullptr;
+}
+
+void TaskPlacer::placeTasksThatGoBack(PendingStep &pending, TimePoint now)
+{
+    if (m_givenUpStarts.empty() || pending.spec->isGang) {
+        return;
+    }
+    std::erase_if(pending.waiting, [&](FleetTask *task) {
+        auto *worker = workerToGoBackTo(pending, *task, now);
+        if (worker != nullptr) {
+            m_actions.createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
+        }
+        return worker != nullptr;
     });
 }
 
@@ -139,6 +161,10 @@
 
 void TaskPlacer::placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
+    placeTasksThatGoBack(pending, now);
+    if (pending.waiting.empty()) {
+        return;
+    }
     const auto needs = FleetState::reservedResources(*pending.spec);
     const auto &queue = FleetState::queueOf(*pending.job);
     std::vector<FleetWorker *> withRoom;
@@ -164,7 +190,6 @@
         placeGang(pending, ready, now);
     } else {
         placeTasks(pending, ready, now);
-        leaveOutBoundTasks(pending, now);
     }
     if (pending.waiting.empty()) {
         return;
@@ -242,10 +267,8 @@
 {
     const auto &spec = *pending.spec;
     const auto needs = FleetState::reservedResources(spec);
-    const auto givenUp = givenUpStartsOf(task, spec);
-    const bool isBound = givenUp.isBoundToWorker(spec.isLongRunning, placement.now) && !task.failedOn.contains(givenUp.worker);
     FleetWorker *best = nullptr;
-    std::tuple<bool, bool, bool, bool, bool, std::int64_t> bestRank;
+    std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
     for (auto *it : candidates) {
         const auto runs = placement.runsPerWorker.find(it->report.id);
         const bool isFull = spec.maxPerWorker > 0 && runs != placement.runsPerWorker.end() && runs->second >= spec.maxPerWorker;
@@ -255,14 +278,8 @@
         const bool hasFailed = !task.failedOn.empty() && task.failedOn.contains(it->report.id);
         const bool isFar = !spec.preferredRack.empty() && !it->hasLabel(spec.preferredRack);
         const auto left = it->report.capacity.cpuMilli - it->used.cpuMilli - needs.cpuMilli;
-        const bool hasGivenUp = it->report.id == givenUp.worker;
-        if (isBound && !hasGivenUp) {
-            continue;
-        }
-        const bool isElsewhere = !hasGivenUp || it->isSlow;
-        const bool isDoubtful = !hasGivenUp && placement.doubtful.contains(it->report.id);
         // Best fit keeps large free blocks for large tasks; best-effort tasks go to the worker with the most free CPU.
-        const std::tuple rank(hasFailed, isElsewhere, isDoubtful, it->isSlow, isFar, spec.isBestEffort ? -left : left);
+        const std::tuple rank(hasFailed, placement.doubtful.contains(it->report.id), it->isSlow, isFar, spec.isBestEffort ? -left : left);
         if (best == nullptr || rank < bestRank) {
             best = it;
             bestRank = rank;
@@ -276,7 +293,7 @@
     if (candidates.empty()) {
         return;
     }
-    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step), now};
+    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
     std::vector<FleetTask *> left;
     for (auto *task : pending.waiting) {
         auto *worker = chooseWorker(pending, *task, candidates, placement);
@@ -292,7 +309,7 @@
 
 void TaskPlacer::placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
 {
-    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step), now};
+    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
     std::int64_t attempt = 0;
     for (const auto *task : pending.waiting) {
         attempt = std::max(attempt, task->lastAttempt + 1);
