--- a/tests/fleet/LeaseTest.cpp
+++ b/tests/fleet/LeaseTest.cpp
@@ -160,7 +160,7 @@
     script.answerPoll("w0", {}, 2);
     script.planner.handleStartResponse(script.port.starts.front(), {}, script.now);
     constexpr Millis Step {25};
-    const auto passTimeUntil = [&script, restartedAt](Millis time) {
+    const auto passTimeUntil = [&](Millis time) {
         while (script.now - restartedAt < time) {
             script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
             script.advance(Step);
