Log what is assumed of a worker's lease, by which clock, and which incarnation its entry names

What callers saw: a task ran twice after a takeover. The events told neither hypothesis apart: worker_inventory had no reading of the worker's clock and nothing of the lease that is assumed beside the granted one, and run_lost not whether the entry names a later incarnation, nor whether a list had ever shown the run.

--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -29,6 +29,8 @@
     bool hasCertainlyExpired(TimePoint now) const;
     /// Treats the lease as valid until this time on this process's clock; used for leases that an earlier planner may have granted.
     void assumeGrantedUntil(TimePoint until) { m_assumedUntil = std::max(m_assumedUntil, until); }
+    /// Returns for how much longer the lease is treated as valid because of assumed grants.
+    Millis assumedFor(TimePoint now) const { return std::max(Millis(0), m_assumedUntil - now); }
     /// Discards all readings and grants, for a new incarnation of the worker.
     void reset() { *this = {}; }
 
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -241,6 +241,8 @@
                         {"worker", worker.report.id},
                         {"reason", std::string(reason)},
                         {"born_ms", run->workerStartedUnixMs},
+                        {"entry_born_ms", worker.report.startedUnixMs},
+                        {"listed", static_cast<std::int64_t>(run->isListed)},
                         {"answer_age_ms", worker.lastResponseAt == TimePoint {} ? WorkerCallHistory::None : (now - worker.lastResponseAt).count()},
                         {"lease_age_ms", worker.calls.leaseAgeMs(now)},
                         {"answered_lease_age_ms", worker.calls.answeredLeaseAgeMs(now)}});
@@ -349,6 +351,8 @@
         m_events.write("worker_inventory",
                        {{"worker", request.worker.id},
                         {"born_ms", response.startedUnixMs},
+                        {"clock_ms", response.workerClockMs},
+                        {"assumed_lease_ms", worker.lease.assumedFor(now).count()},
                         {"running", static_cast<std::int64_t>(response.running.size())},
                         {"ended", static_cast<std::int64_t>(response.ended.size())},
                         {"first_end", response.ended.empty() ? 0 : response.ended.front().number}});
--- a/tests/fleet/EventEvidenceTest.cpp
+++ b/tests/fleet/EventEvidenceTest.cpp
@@ -168,6 +168,22 @@
     BOOST_TEST(event["answered_lease_age_ms"].toInteger() > event["lease_age_ms"].toInteger());
     BOOST_TEST(event["answer_age_ms"].toInteger() > event["lease_age_ms"].toInteger());
     BOOST_TEST(event["born_ms"].toInteger() == 1);
+    BOOST_TEST(event["entry_born_ms"].toInteger() == 1);
+    BOOST_TEST(event["listed"].toInteger(-1) == 1);
+}
+
+// Guards against a line that doesn't tell what is assumed of the lease of a worker, and by which reading of its clock.
+BOOST_AUTO_TEST_CASE(inventoryTellsTheLeaseThatIsAssumed)
+{
+    LoggedScript script(1);
+    script->advance(Millis(200));
+    script->planner.handlePollResponse(script->lastPoll("w0"), {}, script->now);
+    script->advance(Millis(200));
+    script->answerPoll("w0", {}, Reborn);
+    const auto event = script.lastEvent("worker_inventory");
+    BOOST_TEST(event["born_ms"].toInteger() == Reborn);
+    BOOST_TEST(event["clock_ms"].toInteger() > 0);
+    BOOST_TEST(event["assumed_lease_ms"].toInteger(-1) >= PlannerLimits {}.maxLease.count());
 }
 
 // Guards against a line that doesn't tell a start beside one that may still be carried out from the first start of a task.
