A successor assumes the longest lease where a late call may have granted it

What callers saw: a task that must run once ran twice, after the leader was killed and workers that had started again were cut off.

Cause: a call that was meant for the former life of a worker names the end of a lease on a clock that is gone; the worker limits it to 10 s from its arrival. A leader assumes that lease of a young incarnation. Its successor took the value of the worker's clock for the age of the incarnation, which holds for the models here and not for the platform: the clock of a worker that was a second old showed 2,271,802 ms. And where the successor doesn't reach the worker, it waited 8.2 s, which covers the leases of its predecessor and no late ones.

Now the age follows from what is proved: an incarnation refuses late calls once it has answered under a higher token, and none of their leases is left 10.2 s later. A run that is placed before that carries a mark in its record. A successor assumes the longest lease from its first answer on, unless an inherited run on the same incarnation carries no mark; and from its opening on, if a run carries the mark or the entry of the worker names another incarnation than the run, which may also come later.

The model of a worker begins each incarnation's clock somewhere else now, as the platform does. Two set-ups let 11 s pass first, since a new leader assumes the longest lease of idle workers for that long; their checks are unchanged. A downgrade ignores the mark.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -163,6 +163,8 @@
     std::int64_t workerStartedUnixMs = 0;
     /// True if no leader meant the run to exist, so that it has to be stopped whatever becomes of its task.
     bool isOrphaned = false;
+    /// See FleetRun::mayHoldLateLease.
+    bool mayHoldLateLease = false;
 };
 
 /// Stored form of one task.
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -173,6 +173,10 @@
     void forgetIncarnation(FleetWorker &worker, TimePoint now);
     void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     void assumeLateLease(FleetWorker &worker, TimePoint now) const;
+    // Returns true if a late request may have granted the incarnation on which the previous leader's runs are a longer lease than that leader did.
+    bool mayHoldInheritedLateLease(const FleetWorker &worker) const;
+    // Returns true if the previous leader has proved that this incarnation refuses late requests, and waited until none of their leases was left.
+    bool wasOpenForLong(const FleetWorker &worker, std::int64_t startedUnixMs) const;
     static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     std::map<FleetTaskId, PossibleStarts> possibleStarts() const;
--- a/include/marjoramhaven/fleet/FleetRun.h
+++ b/include/marjoramhaven/fleet/FleetRun.h
@@ -73,6 +73,8 @@
     std::int64_t stateSequence = 0;
     /// Whether the worker has listed the run. An answer to the start request alone does not tell which incarnation of the worker gave it.
     bool isListed = false;
+    /// True if the run was placed, or found, while a late request may have granted its worker a longer lease than its leaders did.
+    bool mayHoldLateLease = false;
     /// How often the planner has sent the start request.
     int startSendings = 0;
     /// The start request is sent again no earlier than this, while its outcome is not known.
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -29,6 +29,10 @@
     bool hasCertainlyExpired(TimePoint now) const;
     /// Treats the lease as valid until this time on this process's clock; used for leases that an earlier planner may have granted.
     void assumeGrantedUntil(TimePoint until) { m_assumedUntil = std::max(m_assumedUntil, until); }
+    /// The same for a lease that a late request to an earlier incarnation may have granted to this one.
+    void assumeLateGrantUntil(TimePoint until);
+    /// Returns true while a late request may have granted the worker a longer lease than this process and its predecessors did.
+    bool mayBeGrantedLate(TimePoint now) const { return now < m_lateGrantUntil; }
     /// Returns for how much longer the lease is treated as valid because of assumed grants.
     Millis assumedFor(TimePoint now) const { return std::max(Millis(0), m_assumedUntil - now); }
     /// Discards all readings and grants, for a new incarnation of the worker.
@@ -39,6 +43,7 @@
     TimePoint m_observedAt {};
     std::int64_t m_grantedMs = 0;
     TimePoint m_assumedUntil {};
+    TimePoint m_lateGrantUntil {};
 };
 
 /// Identifies one run: its task and its attempt number.
@@ -89,6 +94,8 @@
     std::vector<std::int64_t> earlierStarts;
     /// True if this incarnation of the worker has listed all its runs under this planner's fencing token.
     bool isInventoried = false;
+    /// True if this incarnation was inventoried at any time since the takeover.
+    bool wasInventoried = false;
     /// Fencing token of the requests that are sent to the worker now; it only grows. 0 until one had to be raised.
     std::int64_t fencingToken = 0;
     /// Highest fencing token of the requests that may change what a later incarnation of the worker does: starts, and polls that grant a lease or acknowledge
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -60,6 +60,7 @@
             run.workerStartedUnixMs = it.workerStartedUnixMs;
             run.state = RunState::Inherited;
             run.stopReason = it.isOrphaned ? StopReason::Orphaned : StopReason::None;
+            run.mayHoldLateLease = it.mayHoldLateLease;
             run.isSpeedKnown = false;
             run.stateSince = now;
             auto &worker = m_state.findOrCreateWorker(it.worker);
@@ -99,6 +100,9 @@
     const auto longest = LeadershipConfirmation::longestLease(m_limits.leadershipBound, m_limits.lease);
     for (auto &[id, worker] : m_state.workers) {
         worker.lease.assumeGrantedUntil(now + longest);
+        if (mayHoldInheritedLateLease(worker)) {
+            assumeLateLease(worker, now);
+        }
     }
     m_events.write("planner_open",
                    {{"fence", m_fencingToken},
@@ -338,7 +342,7 @@
             return RunRecord {attempt, {}, 0};
         }
         const auto &run = it->second;
-        return RunRecord {attempt, run.worker, run.workerStartedUnixMs, run.stopReason == StopReason::Orphaned};
+        return RunRecord {attempt, run.worker, run.workerStartedUnixMs, run.stopReason == StopReason::Orphaned, run.mayHoldLateLease};
     };
 }
 
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -31,6 +31,7 @@
     run.key = {task.id, attempt};
     run.worker = worker.report.id;
     run.workerStartedUnixMs = worker.startedUnixMs;
+    run.mayHoldLateLease = worker.lease.mayBeGrantedLate(now);
     setState(run, RunState::Planned, now);
     run.percentChangedAt = now;
     run.checkpoint = task.checkpoint;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -31,11 +31,11 @@
         workerEntryUnreadable(report.id, now);
         return;
     }
-    const bool isRestartKnown = worker.report.startedUnixMs == report.startedUnixMs;
+    const bool namesNewIncarnation = worker.report.startedUnixMs != report.startedUnixMs;
     worker.report = report;
     worker.isListed = true;
     worker.isEntryUnreadable = false;
-    if (worker.startedUnixMs != 0 && report.startedUnixMs != worker.startedUnixMs && !isRestartKnown && !worker.hadIncarnation(report.startedUnixMs)) {
+    if (worker.startedUnixMs != 0 && report.startedUnixMs != worker.startedUnixMs && namesNewIncarnation && !worker.hadIncarnation(report.startedUnixMs)) {
         // Anybody may write an entry. What became of the runs is decided by what the worker itself lists, which the old incarnation can't answer any more.
         m_events.write("worker_reborn", {{"worker", report.id}, {"born_ms", report.startedUnixMs}, {"was_born_ms", worker.startedUnixMs}});
         // Nothing starts there until the list is in, and the poll for it acknowledges no ended runs.
@@ -45,6 +45,9 @@
         worker.nextPollAt = now;
         sendPollIfDue(worker, now);
     }
+    if (m_isOpen && worker.startedUnixMs == 0 && namesNewIncarnation && mayHoldInheritedLateLease(worker)) {
+        assumeLateLease(worker, now);
+    }
     if (report.isDraining && !wasDraining) {
         worker.drainingSince = now;
         m_events.write("worker_draining", {{"worker", report.id}, {"remaining_ms", report.remainingMs}});
@@ -141,6 +144,7 @@
             setState(*run, RunState::Unconfirmed, now);
         }
         run->workerStartedUnixMs = startedUnixMs;
+        run->mayHoldLateLease = true;
         run->isStopAnswered = false;
         // The new incarnation may be of another kind.
         run->repeatStartUntil = {};
@@ -173,6 +177,7 @@
     worker.unstoredEnds.clear();
     worker.lastListClockMs = 0;
     worker.isInventoried = false;
+    worker.wasInventoried = false;
     worker.nextPollAt = now;
     worker.recentFailures.clear();
     m_state.speeds.forget(worker.report.id);
@@ -181,7 +186,26 @@
 // A late request carries a lease end on the clock of an earlier incarnation. The present one limits it to the longest lease from its arrival.
 void FleetPlanner::assumeLateLease(FleetWorker &worker, TimePoint now) const
 {
-    worker.lease.assumeGrantedUntil(now + LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease));
+    worker.lease.assumeLateGrantUntil(now + LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease));
+}
+
+bool FleetPlanner::mayHoldInheritedLateLease(const FleetWorker &worker) const
+{
+    return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
+        const auto run = m_state.runs.find(it.first);
+        const bool isInherited = run != m_state.runs.end() && run->second.state == RunState::Inherited;
+        const bool isRestartKnown = !worker.report.host.empty() && isInherited && worker.report.startedUnixMs != run->second.workerStartedUnixMs;
+        return isInherited && (run->second.mayHoldLateLease || isRestartKnown);
+    });
+}
+
+bool FleetPlanner::wasOpenForLong(const FleetWorker &worker, std::int64_t startedUnixMs) const
+{
+    return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
+        const auto run = m_state.runs.find(it.first);
+        return run != m_state.runs.end() && run->second.state == RunState::Inherited && run->second.workerStartedUnixMs == startedUnixMs
+            && !run->second.mayHoldLateLease;
+    });
 }
 
 void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now)
@@ -341,10 +365,12 @@
     worker.answeredPort = request.worker.port;
     worker.lease.observe(response.workerClockMs, now);
     worker.lastListClockMs = std::max(worker.lastListClockMs, response.workerClockMs);
+    const bool isClosedToLateRequests = worker.wasInventoried || wasOpenForLong(worker, response.startedUnixMs);
     reconcileRuns(worker, response, request.sequence, now);
     if (!worker.isInventoried && worker.refusesEarlierRequests()) {
         worker.isInventoried = true;
-        if (Millis(response.workerClockMs) < m_limits.maxExecutionDelay + m_limits.maxLease) {
+        worker.wasInventoried = true;
+        if (!isClosedToLateRequests) {
             // A call to an earlier incarnation, perhaps of an earlier leader, may have granted this one a lease before it had seen this fencing token.
             assumeLateLease(worker, now);
         }
@@ -419,6 +445,7 @@
         orphan.key = key;
         orphan.worker = worker.report.id;
         orphan.workerStartedUnixMs = worker.startedUnixMs;
+        orphan.mayHoldLateLease = !worker.isInventoried || worker.lease.mayBeGrantedLate(now);
         setState(orphan, RunState::Running, now);
         const bool isKnownStep = job != nullptr && row.task.step >= 0 && row.task.step < static_cast<int>(job->request().steps.size());
         const RunAllocation unknown {worker.report.capacity, 0, false, false, now};
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -23,6 +23,12 @@
     m_observedAt = now;
 }
 
+void WorkerLease::assumeLateGrantUntil(TimePoint until)
+{
+    assumeGrantedUntil(until);
+    m_lateGrantUntil = std::max(m_lateGrantUntil, until);
+}
+
 bool WorkerLease::isFromEarlierIncarnation(std::int64_t workerClockMs, TimePoint now) const
 {
     const auto clock = clockAt(now);
--- a/src/standin/FleetWorkerModel.cpp
+++ b/src/standin/FleetWorkerModel.cpp
@@ -13,6 +13,14 @@
     return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
 }
 
+// Returns the reading of a worker's clock at its start. It differs between incarnations and says nothing about their order or age.
+std::int64_t clockOriginMs(std::int64_t startedUnixMs)
+{
+    constexpr std::uint64_t Spread = 5'000'000;
+    constexpr std::uint64_t Multiplier = 2'654'435'761;
+    return 1 + static_cast<std::int64_t>(static_cast<std::uint64_t>(startedUnixMs) * Multiplier % Spread);
+}
+
 } // namespace
 
 FleetWorkerModel::FleetWorkerModel(WorkerReport report, FleetWorkerTimes times, BehaviourLookup behaviours, std::function<void(const RunEvent &)> onEvent)
@@ -38,7 +46,7 @@
 
 std::int64_t FleetWorkerModel::clockAt(TimePoint now) const
 {
-    return static_cast<std::int64_t>(static_cast<double>((now - m_instanceStartedAt).count()) * m_times.clockRate) + 1;
+    return clockOriginMs(m_report.startedUnixMs) + static_cast<std::int64_t>(static_cast<double>((now - m_instanceStartedAt).count()) * m_times.clockRate);
 }
 
 bool FleetWorkerModel::acceptFencingToken(std::int64_t fencingToken)
--- a/tests/fleet/IncarnationsTest.cpp
+++ b/tests/fleet/IncarnationsTest.cpp
@@ -343,6 +343,11 @@
 {
     for (const bool isEntryCorrected : {true, false}) {
         PlannerScript script(1);
+        // Late calls to earlier incarnations can't have granted any lease that is left.
+        for (int i = 0; i < 50; ++i) {
+            script.advance(Millis(250));
+            script.answerPoll("w0", {});
+        }
         script.submit("j", 60000);
         script.planAndStore();
         BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
--- a/tests/fleet/LeaseTest.cpp
+++ b/tests/fleet/LeaseTest.cpp
@@ -9,12 +9,16 @@
 namespace {
 
 constexpr Millis Bound = PlannerLimits {}.leadershipBound;
+// The longest lease of a worker, on the clock of a planner that runs faster by as much as it may.
+constexpr Millis LongestLease(PlannerLimits {}.maxLease.count() * 100 / 98);
 
 // A fleet in which twelve tasks run for longer than any test lasts, with room for more.
 std::unique_ptr<FakeFleet> busyFleet(FakeFleetOptions options)
 {
     options.capacity = {16000, 16000, 0};
     auto out = std::make_unique<FakeFleet>(options);
+    // Late calls to earlier incarnations can't have granted any lease that is left.
+    out->run(LongestLease + Millis(1000));
     StepSpec step;
     step.taskCount = 12;
     step.needs = {4000, 1000, 0};
@@ -47,6 +51,56 @@
     return out;
 }
 
+// Leaves all polls of "w0" unanswered. Returns how often the planner had given up its run before this time; half a second later it has to have done so.
+int silentFor(PlannerScript &script, TimePoint until)
+{
+    int out = 0;
+    for (; script.now < until; script.advance(Millis(25))) {
+        script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+        out += script.planner.runCount() == 0 ? 1 : 0;
+    }
+    for (int i = 0; i < 20; ++i) {
+        script.planner.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+        script.advance(Millis(25));
+    }
+    return out;
+}
+
+// A planner that takes over now with this stored progress of job "j" and these entries of workers.
+std::unique_ptr<FleetPlanner> successorOf(PlannerScript &script, const std::vector<JobRecord> &progress, const std::vector<WorkerReport> &entries)
+{
+    auto out = std::make_unique<FleetPlanner>(script.port, script.events, PlannerLimits {}, 8, script.now);
+    FleetJobRequest request;
+    request.id = "j";
+    request.queue.service = "svc";
+    request.steps.emplace_back().taskCount = 1;
+    out->restoreJob(request, 0, script.now);
+    for (const auto &it : progress) {
+        out->restoreProgress(it, script.now);
+    }
+    for (const auto &it : entries) {
+        out->workerReported(it, script.now);
+    }
+    out->startPlanning(script.now);
+    return out;
+}
+
+// Returns how long a planner keeps its only run while none of its calls is answered.
+Millis lapseOfUnreachable(FleetPlanner &planner, const PlannerScript &script)
+{
+    constexpr Millis GiveUp {20'000};
+    Millis waited {0};
+    while (planner.runCount() > 0 && waited < GiveUp) {
+        ++waited;
+        const auto polls = script.port.polls.size();
+        planner.tick(0, script.now + waited);
+        if (script.port.polls.size() > polls) {
+            planner.handlePollResponse(script.lastPoll("w0"), {}, script.now + waited);
+        }
+    }
+    return waited;
+}
+
 } // namespace
 
 // How long a leader that can't confirm its leadership grants leases, and how long its successor waits for them.
@@ -118,6 +172,97 @@
     BOOST_TEST(waitedMs < expiry + 10);
 }
 
+// Guards against a task that runs twice: its worker had started again before the takeover, and the value of its clock was taken for its age.
+BOOST_AUTO_TEST_CASE(successorAssumesTheLongestLeaseWhateverTheClockOfAnIncarnationShows)
+{
+    for (const std::int64_t clockMs : {std::int64_t(1), std::int64_t(2'271'802)}) {
+        PlannerScript script(0);
+        script.planner.workerReported(script.entry("w0"), script.now);
+        script.advance(Millis(25));
+        auto answer = script.list({});
+        answer.workerClockMs = clockMs;
+        script.planner.handlePollResponse(script.lastPoll("w0"), answer, script.now);
+        const auto openedAt = script.now;
+        script.submit("j", 60000);
+        script.planAndStore();
+        BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+        const auto start = script.port.starts.back();
+        script.planner.handleStartResponse(start, {WorkerCallOutcome::Done, clockMs, "done"}, script.now);
+        script.advance(Millis(25));
+        answer.workerClockMs = clockMs + 25;
+        answer.running = {{start.task, start.attempt, {}, 1, 0}};
+        script.planner.handlePollResponse(script.lastPoll("w0"), answer, script.now);
+        BOOST_TEST(silentFor(script, openedAt + LongestLease) == 0);
+        BOOST_TEST(script.planner.runCount() == 0U);
+    }
+}
+
+// Guards against the same where the successor can't reach the worker: its predecessor knew that the worker might hold the longest lease.
+BOOST_AUTO_TEST_CASE(successorWaitsForTheLongestLeaseOfAWorkerThatHadStartedAgain)
+{
+    for (const bool wasOpenForLong : {false, true}) {
+        PlannerScript leader(1);
+        leader.answerPoll("w0", {}, 2);
+        leader.answerPoll("w0", {}, 2);
+        leader.answerPoll("w0", {}, 2);
+        auto entry = leader.entry("w0");
+        entry.startedUnixMs = 2;
+        leader.planner.workerReported(entry, leader.now);
+        for (int i = 0; wasOpenForLong && i < 50; ++i) {
+            leader.advance(Millis(250));
+            leader.answerPoll("w0", {}, 2);
+        }
+        leader.submit("j", 60000);
+        leader.planAndStore();
+        BOOST_REQUIRE_EQUAL(leader.port.starts.size(), 1U);
+        const auto progress = leader.planner.progressOf("j");
+        BOOST_REQUIRE(progress);
+
+        PlannerScript script(0);
+        const auto successor = successorOf(script, {*decodeJobRecord(encodeJobRecord(*progress))}, {entry});
+        const auto waited = lapseOfUnreachable(*successor, script);
+        const auto granted = LeadershipConfirmation::longestLease(Bound, PlannerLimits {}.lease);
+        BOOST_TEST(waited > (wasOpenForLong ? granted : LongestLease) - Millis(2));
+        BOOST_TEST(waited < (wasOpenForLong ? granted : LongestLease) + Millis(10));
+    }
+}
+
+// Guards against the same where the predecessor had not noticed the restart: the entry of the worker names it, before the takeover or later.
+BOOST_AUTO_TEST_CASE(successorWaitsForTheLongestLeaseIfAnEntryNamesAnotherIncarnation)
+{
+    for (const bool isEntryLate : {false, true}) {
+        PlannerScript script(0);
+        auto entry = script.entry("w0");
+        entry.startedUnixMs = isEntryLate ? 1 : 2;
+        const auto successor = successorOf(script, {{"j", FleetJobState::Running, {{0, 0, 0, 1, {}, false, "", {{1, "w0", 1}}}}}}, {entry});
+        const Millis delay {isEntryLate ? 3000 : 0};
+        if (isEntryLate) {
+            script.now += delay;
+            entry.startedUnixMs = 2;
+            successor->workerReported(entry, script.now);
+        }
+        const auto waited = lapseOfUnreachable(*successor, script);
+        BOOST_TEST(waited > LongestLease - Millis(2));
+        BOOST_TEST(waited < LongestLease + Millis(10));
+    }
+}
+
+// Guards against a takeover that keeps tasks waiting for the longest lease where the predecessor's records show that no late call can have granted it.
+BOOST_AUTO_TEST_CASE(successorAssumesNoLateLeaseWhereTheIncarnationWasOpenForLong)
+{
+    PlannerScript script(0);
+    const auto successor = successorOf(script, {{"j", FleetJobState::Running, {{0, 0, 0, 1, {}, false, "", {{1, "w0", 1}}}}}}, {script.entry("w0")});
+    const auto openedAt = script.now;
+    successor->confirmLeadership(script.now, script.now);
+    successor->tick(0, script.now);
+    successor->handlePollResponse(script.lastPoll("w0"), script.list({{{"j", 0, 0, 0}, 1, {}, 1, 0}}), script.now);
+    successor->tick(0, script.now + Millis(25));
+    successor->handlePollResponse(script.lastPoll("w0"), {}, script.now + Millis(25));
+    const auto waited = lapseOfUnreachable(*successor, script);
+    BOOST_TEST((script.now - openedAt).count() == 0);
+    BOOST_TEST(waited <= LeadershipConfirmation::longestLease(Bound, PlannerLimits {}.lease) + Millis(1));
+}
+
 // Guards against a confirmation that was under way for long and counts from when it arrived.
 BOOST_AUTO_TEST_CASE(confirmationCountsFromWhenItsCallWasSent)
 {
@@ -204,4 +349,50 @@
     }
 }
 
+// Guards against tasks that run twice: workers start again, carry out polls that were meant for their former lives, and are cut off right after a takeover.
+BOOST_AUTO_TEST_CASE(runsOfRestartedWorkersThatAreCutOffAfterATakeoverDoNotStartElsewhereTooEarly)
+{
+    for (std::uint64_t seed = 1; seed <= 24; ++seed) {
+        FakeFleetOptions options;
+        options.seed = seed;
+        options.delayedRequestsOutliveWorkers = true;
+        options.workerClockRate = 0.985;
+        FakeFleet fleet(options);
+        std::mt19937_64 random(seed);
+        StepSpec step;
+        step.taskCount = 12;
+        step.needs = {2000, 500, 0};
+        step.estimateMs = 30'000;
+        const std::set<int> restarting {0, 1, 2};
+        fleet.run(LongestLease + Millis(1000));
+        fleet.setDelayedPollShare(0.6);
+        fleet.run(Millis(3000));
+        fleet.setDelayedPollShare(0);
+        for (const auto it : restarting) {
+            fleet.setUnresponsive(it, true);
+            fleet.restartWorker(it);
+        }
+        fleet.run(Millis(2000 + random() % 3000));
+        for (const auto it : restarting) {
+            fleet.setUnresponsive(it, false);
+        }
+        fleet.run(Millis(random() % 700));
+        fleet.submit(fleet.makeJob("j", {step}));
+        fleet.run(Millis(300 + random() % 500));
+        fleet.killPlanner(Millis(400));
+        fleet.run(Millis(380 + random() % 200));
+        for (const auto it : restarting) {
+            fleet.setUnresponsive(it, true);
+        }
+        fleet.run(Millis(14'000));
+        for (const auto it : restarting) {
+            fleet.setUnresponsive(it, false);
+        }
+        fleet.run(Millis(4000));
+        for (const auto &it : fleet.violations()) {
+            BOOST_TEST(false, "seed " << seed << ": " << it);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
