A run that no list has shown may hold the longest lease of the next incarnation

What callers would see: a task that must run once runs twice.

Cause: the answer to a start request doesn't say which incarnation gave it. A worker that has started again carries out a start that was meant for its former life, under the longest lease, and confirms it. If it is cut off before its next list, the planner took the run for gone after the lease that it had granted on the former clock. A clock that stands back by over 3 s was noticed, but changed nothing here; one that is ahead, or behind by less, was not.

Only runs that were confirmed and not yet listed when their worker fell silent wait longer, so it costs nothing while workers answer.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -177,6 +177,8 @@
     bool mayHoldInheritedLateLease(const FleetWorker &worker) const;
     // Returns true if the previous leader has proved that this incarnation refuses late requests, and waited until none of their leases was left.
     bool wasOpenForLong(const FleetWorker &worker, std::int64_t startedUnixMs) const;
+    // Returns the runs whose start was confirmed and that no list has shown yet, so that the worker's next incarnation may run them under the longest lease.
+    std::vector<RunKey> runsOfUnknownIncarnation(const FleetWorker &worker, TimePoint now) const;
     static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     std::map<FleetTaskId, PossibleStarts> possibleStarts() const;
--- a/include/marjoramhaven/fleet/FleetRun.h
+++ b/include/marjoramhaven/fleet/FleetRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "marjoramhaven/base/EnumNames.h"
@@ -75,6 +76,8 @@
     bool isListed = false;
     /// True if the run was placed, or found, while a late request may have granted its worker a longer lease than its leaders did.
     bool mayHoldLateLease = false;
+    /// When the worker confirmed the start request; unset if it has not.
+    std::optional<TimePoint> startAnsweredAt;
     /// How often the planner has sent the start request.
     int startSendings = 0;
     /// The start request is sent again no earlier than this, while its outcome is not known.
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -83,7 +83,7 @@
     sendPollIfDue(worker, now);
     const bool isSilent = worker.failedPolls > 0 || worker.report.host.empty();
     if (isSilent && !worker.allocations.empty() && worker.lease.hasCertainlyExpired(now)) {
-        markRunsLost(worker, "worker does not answer and its lease has expired", {}, now);
+        markRunsLost(worker, "worker does not answer and its lease has expired", runsOfUnknownIncarnation(worker, now), now);
     }
     if (worker.report.isDraining) {
         stopRunsOnDrainingWorker(worker, now);
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -150,6 +150,7 @@
     case WorkerCallOutcome::Done:
         // A worker that has restarted lists the run in its new incarnation or not at all.
         setState(*run, isClockBack || isRestartKnown ? RunState::Unconfirmed : RunState::Running, now);
+        run->startAnsweredAt = now;
         run->percentChangedAt = now;
         run->startedClockMs = run->state == RunState::Running ? response.workerClockMs : 0;
         return;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -208,6 +208,20 @@
     });
 }
 
+std::vector<RunKey> FleetPlanner::runsOfUnknownIncarnation(const FleetWorker &worker, TimePoint now) const
+{
+    const auto longest = LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease);
+    std::vector<RunKey> out;
+    for (const auto &[key, needs] : worker.allocations) {
+        const auto run = m_state.runs.find(key);
+        const bool isAnswered = run != m_state.runs.end() && run->second.startAnsweredAt && !run->second.isListed;
+        if (isAnswered && now < *run->second.startAnsweredAt + longest) {
+            out.push_back(key);
+        }
+    }
+    return out;
+}
+
 void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now)
 {
     std::erase_if(worker.unansweredStarts, [&key](const auto &it) {
--- a/tests/fleet/LeaseTest.cpp
+++ b/tests/fleet/LeaseTest.cpp
@@ -263,6 +263,25 @@
     BOOST_TEST(waited <= LeadershipConfirmation::longestLease(Bound, PlannerLimits {}.lease) + Millis(1));
 }
 
+// Guards against a task that runs twice: the next incarnation of a worker answers the start, under the longest lease, and is cut off before it lists the run.
+BOOST_AUTO_TEST_CASE(runThatNoListHasShownMayHoldTheLongestLease)
+{
+    for (const std::int64_t clockMs : {std::int64_t(50), std::int64_t(99'500), std::int64_t(2'271'802)}) {
+        PlannerScript script(1);
+        script.submit("j", 60000);
+        script.planAndStore();
+        BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+        for (int i = 0; i < 50; ++i) {
+            script.advance(Millis(250));
+            script.answerPoll("w0", {});
+        }
+        const auto confirmedAt = script.now;
+        script.planner.handleStartResponse(script.port.starts.back(), {WorkerCallOutcome::Done, clockMs, "done"}, script.now);
+        BOOST_TEST(silentFor(script, confirmedAt + LongestLease) == 0);
+        BOOST_TEST(script.planner.runCount() == 0U);
+    }
+}
+
 // Guards against a confirmation that was under way for long and counts from when it arrived.
 BOOST_AUTO_TEST_CASE(confirmationCountsFromWhenItsCallWasSent)
 {
