A start of the previous leader holds its task back while a restarted worker may carry it out

What callers would see: a task that must run once runs twice.

Cause: an inherited run whose worker can't be reached lapsed 8.2 or 10.2 s after the takeover and its task started elsewhere at once. If the previous leader had no answer to its start, the worker's next incarnation may carry it out until 13 s after the takeover. A leader's own starts without an answer are remembered for that; inherited ones were not.

Now an inherited run that lapses is remembered like an own start that was given up, if the entry of its worker names another incarnation. Where it names the same one, the lease of that incarnation bounds a late start, so nothing waits longer there.

A lasting task doesn't wait, as before: it has to be at work again soon.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -175,6 +175,8 @@
     void assumeLateLease(FleetWorker &worker, TimePoint now) const;
     // Returns true if a late request may have granted the incarnation on which the previous leader's runs are a longer lease than that leader did.
     bool mayHoldInheritedLateLease(const FleetWorker &worker) const;
+    // Returns true if the worker's entry names another incarnation than the one on which the run was placed.
+    static bool namesOtherIncarnation(const FleetWorker &worker, const FleetRun &run);
     // Returns true if the previous leader has proved that this incarnation refuses late requests, and waited until none of their leases was left.
     bool wasOpenForLong(const FleetWorker &worker, std::int64_t startedUnixMs) const;
     // Returns the runs whose start was confirmed and that no list has shown yet, so that the worker's next incarnation may run them under the longest lease.
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -194,11 +194,15 @@
     return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
         const auto run = m_state.runs.find(it.first);
         const bool isInherited = run != m_state.runs.end() && run->second.state == RunState::Inherited;
-        const bool isRestartKnown = !worker.report.host.empty() && isInherited && worker.report.startedUnixMs != run->second.workerStartedUnixMs;
-        return isInherited && (run->second.mayHoldLateLease || isRestartKnown);
+        return isInherited && (run->second.mayHoldLateLease || namesOtherIncarnation(worker, run->second));
     });
 }
 
+bool FleetPlanner::namesOtherIncarnation(const FleetWorker &worker, const FleetRun &run)
+{
+    return !worker.report.host.empty() && worker.report.startedUnixMs != run.workerStartedUnixMs;
+}
+
 bool FleetPlanner::wasOpenForLong(const FleetWorker &worker, std::int64_t startedUnixMs) const
 {
     return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
@@ -284,6 +288,10 @@
                         {"answer_age_ms", worker.lastResponseAt == TimePoint {} ? WorkerCallHistory::None : (now - worker.lastResponseAt).count()},
                         {"lease_age_ms", worker.calls.leaseAgeMs(now)},
                         {"answered_lease_age_ms", worker.calls.answeredLeaseAgeMs(now)}});
+        if (run->state == RunState::Inherited && namesOtherIncarnation(worker, *run)) {
+            // Whether the previous leader's start request was answered is not known, and the next incarnation may carry it out late.
+            rememberUnansweredStart(worker, key, run->workerStartedUnixMs, m_openedAt);
+        }
         const auto checkpoint = run->checkpoint;
         endRun(key, RunEnd::LeaseExpired, checkpoint, worker.report.id, now);
     }
--- a/tests/fleet/LeaseTest.cpp
+++ b/tests/fleet/LeaseTest.cpp
@@ -247,6 +247,32 @@
     }
 }
 
+// Guards against a task that runs twice: a start of the previous leader is carried out by the next incarnation of a worker that can't be reached.
+BOOST_AUTO_TEST_CASE(taskWaitsWhileAStartOfThePreviousLeaderMayBeCarriedOutByTheNextIncarnation)
+{
+    for (const bool isRestarted : {true, false}) {
+        PlannerScript script(1);
+        auto entry = script.entry("w9");
+        entry.startedUnixMs = isRestarted ? 2 : 1;
+        const auto successor = successorOf(script, {{"j", FleetJobState::Running, {{0, 0, 0, 1, {}, false, "", {{1, "w9", 1}}}}}}, {entry, script.entry("w0")});
+        const auto openedAt = script.now;
+        const auto sentBefore = script.port.starts.size();
+        const Millis longest = PlannerLimits {}.maxExecutionDelay;
+        while (script.port.starts.size() == sentBefore && script.now - openedAt < longest * 2) {
+            script.now += Millis(25);
+            successor->confirmLeadership(script.now, script.now);
+            successor->tick(0, script.now);
+            successor->handlePollResponse(script.lastPoll("w9"), {}, script.now);
+            successor->handlePollResponse(script.lastPoll("w0"), script.list({}), script.now);
+            successor->plan(script.now);
+            successor->batchStored(successor->takeBatch(script.now).number, script.now);
+        }
+        const auto waited = script.now - openedAt;
+        BOOST_TEST(waited > (isRestarted ? longest : LeadershipConfirmation::longestLease(Bound, PlannerLimits {}.lease)) - Millis(2));
+        BOOST_TEST(waited < (isRestarted ? longest : LeadershipConfirmation::longestLease(Bound, PlannerLimits {}.lease)) + Millis(500));
+    }
+}
+
 // Guards against a takeover that keeps tasks waiting for the longest lease where the predecessor's records show that no late call can have granted it.
 BOOST_AUTO_TEST_CASE(successorAssumesNoLateLeaseWhereTheIncarnationWasOpenForLong)
 {
