Split restarts of workers and their lists off FleetPlannerWorkers.cpp

No function changed. The timeout margin of polls, which two of them use, moved to their common header; hasAnsweredAbove had no caller.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -164,14 +164,13 @@
     void discardUnstartedRun(const RunKey &key, const char *reason, Millis pause, TimePoint now);
     void markTaskDone(FleetJob &job, FleetTask &task, TimePoint now);
     void recordTaskFailure(FleetJob &job, FleetTask &task, std::int64_t attempt, const std::string &worker, TimePoint now);
-    // FleetPlannerWorkers.cpp: workers
+    // FleetPlannerIncarnations.cpp: restarts of workers, and what late requests may do there
     void handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     // Parts of handleWorkerRestart(): starts that may yet be carried out, runs that may exist in the new incarnation, and what is owed and forgotten there.
     void rememberInheritedStarts(FleetWorker &worker, TimePoint now);
     std::vector<RunKey> keepUnlistedRuns(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now);
     static void oweStopsOfUnansweredStarts(FleetWorker &worker, TimePoint now);
     void forgetIncarnation(FleetWorker &worker, TimePoint now);
-    void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     void assumeLateLease(FleetWorker &worker, TimePoint now) const;
     // Returns true if a late request may have granted the incarnation on which the previous leader's runs are a longer lease than that leader did.
     bool mayHoldInheritedLateLease(const FleetWorker &worker) const;
@@ -184,9 +183,12 @@
     static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     std::map<FleetTaskId, PossibleStarts> possibleStarts() const;
+    // FleetPlannerLists.cpp: what workers list
     void reconcileRuns(FleetWorker &worker, const PollWorkerResponse &response, std::int64_t requestSequence, TimePoint now);
     void reconcileRunningRun(FleetWorker &worker, const RunningRunInfo &row, TimePoint now);
     void reconcileMissingRun(FleetWorker &worker, FleetRun &run, std::int64_t requestSequence, TimePoint now);
+    // FleetPlannerWorkers.cpp: entries, polls and their answers
+    void markRunsLost(FleetWorker &worker, const char *reason, const std::vector<RunKey> &except, TimePoint now);
     // Returns true if an entry names another address or service for the incarnation that the worker itself has confirmed.
     static bool contradicts(const WorkerReport &report, const FleetWorker &worker);
     // Returns true if the incarnation on which the runs of a worker are was at this address.
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -152,8 +152,6 @@
     void rememberIncarnation();
     /// Returns true if the incarnation that started then has ended.
     bool hadIncarnation(std::int64_t unixMs) const;
-    /// Returns true if the present incarnation has answered a poll with a higher fencing token than this, and so refuses a request with this token.
-    bool hasAnsweredAbove(std::int64_t token) const { return answeredToken > token; }
     /// Returns true if the present incarnation refuses all requests that were sent to its predecessors.
     bool refusesEarlierRequests() const { return answeredToken >= requiredToken; }
     /// Returns true if the worker has these resources free.
--- a/src/fleet/FleetPlannerBatch.h
+++ b/src/fleet/FleetPlannerBatch.h
@@ -8,6 +8,9 @@
 
 namespace marjoramhaven {
 
+/// Timeout of a poll beyond the wait that it asks the worker for.
+inline constexpr Millis PollResponseMargin {700};
+
 /// Actions that become allowed once the records of the last batch are stored.
 struct FleetPlanner::Batch {
     /// Ended runs of one incarnation of a worker up to a number, which the worker may then discard.
--- /dev/null
+++ b/src/fleet/FleetPlannerIncarnations.cpp
@@ -0,0 +1,175 @@
+#include <algorithm>
+
+#include "FleetPlannerBatch.h"
+
+namespace marjoramhaven {
+
+namespace {
+
+constexpr Millis UnansweredStopTimeout {600};
+
+} // namespace
+
+void FleetPlanner::handleWorkerRestart(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now)
+{
+    rememberInheritedStarts(worker, now);
+    const auto kept = startedUnixMs == 0 ? std::vector<RunKey> {} : keepUnlistedRuns(worker, startedUnixMs, now);
+    markRunsLost(worker, "worker restarted", kept, now);
+    oweStopsOfUnansweredStarts(worker, now);
+    forgetIncarnation(worker, now);
+    worker.rememberIncarnation();
+    worker.startedUnixMs = startedUnixMs;
+    if (worker.bindingToken > 0) {
+        worker.requiredToken = worker.bindingToken + 1;
+        assumeLateLease(worker, now);
+    }
+    stopUnansweredStarts(worker, now);
+}
+
+// The previous leader may have sent the start request of a run that no list has shown just before the takeover.
+void FleetPlanner::rememberInheritedStarts(FleetWorker &worker, TimePoint now)
+{
+    for (const auto &[key, needs] : worker.allocations) {
+        const auto *run = m_state.findRun(key);
+        if (run != nullptr && run->state == RunState::Inherited) {
+            rememberUnansweredStart(worker, key, run->workerStartedUnixMs, now);
+        }
+    }
+}
+
+// The new incarnation may have received a start request that is not answered yet, or whose answer came before the restart was known. Such a run is kept until
+// the new incarnation has confirmed or stopped it. Returns these runs.
+std::vector<RunKey> FleetPlanner::keepUnlistedRuns(FleetWorker &worker, std::int64_t startedUnixMs, TimePoint now)
+{
+    std::vector<RunKey> kept;
+    for (const auto &[key, needs] : worker.allocations) {
+        auto *run = m_state.findRun(key);
+        const bool isAnswered = run != nullptr && run->state == RunState::Running && !run->isListed;
+        const bool isUnanswered = run != nullptr && (run->state == RunState::Starting || run->state == RunState::Unconfirmed);
+        if (!isAnswered && !isUnanswered) {
+            continue;
+        }
+        if (isAnswered) {
+            setState(*run, RunState::Unconfirmed, now);
+        }
+        run->workerStartedUnixMs = startedUnixMs;
+        run->mayHoldLateLease = true;
+        run->isStopAnswered = false;
+        // The new incarnation may be of another kind.
+        run->repeatStartUntil = {};
+        kept.push_back(key);
+        if (auto *job = m_state.findJob(key.task.job)) {
+            markDirty(*job, key.task);
+        }
+    }
+    return kept;
+}
+
+// A stop that an earlier incarnation confirmed binds the present one to nothing.
+void FleetPlanner::oweStopsOfUnansweredStarts(FleetWorker &worker, TimePoint now)
+{
+    for (auto &it : worker.unansweredStarts) {
+        it.mustStop = true;
+        it.isStopInFlight = false;
+        it.nextStopAt = now;
+    }
+}
+
+// Forgets what the earlier incarnation said of its clock, its lists and its speed; the next list is due at once.
+void FleetPlanner::forgetIncarnation(FleetWorker &worker, TimePoint now)
+{
+    worker.lease.reset();
+    worker.answeredToken = 0;
+    worker.calls.restarted();
+    worker.lastStoredEnd = 0;
+    worker.lastSeenEnd = 0;
+    worker.unstoredEnds.clear();
+    worker.lastListClockMs = 0;
+    worker.isInventoried = false;
+    worker.wasInventoried = false;
+    worker.nextPollAt = now;
+    worker.recentFailures.clear();
+    m_state.speeds.forget(worker.report.id);
+}
+
+// A late request carries a lease end on the clock of an earlier incarnation. The present one limits it to the longest lease from its arrival.
+void FleetPlanner::assumeLateLease(FleetWorker &worker, TimePoint now) const
+{
+    worker.lease.assumeLateGrantUntil(now + LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease));
+}
+
+bool FleetPlanner::mayHoldInheritedLateLease(const FleetWorker &worker) const
+{
+    return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
+        const auto run = m_state.runs.find(it.first);
+        const bool isInherited = run != m_state.runs.end() && run->second.state == RunState::Inherited;
+        return isInherited && (run->second.mayHoldLateLease || namesOtherIncarnation(worker, run->second));
+    });
+}
+
+bool FleetPlanner::namesOtherIncarnation(const FleetWorker &worker, const FleetRun &run)
+{
+    return !worker.report.host.empty() && worker.report.startedUnixMs != run.workerStartedUnixMs;
+}
+
+bool FleetPlanner::wasOpenForLong(const FleetWorker &worker, std::int64_t startedUnixMs) const
+{
+    return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
+        const auto run = m_state.runs.find(it.first);
+        return run != m_state.runs.end() && run->second.state == RunState::Inherited && run->second.workerStartedUnixMs == startedUnixMs
+            && !run->second.mayHoldLateLease;
+    });
+}
+
+std::vector<RunKey> FleetPlanner::runsOfUnknownIncarnation(const FleetWorker &worker, TimePoint now) const
+{
+    const auto longest = LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease);
+    std::vector<RunKey> out;
+    for (const auto &[key, needs] : worker.allocations) {
+        const auto run = m_state.runs.find(key);
+        const bool isAnswered = run != m_state.runs.end() && run->second.startAnsweredAt && !run->second.isListed;
+        if (isAnswered && now < *run->second.startAnsweredAt + longest) {
+            out.push_back(key);
+        }
+    }
+    return out;
+}
+
+void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now)
+{
+    std::erase_if(worker.unansweredStarts, [&key](const auto &it) {
+        return it.key == key;
+    });
+    worker.unansweredStarts.push_back({key, now, worker.startedUnixMs != workerStartedUnixMs, false, now});
+}
+
+void FleetPlanner::stopUnansweredStarts(FleetWorker &worker, TimePoint now)
+{
+    if (worker.startedUnixMs == 0) {
+        return;
+    }
+    for (auto &it : worker.unansweredStarts) {
+        // A run that the planner still knows is stopped by itself, if at all.
+        if (it.mustStop && !it.isStopInFlight && now >= it.nextStopAt && m_state.findRun(it.key) == nullptr) {
+            it.isStopInFlight = true;
+            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, tokenFor(worker), worker.startedUnixMs}, UnansweredStopTimeout);
+        }
+    }
+}
+
+std::map<FleetTaskId, FleetPlanner::PossibleStarts> FleetPlanner::possibleStarts() const
+{
+    std::map<FleetTaskId, PossibleStarts> out;
+    for (const auto &[id, worker] : m_state.workers) {
+        for (const auto &it : worker.unansweredStarts) {
+            auto &starts = out[it.key.task];
+            if (++starts.count == 1 || it.since >= starts.newestSince) {
+                starts.newestWorker = id;
+                starts.newestSince = it.since;
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace marjoramhaven
