The mark of a late lease goes once the lease is over

Cause: a run that is placed within the first 10.2 s of a leader carries a mark in its record, which says that a late call may have granted its worker the longest lease. It stayed for as long as the run, though the lease is over after 10.2 s.

Now the mark is removed, and the part of the progress stored, once no lease of a late call can be left. The test markOfALateLeaseIsRemovedFromTheRecordsOnceTheLeaseIsOver guards it.

--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -111,6 +111,8 @@
     std::string answeredHost;
     int answeredPort = 0;
     WorkerLease lease;
+    /// True if runs of the worker may be marked with FleetRun::mayHoldLateLease.
+    bool hasMarkedRuns = false;
     /// What the polls asked for, for the event log.
     WorkerCallHistory calls;
     TimePoint lastResponseAt {};
--- a/src/fleet/FleetPlannerIncarnations.cpp
+++ b/src/fleet/FleetPlannerIncarnations.cpp
@@ -54,6 +54,7 @@
         }
         run->workerStartedUnixMs = startedUnixMs;
         run->mayHoldLateLease = true;
+        worker.hasMarkedRuns = true;
         run->isStopAnswered = false;
         // The new incarnation may be of another kind.
         run->repeatStartUntil = {};
@@ -98,6 +99,25 @@
     worker.lease.assumeLateGrantUntil(now + LeadershipConfirmation::longestLease(Millis(0), m_limits.maxLease));
 }
 
+void FleetPlanner::removeLateLeaseMarks(FleetWorker &worker, TimePoint now)
+{
+    if (!worker.hasMarkedRuns || !worker.isInventoried || worker.lease.mayBeGrantedLate(now)) {
+        return;
+    }
+    worker.hasMarkedRuns = false;
+    for (const auto &[key, needs] : worker.allocations) {
+        auto *run = m_state.findRun(key);
+        auto *job = m_state.findJob(key.task.job);
+        if (run == nullptr || !run->mayHoldLateLease) {
+            continue;
+        }
+        run->mayHoldLateLease = false;
+        if (job != nullptr && job->find(key.task) != nullptr) {
+            markDirty(*job, key.task);
+        }
+    }
+}
+
 bool FleetPlanner::mayHoldInheritedLateLease(const FleetWorker &worker) const
 {
     return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
--- a/src/fleet/FleetPlannerLists.cpp
+++ b/src/fleet/FleetPlannerLists.cpp
@@ -57,6 +57,7 @@
         orphan.worker = worker.report.id;
         orphan.workerStartedUnixMs = worker.startedUnixMs;
         orphan.mayHoldLateLease = !worker.isInventoried || worker.lease.mayBeGrantedLate(now);
+        worker.hasMarkedRuns = worker.hasMarkedRuns || orphan.mayHoldLateLease;
         setState(orphan, RunState::Running, now);
         const bool isKnownStep = job != nullptr && row.task.step >= 0 && row.task.step < static_cast<int>(job->request().steps.size());
         const RunAllocation unknown {worker.report.capacity, 0, false, false, now};
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -80,6 +80,7 @@
         return now - it.since > m_limits.maxExecutionDelay;
     });
     stopUnansweredStarts(worker, now);
+    removeLateLeaseMarks(worker, now);
     sendPollIfDue(worker, now);
     const bool isSilent = worker.failedPolls > 0 || worker.report.host.empty();
     if (isSilent && !worker.allocations.empty() && worker.lease.hasCertainlyExpired(now)) {
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -32,6 +32,7 @@
     run.worker = worker.report.id;
     run.workerStartedUnixMs = worker.startedUnixMs;
     run.mayHoldLateLease = worker.lease.mayBeGrantedLate(now);
+    worker.hasMarkedRuns = worker.hasMarkedRuns || run.mayHoldLateLease;
     setState(run, RunState::Planned, now);
     run.percentChangedAt = now;
     run.checkpoint = task.checkpoint;
--- a/tests/fleet/LeaseTest.cpp
+++ b/tests/fleet/LeaseTest.cpp
@@ -273,6 +273,32 @@
     }
 }
 
+// Guards against a takeover that keeps lasting tasks waiting for the longest lease, because they began while it had to be assumed, long ago.
+BOOST_AUTO_TEST_CASE(markOfALateLeaseIsRemovedFromTheRecordsOnceTheLeaseIsOver)
+{
+    PlannerScript script(1);
+    script.submit("j", 60000);
+    script.planAndStore();
+    BOOST_REQUIRE_EQUAL(script.port.starts.size(), 1U);
+    script.planner.handleStartResponse(script.port.starts.back(), script.done(), script.now);
+    const auto isMarked = [&script]() {
+        const auto progress = script.planner.progressOf("j");
+        BOOST_REQUIRE(progress && !progress->tasks.empty() && !progress->tasks.front().runs.empty());
+        return progress->tasks.front().runs.front().mayHoldLateLease;
+    };
+    BOOST_TEST(isMarked());
+    const auto markedUntil = script.now + LongestLease;
+    while (script.now < markedUntil - Millis(250)) {
+        BOOST_REQUIRE(isMarked());
+        script.advance(Millis(250));
+        script.answerPoll("w0", {{{"j", 0, 0, 0}, 1, {}, 1, 0}});
+    }
+    script.planner.batchStored(script.planner.takeBatch(script.now).number, script.now);
+    script.advance(Millis(500));
+    BOOST_TEST(!isMarked());
+    BOOST_TEST(script.planner.hasUnstoredChanges());
+}
+
 // Guards against a takeover that keeps tasks waiting for the longest lease where the predecessor's records show that no late call can have granted it.
 BOOST_AUTO_TEST_CASE(successorAssumesNoLateLeaseWhereTheIncarnationWasOpenForLong)
 {
