--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -8,6 +8,9 @@
 
 namespace marjoramhaven::test {
 
+/// The longest lease of a worker, on the clock of a planner that runs faster by as much as it may.
+inline constexpr Millis LongestLease {PlannerLimits {}.maxLease.count() * 100 / 98};
+
 /// Records the planner's requests, so that a test answers them in the order that it needs.
 struct RecordingTransport : public PlannerTransport {
     std::vector<StartRunRequest> starts;
