--- a/tests/fleet/LateLeaseTest.cpp
+++ b/tests/fleet/LateLeaseTest.cpp
@@ -227,7 +227,7 @@
     }
 }
 
-// Guards against tasks that run twice: workers start again, carry out polls that were meant for their former lives, and are cut off right after a takeover.
+// Guards against tasks that run twice: workers start again, carry out polls that were meant for earlier incarnations, and are cut off right after a takeover.
 BOOST_AUTO_TEST_CASE(runsOfRestartedWorkersThatAreCutOffAfterATakeoverDoNotStartElsewhereTooEarly)
 {
     for (std::uint64_t seed = 1; seed <= 24; ++seed) {
