Split the store off the stand-in of the platform for tests

The store is a class of its own now (StoreStandIn), with its contents and faults; WireStandIn has the sockets and the workers.

--- a/tests/adapter/FleetNodesTest.cpp
+++ b/tests/adapter/FleetNodesTest.cpp
@@ -78,10 +78,10 @@
             return fleet.areReady();
         },
         3000));
-    fleet.platform.setStoreDown(true);
+    fleet.platform.store().setDown(true);
     const auto answer = fleet.call(0, "POST", "/q/00000000000000c0", Job);
     BOOST_TEST(answer.status == 503);
-    fleet.platform.setStoreDown(false);
+    fleet.platform.store().setDown(false);
     waitFor(
         []() {
             return false;
@@ -99,12 +99,12 @@
             return fleet.areReady();
         },
         3000));
-    fleet.platform.setLosingAppendAnswers(true);
+    fleet.platform.store().setLosingAppendAnswers(true);
     BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000d0", Job).status == 504);
-    fleet.platform.setLosingAppendAnswers(false);
-    fleet.platform.setStoreDown(true);
+    fleet.platform.store().setLosingAppendAnswers(false);
+    fleet.platform.store().setDown(true);
     BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000d0", Job).status == 504);
-    fleet.platform.setStoreDown(false);
+    fleet.platform.store().setDown(false);
     BOOST_TEST(waitFor(
         [&]() {
             return fleet.platform.startCount() > 0;
@@ -121,7 +121,7 @@
             return fleet.areReady();
         },
         3000));
-    fleet.platform.setLosingAppendAnswers(true);
+    fleet.platform.store().setLosingAppendAnswers(true);
     BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f0", Job).status == 504);
     fleet.nodes[0]->api.setEnd(monotonicNow());
     BOOST_TEST(fleet.call(0, "POST", "/q/00000000000000f0", Job).status == 504);
@@ -137,10 +137,10 @@
             return fleet.areReady();
         },
         3000));
-    fleet.platform.setLosingAppendAnswers(true);
+    fleet.platform.store().setLosingAppendAnswers(true);
     BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e0").status == 504);
-    fleet.platform.setLosingAppendAnswers(false);
-    fleet.platform.setStoreDown(true);
+    fleet.platform.store().setLosingAppendAnswers(false);
+    fleet.platform.store().setDown(true);
     BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e0").status == 504);
     // One that was never sent is refused.
     BOOST_TEST(fleet.call(0, "DELETE", "/q/00000000000000e1").status == 503);
--- a/tests/adapter/FleetProcesses.h
+++ b/tests/adapter/FleetProcesses.h
@@ -27,7 +27,7 @@
     out.store = {"127.0.0.1", platform.storePort()};
     out.advisor = {"127.0.0.1", platform.advisorPort()};
     out.peers = {"127.0.0.1", freePort()};
-    out.storeMaxRecordBytes = platform.maxRecordBytes;
+    out.storeMaxRecordBytes = platform.store().maxRecordBytes;
     return out;
 }
 
@@ -71,7 +71,7 @@
     explicit Fleet(int count, std::int64_t maxRecordBytes = 262'144, int workers = 4)
         : platform(workers)
     {
-        platform.maxRecordBytes = maxRecordBytes;
+        platform.store().maxRecordBytes = maxRecordBytes;
         platform.putConfiguration(3, "host.example", {"/q/"}, true);
         for (int i = 0; i < count; ++i) {
             nodes.push_back(std::make_unique<Node>("node-" + std::to_string(i), platform));
--- a/tests/adapter/LateCallsTest.cpp
+++ b/tests/adapter/LateCallsTest.cpp
@@ -120,7 +120,7 @@
     // Returns the entry of the first worker, but with the address of the second and a start that is so much later.
     std::string entryAtOtherAddress(Millis bornChange) const
     {
-        auto out = Json::parse(platform.newestValue("keyed.servers", "i-0").value());
+        auto out = Json::parse(platform.store().newestValue("keyed.servers", "i-0").value());
         out["address"] = "127.0.0.1:" + std::to_string(platform.workerPort(1));
         out["born"] = out["born"].get<std::int64_t>() + bornChange.count();
         return out.dump();
@@ -178,7 +178,7 @@
     const auto stale = late.entryAtOtherAddress(Millis(0));
     late.platform.restartWorker(0);
     late.startOnFirstWorker();
-    late.platform.put("keyed.servers", "i-0", stale);
+    late.platform.store().put("keyed.servers", "i-0", stale);
     wait(Millis(3000));
     BOOST_TEST(late.mostAtOnce == 1);
 }
@@ -241,7 +241,7 @@
 {
     LateFleet late(2);
     late.startOnFirstWorker();
-    late.platform.put("keyed.servers", "i-0", late.entryAtOtherAddress(Millis(100)));
+    late.platform.store().put("keyed.servers", "i-0", late.entryAtOtherAddress(Millis(100)));
     wait(Millis(3000));
     BOOST_TEST(late.mostAtOnce == 1);
 }
--- a/tests/adapter/WireTest.cpp
+++ b/tests/adapter/WireTest.cpp
@@ -64,7 +64,7 @@
     request.writer = WriterEpoch {"planner", 5, 1};
     BOOST_TEST((fixture.append(request).outcome == AppendOutcome::Stored));
     BOOST_TEST((fixture.append(request).outcome == AppendOutcome::Stored));
-    BOOST_TEST(fixture.platform.topicSize("keyed.leadership") == 1U);
+    BOOST_TEST(fixture.platform.store().topicSize("keyed.leadership") == 1U);
     request.writer->epoch = 4;
     BOOST_TEST((fixture.append(request).outcome == AppendOutcome::Fenced));
 }
@@ -72,7 +72,7 @@
 BOOST_AUTO_TEST_CASE(appendIsRefusedWhileTheStoreIsDown)
 {
     Fixture fixture;
-    fixture.platform.setStoreDown(true);
+    fixture.platform.store().setDown(true);
     BOOST_TEST((fixture.append(fixture.request("k", "v")).outcome == AppendOutcome::Refused));
 }
 
@@ -118,7 +118,7 @@
 {
     Fixture fixture;
     fixture.append(fixture.request("a", "1"));
-    fixture.platform.compact("keyed.leadership");
+    fixture.platform.store().compact("keyed.leadership");
     std::optional<ReadResult> out;
     fixture.log.read(StateTopic::Leadership, 0, Millis(0), Millis(2000), [&](const ReadResult &result) {
         out = result;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -46,7 +46,7 @@
 {
     // Runs a copy of the program: a build that replaces the program during the soak would make starts fail, which looks like a crash.
     QFile::copy(QLatin1String(MARJORAMHAVEN_BINARY), m_folder.filePath(QLatin1String("marjoramhaven")));
-    m_platform.newestPageSize = StorePageSize;
+    m_platform.store().newestPageSize = StorePageSize;
     m_platform.onRunEvent = [this](const RunEvent &event) {
         m_checker.handleRunEvent(event);
     };
@@ -214,10 +214,10 @@
 void Soak::injectIntoStore(SoakFault fault)
 {
     if (fault == SoakFault::StoreDown) {
-        m_platform.setStoreDown(true);
+        m_platform.store().setDown(true);
         m_operator->noteDisturbance(monotonicNow());
         runAfter(randomFaultDuration(), [this]() {
-            m_platform.setStoreDown(false);
+            m_platform.store().setDown(false);
             m_operator->noteDisturbance(monotonicNow());
         });
         return;
@@ -289,7 +289,7 @@
 
 std::optional<std::size_t> Soak::leader() const
 {
-    const auto value = m_platform.newestValue("keyed.leadership", "planner");
+    const auto value = m_platform.store().newestValue("keyed.leadership", "planner");
     const auto record = value ? decodeLeadership(*value) : std::nullopt;
     for (std::size_t i = 0; record && i < m_nodes.size(); ++i) {
         if (m_nodes[i]->name() == record->node) {
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -12,6 +12,7 @@
 
 #include "marjoramhaven/http/HttpServer.h"
 #include "marjoramhaven/standin/FleetWorkerModel.h"
+#include "support/StoreStandIn.h"
 
 namespace marjoramhaven::test {
 
@@ -30,25 +31,14 @@
     /// Writes a configuration with a queue for each path prefix under a host name, and a number of further queues, each under a prefix of its own. With
     /// `needsAdvice`, the first queue's steps run only on workers that the advisor allows.
     void putConfiguration(std::int64_t version, const std::string &host, const std::vector<std::string> &prefixes, bool needsAdvice, int furtherQueues = 0);
-    /// Maximum number of records in a page of the newest ones. Small, so that short tests read several pages.
-    std::size_t newestPageSize = 3;
-    /// Largest record that the store takes, in bytes. An append with a larger one gets status 400.
-    std::int64_t maxRecordBytes = 262'144;
-    /// Appends a record to a topic of the store, as an operator or a worker does. Without a value, the record deletes the key.
-    void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
-    /// Takes the store down or up. While it is down, every call to it gets status 503.
-    void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
-    /// While true, the store carries out appends but does not answer them.
-    void setLosingAppendAnswers(bool isLosing) { m_isLosingAppendAnswers = isLosing; }
+    /// The store's contents and faults.
+    StoreStandIn &store() { return m_storeModel; }
+    const StoreStandIn &store() const { return m_storeModel; }
     /// While true, the workers answer stop requests with status 503 and carry none out.
     void setRefusingStops(bool isRefusing) { m_isRefusingStops = isRefusing; }
-    /// Compacts a topic: reads from any offset before its present end get status 410, and only the newest record of each key can be fetched.
-    void compact(const std::string &topic);
     /// Opens another port of the store, for the reader of a cut-off simulation, and returns it. Where a record names one of these ports of a worker or a
     /// process, that reader finds the other one, such as that of a proxy on its own way there.
     int addStoreView(std::map<int, int> ports);
-    /// Returns the value of the newest record with a key in a topic, or `std::nullopt` if there is none.
-    std::optional<std::string> newestValue(const std::string &topic, const std::string &key) const;
     /// Publishes another port for a worker, such as that of a proxy.
     void advertisePort(std::size_t worker, int port);
     int workerPort(std::size_t worker) const { return m_workers[worker]->report().port; }
@@ -72,24 +62,8 @@
     int startCountOf(const std::string &task) const;
     /// Returns how many runs have started on any worker.
     int startCount() const { return static_cast<int>(m_startedTasks.size()); }
-    std::size_t topicSize(const std::string &topic) const;
 
 private:
-    struct Topic {
-        std::vector<std::pair<std::string, std::optional<std::string>>> records;
-        std::int64_t first = 0;
-        std::map<std::string, std::pair<std::int64_t, std::int64_t>> producers;
-    };
-    // The ports that one reader of the store finds in place of others.
-    using PortView = std::map<int, int>;
-    struct PendingRead {
-        const PortView *view = nullptr;
-        std::string topic;
-        std::int64_t from = 0;
-        qsizetype maxBytes = 0;
-        TimePoint until;
-        HttpRespond respond;
-    };
     struct PendingPoll {
         std::size_t worker = 0;
         PollWorkerRequest request;
@@ -102,13 +76,6 @@
         HttpRequest request;
     };
 
-    void handleStore(const HttpRequest &request, const PortView &view, HttpRespond respond);
-    HttpResponse append(const HttpRequest &request);
-    bool hasTooLargeRecord(const QByteArray &records) const;
-    HttpResponse newest(const HttpRequest &request, const PortView &view) const;
-    // Returns the value of a record as a reader with this view finds it.
-    static std::string valueIn(const PortView &view, const std::string &topic, const std::string &value);
-    HttpResponse readRecords(const PendingRead &reader) const;
     void handleWorker(std::size_t worker, const HttpRequest &request, HttpRespond respond);
     HttpResponse changeRun(std::size_t worker, const HttpRequest &request);
     static PollWorkerRequest pollOf(const HttpRequest &request);
@@ -118,18 +85,15 @@
     void writeInventoryEntry(std::size_t worker);
     void recordRunEvent(const RunEvent &event);
 
-    const PortView m_plainView;
+    const StoreStandIn::PortView m_plainView;
+    StoreStandIn m_storeModel;
     HttpServer m_store;
-    std::vector<std::unique_ptr<PortView>> m_views;
+    std::vector<std::unique_ptr<StoreStandIn::PortView>> m_views;
     std::vector<std::unique_ptr<HttpServer>> m_viewServers;
     HttpServer m_advisor;
     int m_storePort = 0;
     int m_advisorPort = 0;
-    bool m_isStoreDown = false;
-    bool m_isLosingAppendAnswers = false;
     bool m_isRefusingStops = false;
-    std::map<std::string, Topic> m_topics;
-    std::vector<PendingRead> m_pendingReads;
     std::vector<PendingPoll> m_pendingPolls;
     std::vector<KeptCall> m_keptCalls;
     int m_lateCallCount = 0;
