A call whose connection is ready after its time limit is not sent

What callers would see: a task that must run once runs twice.

Cause: the HTTP client checks the time limit of a call when it takes the call off its queue, and leaves the rest to a timer. The kernel goes on connecting while the process stands still. When it goes on, the connection's readiness is handled before the timer, and the request is written, however long ago it was decided. A worker that started again meanwhile takes a lease of it that counts from its arrival, which no successor waits for: it assumes that a call takes effect within 13 s of its decision.

The limit is checked once more right before the request is written, also for its second sending.

--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -229,6 +229,11 @@
 
     void send()
     {
+        // A process that stood still may get here before the timer that ends the call is handled.
+        if (m_pending->deadline <= std::chrono::steady_clock::now()) {
+            fail("timeout");
+            return;
+        }
         ++m_sendings;
         http::async_write(m_socket, m_request, [self = this->shared_from_this(), pending = m_pending](const boost::system::error_code &ec, std::size_t) {
             if (self->m_pending != pending) {
