A request to a worker is not sent after a pause that began after its decision

What callers would see: a task that must run once runs twice.

Cause: whether the leader may still grant a lease is checked with the time at which an event began. If the process stands still between that and the call, the call's time limit began only after the pause. So a start or a poll could leave any time after its permission had ended. On the incarnation that it was meant for, the end of the lease on that worker's clock bounds it; a worker that has started again counts from the arrival.

Now the planner's requests carry the time of their decision down to the HTTP client, which sends them no later than their time limit after it, on the clock that also counts a suspension of the machine. Otherwise they fail as unsent, which they are.

Evidence: requestThatWasDecidedOnTooLongAgoIsNotSent would start the task on the code before, which had no way to tell a call when it was decided on (the test does not compile there); requestsToWorkersTellWhenTheyWereDecidedOn guards the way through the planner's process. No assertion of another test was changed; their calls to workers name the limit in braces now.

--- a/include/marjoramhaven/fleet/FleetClients.h
+++ b/include/marjoramhaven/fleet/FleetClients.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "marjoramhaven/base/EnumNames.h"
+#include "marjoramhaven/base/Time.h"
 #include "marjoramhaven/fleet/FleetJob.h"
 
 namespace marjoramhaven {
@@ -175,16 +177,24 @@
     std::string reason;
 };
 
+/// Time limit of a request to a worker.
+struct CallLimit {
+    /// Time limit for the whole call.
+    Millis timeout {0};
+    /// When the request was decided on. If set, the request is not sent later than `timeout` after that, even if the process stood still in between.
+    std::optional<TimePoint> decidedAt {};
+};
+
 /// Client for the API of workers. Each call invokes its callback exactly once, on the caller's thread.
 class WorkerClient
 {
 public:
     virtual ~WorkerClient() = default;
 
-    virtual void start(const StartRunRequest &request, Millis timeout, std::function<void(const WorkerResponse &)> done) = 0;
-    virtual void stop(const StopRunRequest &request, Millis timeout, std::function<void(const WorkerResponse &)> done) = 0;
-    virtual void throttle(const ThrottleRunRequest &request, Millis timeout, std::function<void(const WorkerResponse &)> done) = 0;
-    virtual void poll(const PollWorkerRequest &request, Millis timeout, std::function<void(const PollWorkerResponse &)> done) = 0;
+    virtual void start(const StartRunRequest &request, const CallLimit &limit, std::function<void(const WorkerResponse &)> done) = 0;
+    virtual void stop(const StopRunRequest &request, const CallLimit &limit, std::function<void(const WorkerResponse &)> done) = 0;
+    virtual void throttle(const ThrottleRunRequest &request, const CallLimit &limit, std::function<void(const WorkerResponse &)> done) = 0;
+    virtual void poll(const PollWorkerRequest &request, const CallLimit &limit, std::function<void(const PollWorkerResponse &)> done) = 0;
 };
 
 /// A worker that the advisor allows to run a step, with the ticket to present to it.
--- a/include/marjoramhaven/fleetnode/PlannerHost.h
+++ b/include/marjoramhaven/fleetnode/PlannerHost.h
@@ -85,10 +85,10 @@
     /// Key of the record that raises the writer epoch of the progress topic before anything is read. No job has this name.
     static constexpr char FenceKey[] = "!fence";
 
-    void sendStart(const StartRunRequest &request, Millis timeout) override;
-    void sendStop(const StopRunRequest &request, Millis timeout) override;
-    void sendThrottle(const ThrottleRunRequest &request, Millis timeout) override;
-    void sendPoll(const PollWorkerRequest &request, Millis timeout) override;
+    void sendStart(const StartRunRequest &request, TimePoint decidedAt, Millis timeout) override;
+    void sendStop(const StopRunRequest &request, TimePoint decidedAt, Millis timeout) override;
+    void sendThrottle(const ThrottleRunRequest &request, TimePoint decidedAt, Millis timeout) override;
+    void sendPoll(const PollWorkerRequest &request, TimePoint decidedAt, Millis timeout) override;
     void sendAdviceRequest(const AdviceRequest &request) override;
     void fencedByWorker(const std::string &worker) override;
 
--- a/include/marjoramhaven/http/PooledHttpClient.h
+++ b/include/marjoramhaven/http/PooledHttpClient.h
@@ -34,6 +34,9 @@
     bool mayResend = true;
     /// Time limit for the whole call: waiting for a free connection, connecting, sending, and receiving the response.
     Millis timeout {1000};
+    /// When the request was decided on. If set, the request is not sent later than `timeout` after that, even if the process stood still in between; the call
+    /// then fails as unsent. Otherwise the same holds from when the call is made.
+    std::optional<TimePoint> decidedAt {};
     /// If set, `timeout` ends when the first bytes of the response arrive. From then on the call fails only when no further bytes arrive for this long. For
     /// responses whose size is not known beforehand, which take long on a slow link although nothing is wrong.
     std::optional<Millis> stallTimeout;
--- a/src/fleet/FleetPlannerIncarnations.cpp
+++ b/src/fleet/FleetPlannerIncarnations.cpp
@@ -172,7 +172,7 @@
         // A run that the planner still knows is stopped by itself, if at all.
         if (it.mustStop && !it.isStopInFlight && now >= it.nextStopAt && m_state.findRun(it.key) == nullptr) {
             it.isStopInFlight = true;
-            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, tokenFor(worker), worker.startedUnixMs}, UnansweredStopTimeout);
+            m_port.sendStop({worker.target(), it.key.task, it.key.attempt, tokenFor(worker), worker.startedUnixMs}, now, UnansweredStopTimeout);
         }
     }
 }
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -206,7 +206,7 @@
     run.isThrottleInFlight = true;
     run.speedChangedAt = now;
     const auto &worker = m_state.findOrCreateWorker(run.worker);
-    m_port.sendThrottle({worker.target(), run.key.task, run.key.attempt, percent, tokenFor(worker)}, ThrottleTimeout);
+    m_port.sendThrottle({worker.target(), run.key.task, run.key.attempt, percent, tokenFor(worker)}, now, ThrottleTimeout);
 }
 
 void FleetPlanner::handleThrottleResponse(const ThrottleRunRequest &request, const WorkerResponse &response, TimePoint now)
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -107,7 +107,7 @@
     request.ticket = FleetState::queueOf(*job).needsAdvice ? m_state.advice.ticket(stepOf(run.key.task), run.worker) : std::string();
     request.workerStartedUnixMs = run.workerStartedUnixMs;
     worker.calls.startSent(request.leaseUntilMs > 0, now);
-    m_port.sendStart(request, StartTimeout);
+    m_port.sendStart(request, now, StartTimeout);
 }
 
 void FleetPlanner::handleStartResponse(const StartRunRequest &request, const WorkerResponse &response, TimePoint now)
--- a/src/fleet/FleetPlannerStops.cpp
+++ b/src/fleet/FleetPlannerStops.cpp
@@ -77,7 +77,7 @@
         return;
     }
     run.isStopInFlight = true;
-    m_port.sendStop({worker.target(), run.key.task, run.key.attempt, tokenFor(worker), run.workerStartedUnixMs}, StopTimeout);
+    m_port.sendStop({worker.target(), run.key.task, run.key.attempt, tokenFor(worker), run.workerStartedUnixMs}, now, StopTimeout);
 }
 
 void FleetPlanner::handleStopResponse(const StopRunRequest &request, const WorkerResponse &response, TimePoint now)
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -166,7 +166,7 @@
     worker.isPollInFlight = true;
     worker.pollSequence = request.sequence;
     worker.calls.pollSent(request.acknowledged, request.leaseUntilMs > 0, now);
-    m_port.sendPoll(request, request.wait + PollResponseMargin);
+    m_port.sendPoll(request, now, request.wait + PollResponseMargin);
 }
 
 void FleetPlanner::handlePollResponse(const PollWorkerRequest &request, const PollWorkerResponse &response, TimePoint now)
--- a/src/fleetnode/PlannerHost.cpp
+++ b/src/fleetnode/PlannerHost.cpp
@@ -266,11 +266,11 @@
     storeProgress();
 }
 
-void PlannerHost::sendStart(const StartRunRequest &request, Millis timeout)
+void PlannerHost::sendStart(const StartRunRequest &request, TimePoint decidedAt, Millis timeout)
 {
     const std::weak_ptr<bool> alive = m_alive;
     const auto sentAt = monotonicNow();
-    m_services.workers.start(request, timeout, [this, alive, request, sentAt](const WorkerResponse &answer) {
+    m_services.workers.start(request, {timeout, decidedAt}, [this, alive, request, sentAt](const WorkerResponse &answer) {
         if (alive.expired()) {
             return;
         }
@@ -281,30 +281,30 @@
     });
 }
 
-void PlannerHost::sendStop(const StopRunRequest &request, Millis timeout)
+void PlannerHost::sendStop(const StopRunRequest &request, TimePoint decidedAt, Millis timeout)
 {
     const std::weak_ptr<bool> alive = m_alive;
-    m_services.workers.stop(request, timeout, [this, alive, request](const WorkerResponse &answer) {
+    m_services.workers.stop(request, {timeout, decidedAt}, [this, alive, request](const WorkerResponse &answer) {
         if (!alive.expired()) {
             m_planner.handleStopResponse(request, answer, monotonicNow());
         }
     });
 }
 
-void PlannerHost::sendThrottle(const ThrottleRunRequest &request, Millis timeout)
+void PlannerHost::sendThrottle(const ThrottleRunRequest &request, TimePoint decidedAt, Millis timeout)
 {
     const std::weak_ptr<bool> alive = m_alive;
-    m_services.workers.throttle(request, timeout, [this, alive, request](const WorkerResponse &answer) {
+    m_services.workers.throttle(request, {timeout, decidedAt}, [this, alive, request](const WorkerResponse &answer) {
         if (!alive.expired()) {
             m_planner.handleThrottleResponse(request, answer, monotonicNow());
         }
     });
 }
 
-void PlannerHost::sendPoll(const PollWorkerRequest &request, Millis timeout)
+void PlannerHost::sendPoll(const PollWorkerRequest &request, TimePoint decidedAt, Millis timeout)
 {
     const std::weak_ptr<bool> alive = m_alive;
-    m_services.workers.poll(request, timeout, [this, alive, request](const PollWorkerResponse &answer) {
+    m_services.workers.poll(request, {timeout, decidedAt}, [this, alive, request](const PollWorkerResponse &answer) {
         if (!alive.expired()) {
             m_planner.handlePollResponse(request, answer, monotonicNow());
             schedulePlan();
--- a/src/http/PooledHttpClient.cpp
+++ b/src/http/PooledHttpClient.cpp
@@ -32,6 +32,8 @@
     OutgoingCall call;
     PooledHttpClient::Done done;
     std::chrono::steady_clock::time_point deadline;
+    // The request is not sent after this, whichever time the timers of the I/O thread count.
+    TimePoint sendBy {};
 };
 
 } // namespace
@@ -230,8 +232,8 @@
     void send()
     {
         // A process that stood still may get here before the timer that ends the call is handled.
-        if (m_pending->deadline <= std::chrono::steady_clock::now()) {
-            fail("timeout");
+        if (monotonicNow() > m_pending->sendBy) {
+            fail("the time limit had passed when the request was to be sent");
             return;
         }
         ++m_sendings;
@@ -445,6 +447,7 @@
 {
     auto pending = std::make_shared<PendingCall>();
     pending->deadline = std::chrono::steady_clock::now() + call.timeout;
+    pending->sendBy = call.decidedAt.value_or(monotonicNow()) + call.timeout;
     pending->call = std::move(call);
     pending->done = std::move(done);
     m_loop->submit(std::move(pending));
--- a/tests/adapter/MalformedInputTest.cpp
+++ b/tests/adapter/MalformedInputTest.cpp
@@ -70,7 +70,7 @@
     {
         body = QByteArray::fromStdString(text);
         return await<PollWorkerResponse>([this](auto done) {
-            workers.poll({{"w", "127.0.0.1", port}, 0, 1, 0, Millis(0), 0}, Millis(3000), std::move(done));
+            workers.poll({{"w", "127.0.0.1", port}, 0, 1, 0, Millis(0), 0}, {Millis(3000)}, std::move(done));
         });
     }
 };
--- a/tests/adapter/RepeatedCallTest.cpp
+++ b/tests/adapter/RepeatedCallTest.cpp
@@ -50,14 +50,14 @@
     {
         const StartRunRequest request {target(), {"0123456789abcdef", 0, 0, 3}, 1, "p", 60'000, 7, {}, {}};
         return callWorker([&](const auto &done) {
-            workers.start(request, Timeout, done);
+            workers.start(request, {Timeout}, done);
         });
     }
 
     WorkerResponse stop()
     {
         return callWorker([&](const auto &done) {
-            workers.stop({target(), {"0123456789abcdef", 0, 0, 3}, 1, 7}, Timeout, done);
+            workers.stop({target(), {"0123456789abcdef", 0, 0, 3}, 1, 7}, {Timeout}, done);
         });
     }
 
--- a/tests/adapter/SlowLinkTest.cpp
+++ b/tests/adapter/SlowLinkTest.cpp
@@ -138,7 +138,7 @@
         request.attempt = 1;
         request.leaseUntilMs = leaseUntilMs;
         request.fencingToken = 1;
-        workers.start(request, Millis(5000), [&started](const WorkerResponse &answer) {
+        workers.start(request, {Millis(5000)}, [&started](const WorkerResponse &answer) {
             started += answer.outcome == WorkerCallOutcome::Done ? 1 : 0;
         });
     }
@@ -154,7 +154,7 @@
     request.worker = {target.id, target.host, target.port};
     request.fencingToken = 1;
     std::optional<PollWorkerResponse> out;
-    workers.poll(request, PollTimeout, [&out](const PollWorkerResponse &answer) {
+    workers.poll(request, {PollTimeout}, [&out](const PollWorkerResponse &answer) {
         out = answer;
     });
     BOOST_TEST(waitFor(
--- a/tests/adapter/WireTest.cpp
+++ b/tests/adapter/WireTest.cpp
@@ -152,7 +152,7 @@
     const auto leaseUntil = report->clockMs + 60'000;
     StartRunRequest startRequest {target, {"0123456789abcdef", 0, 0, 3}, 1, "p", leaseUntil, 7, {}, {}};
     std::optional<WorkerResponse> started;
-    fixture.workers.start(startRequest, Millis(2000), [&](const WorkerResponse &answer) {
+    fixture.workers.start(startRequest, {Millis(2000)}, [&](const WorkerResponse &answer) {
         started = answer;
     });
     waitFor(
@@ -162,7 +162,7 @@
         3000);
     BOOST_TEST((started->outcome == WorkerCallOutcome::Done));
     std::optional<PollWorkerResponse> held;
-    fixture.workers.poll({target, leaseUntil, 7, 0, Millis(1000)}, Millis(2000), [&](const PollWorkerResponse &answer) {
+    fixture.workers.poll({target, leaseUntil, 7, 0, Millis(1000)}, {Millis(2000)}, [&](const PollWorkerResponse &answer) {
         held = answer;
     });
     waitFor(
@@ -175,7 +175,7 @@
     BOOST_TEST(held->startedUnixMs == 1000);
     startRequest.fencingToken = 6;
     started.reset();
-    fixture.workers.start(startRequest, Millis(2000), [&](const WorkerResponse &answer) {
+    fixture.workers.start(startRequest, {Millis(2000)}, [&](const WorkerResponse &answer) {
         started = answer;
     });
     waitFor(
@@ -186,7 +186,7 @@
     BOOST_TEST((started->outcome == WorkerCallOutcome::Fenced));
     target.id = "i-other";
     started.reset();
-    fixture.workers.stop({target, startRequest.task, 1, 7}, Millis(2000), [&](const WorkerResponse &answer) {
+    fixture.workers.stop({target, startRequest.task, 1, 7}, {Millis(2000)}, [&](const WorkerResponse &answer) {
         started = answer;
     });
     waitFor(
@@ -238,4 +238,29 @@
     }
 }
 
+// Guards against a start that is sent after a pause of the process, though its permission was checked before the pause.
+BOOST_AUTO_TEST_CASE(requestThatWasDecidedOnTooLongAgoIsNotSent)
+{
+    constexpr Millis Timeout {600};
+    for (const bool isTooLate : {true, false}) {
+        Fixture fixture;
+        const WorkerAddress target {"i-0", "127.0.0.1", fixture.platform.workerPort(0)};
+        const auto leaseUntil = fixture.platform.worker(0).reportAt(monotonicNow()).clockMs + 60'000;
+        const StartRunRequest request {target, {"0123456789abcdef", 0, 0, 3}, 1, "p", leaseUntil, 7, {}, {}};
+        const auto decidedAt = monotonicNow() - (isTooLate ? Timeout + Millis(1) : Millis(0));
+        std::optional<WorkerResponse> started;
+        fixture.workers.start(request, {Timeout, decidedAt}, [&](const WorkerResponse &answer) {
+            started = answer;
+        });
+        waitFor(
+            [&]() {
+                return started.has_value();
+            },
+            3000);
+        BOOST_REQUIRE(started);
+        BOOST_TEST((started->outcome == (isTooLate ? WorkerCallOutcome::Unsent : WorkerCallOutcome::Done)));
+        BOOST_TEST(fixture.platform.startCount() == (isTooLate ? 0 : 1));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/FakeFleetPlanner.h
+++ b/tests/fleet/FakeFleetPlanner.h
@@ -134,7 +134,7 @@
 
     std::shared_ptr<PlannerProcess> self() { return shared_from_this(); }
 
-    void sendStart(const StartRunRequest &request, Millis timeout) override
+    void sendStart(const StartRunRequest &request, TimePoint /*decidedAt*/, Millis timeout) override
     {
         const auto issuedAt = request.ticket.empty() ? fleet.m_now : TimePoint {} + Millis(std::stoll(request.ticket));
         const bool isExpired = fleet.queue.needsAdvice && fleet.m_now - issuedAt > Millis(fleet.queue.ticketValidityMs);
@@ -152,7 +152,7 @@
             });
     }
 
-    void sendStop(const StopRunRequest &request, Millis timeout) override
+    void sendStop(const StopRunRequest &request, TimePoint /*decidedAt*/, Millis timeout) override
     {
         sendToWorker<WorkerResponse>(
             self(),
@@ -166,7 +166,7 @@
             });
     }
 
-    void sendThrottle(const ThrottleRunRequest &request, Millis timeout) override
+    void sendThrottle(const ThrottleRunRequest &request, TimePoint /*decidedAt*/, Millis timeout) override
     {
         sendToWorker<WorkerResponse>(
             self(),
@@ -181,7 +181,7 @@
     }
 
     // Long poll: the worker answers when a run ends or when the requested wait is over.
-    void sendPoll(const PollWorkerRequest &request, Millis timeout) override
+    void sendPoll(const PollWorkerRequest &request, TimePoint /*decidedAt*/, Millis timeout) override
     {
         const auto i = indexOf(request.worker.id);
         const auto process = self();
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -20,10 +20,10 @@
     std::vector<AdviceRequest> advice;
     std::vector<std::string> fences;
 
-    void sendStart(const StartRunRequest &request, Millis /*timeout*/) override { starts.push_back(request); }
-    void sendStop(const StopRunRequest &request, Millis /*timeout*/) override { stops.push_back(request); }
-    void sendThrottle(const ThrottleRunRequest &request, Millis /*timeout*/) override { throttles.push_back(request); }
-    void sendPoll(const PollWorkerRequest &request, Millis /*timeout*/) override { polls.push_back(request); }
+    void sendStart(const StartRunRequest &request, TimePoint /*decidedAt*/, Millis /*timeout*/) override { starts.push_back(request); }
+    void sendStop(const StopRunRequest &request, TimePoint /*decidedAt*/, Millis /*timeout*/) override { stops.push_back(request); }
+    void sendThrottle(const ThrottleRunRequest &request, TimePoint /*decidedAt*/, Millis /*timeout*/) override { throttles.push_back(request); }
+    void sendPoll(const PollWorkerRequest &request, TimePoint /*decidedAt*/, Millis /*timeout*/) override { polls.push_back(request); }
     void sendAdviceRequest(const AdviceRequest &request) override { advice.push_back(request); }
     void fencedByWorker(const std::string &worker) override { fences.push_back(worker); }
 };
--- a/tests/fleetnode/FleetNodeFixture.h
+++ b/tests/fleetnode/FleetNodeFixture.h
@@ -20,22 +20,23 @@
 class AcceptingWorkers : public WorkerClient
 {
 public:
-    void start(const StartRunRequest &request, Millis /*timeout*/, std::function<void(const WorkerResponse &)> done) override
+    void start(const StartRunRequest &request, const CallLimit & /*limit*/, std::function<void(const WorkerResponse &)> done) override
     {
         started.push_back(request);
         done({WorkerCallOutcome::Done, 1000, {}});
     }
-    void stop(const StopRunRequest & /*request*/, Millis /*timeout*/, std::function<void(const WorkerResponse &)> done) override
+    void stop(const StopRunRequest & /*request*/, const CallLimit & /*limit*/, std::function<void(const WorkerResponse &)> done) override
     {
         done({WorkerCallOutcome::Done, 1000, {}});
     }
-    void throttle(const ThrottleRunRequest & /*request*/, Millis /*timeout*/, std::function<void(const WorkerResponse &)> done) override
+    void throttle(const ThrottleRunRequest & /*request*/, const CallLimit & /*limit*/, std::function<void(const WorkerResponse &)> done) override
     {
         done({WorkerCallOutcome::Done, 1000, {}});
     }
-    void poll(const PollWorkerRequest &request, Millis /*timeout*/, std::function<void(const PollWorkerResponse &)> done) override
+    void poll(const PollWorkerRequest &request, const CallLimit &limit, std::function<void(const PollWorkerResponse &)> done) override
     {
         polled.push_back(request);
+        pollLimits.push_back(limit);
         QTimer::singleShot(static_cast<int>(request.wait.count()), &m_context, [this, done = std::move(done)]() {
             PollWorkerResponse out;
             out.outcome = WorkerCallOutcome::Done;
@@ -50,6 +51,7 @@
 
     std::vector<StartRunRequest> started;
     std::vector<PollWorkerRequest> polled;
+    std::vector<CallLimit> pollLimits;
 
 private:
     QObject m_context;
--- a/tests/fleetnode/LeadershipTest.cpp
+++ b/tests/fleetnode/LeadershipTest.cpp
@@ -156,4 +156,16 @@
     BOOST_TEST(isRegisteredAfter(droppedAt));
 }
 
+// Guards against a lease that a paused leader grants after its pause: the request has to tell when its permission was checked.
+BOOST_AUTO_TEST_CASE(requestsToWorkersTellWhenTheyWereDecidedOn)
+{
+    MemoryLog log;
+    const auto before = monotonicNow();
+    const auto node = leaderOfOneWorker(log);
+    for (const auto &it : node->workers.pollLimits) {
+        BOOST_REQUIRE(it.decidedAt);
+        BOOST_TEST((*it.decidedAt >= before && *it.decidedAt <= monotonicNow()));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
