Starts that were given up stand in the record of their task

What callers would see: a task of their job that must run once runs twice. A leader gives up a start on a worker that then falls silent, and is replaced. Its successor knows nothing of that start and places the task elsewhere, or takes over the run that moved there; the worker starts again and its next incarnation carries the start out.

Cause: these starts lived in the memory of one leader (FleetWorker::unansweredStarts).

Change: TaskRecord::givenUpStarts holds the attempt and the worker of each, from the write that stores the end of the run, which is due anyway, until 13 s have passed or the task is done. A successor waits for them as its predecessor would: only while the worker is silent or has not answered under the new token. The age isn't stored, so it counts 13 s from its opening (4.5 s for lasting tasks). Versions without the field ignore it.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -167,6 +167,12 @@
     bool mayHoldLateLease = false;
 };
 
+/// Stored form of a start request without an answer whose run the planner has given up, and which a later incarnation of the worker may still carry out.
+struct GivenUpStartRecord {
+    std::int64_t attempt = 0;
+    std::string worker;
+};
+
 /// Stored form of one task.
 struct TaskRecord {
     int occurrence = 0;
@@ -181,6 +187,8 @@
     std::vector<RunRecord> runs;
     /// Number of failed runs that `failedAttempts` does not list.
     int olderFailures = 0;
+    /// Start requests that may still be carried out; empty once the task is done. Versions that don't know the field ignore it.
+    std::vector<GivenUpStartRecord> givenUpStarts = {};
 };
 
 /// One part of a job's stored progress. The tasks of all steps and repetitions are numbered in order, and each part holds the same number of them, so that the
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -23,6 +23,8 @@
 
 /// Returns the stored form of an active run of a task.
 using RunLocator = std::function<RunRecord(const FleetTaskId &, std::int64_t attempt)>;
+/// Returns the stored form of the start requests of a task that were given up and may still be carried out.
+using GivenUpStartLocator = std::function<std::vector<GivenUpStartRecord>(const FleetTaskId &)>;
 
 /// State of one accepted job as the planner knows it.
 class FleetJob
@@ -62,8 +64,9 @@
     bool restore(const JobRecord &record);
     /// Makes the members of each gang agree once all parts are restored, since the parts of a change may not all have been stored.
     void alignGangs();
-    /// Returns the whole progress in one record, as a successor has to find it; the locator is called for each active run.
-    JobRecord record(const RunLocator &locateRun) const;
+    /// Returns the whole progress in one record, as a successor has to find it. The locators are called for each active run and for each task that isn't done;
+    /// without the second one, no starts are given up.
+    JobRecord record(const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp = {}) const;
     /// Notes that the stored form of a task has changed.
     void markChanged(const FleetTaskId &task);
     /// Notes that the stored form of all tasks of a step has changed.
@@ -73,7 +76,7 @@
     /// Returns true if takeProgress() has something to store.
     bool hasChanges() const;
     /// Returns what has changed in the stored progress since the last call.
-    JobProgress takeProgress(const RunLocator &locateRun);
+    JobProgress takeProgress(const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp = {});
 
     /// Returns true if the last occurrence exists and all occurrences are done.
     bool hasFinishedAllOccurrences() const;
@@ -98,8 +101,8 @@
 private:
     int partOf(const FleetTaskId &task) const;
     int partCount() const;
-    JobRecord partRecord(int part, const RunLocator &locateRun) const;
-    void appendRow(std::vector<TaskRecord> &rows, const FleetTask &task, const RunLocator &locateRun) const;
+    JobRecord partRecord(int part, const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp) const;
+    static void appendRow(std::vector<TaskRecord> &rows, const FleetTask &task, const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp);
 
     FleetJobRequest m_request;
     const int m_tasksPerPart;
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -182,7 +182,15 @@
     bool wasOpenForLong(const FleetWorker &worker, std::int64_t startedUnixMs) const;
     // Returns the runs whose start was confirmed and that no list has shown yet, so that the worker's next incarnation may run them under the longest lease.
     std::vector<RunKey> runsOfUnknownIncarnation(const FleetWorker &worker, TimePoint now) const;
-    static void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
+    void rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now);
+    // Forgets the start requests that can't be carried out any more.
+    void forgetOldUnansweredStarts(FleetWorker &worker, TimePoint now);
+    // Notes whether another worker answers where this one did.
+    void setReplaced(FleetWorker &worker, bool isReplaced);
+    // Start requests that were given up are stored with their tasks, until none of them may be carried out any more.
+    void markGivenUpStartChanged(const RunKey &key);
+    void restoreGivenUpStarts(const std::string &job, const TaskRecord &row, TimePoint now);
+    GivenUpStartLocator givenUpStartLocator() const;
     void stopUnansweredStarts(FleetWorker &worker, TimePoint now);
     std::map<FleetTaskId, PossibleStarts> possibleStarts() const;
     // FleetPlannerLists.cpp: what workers list
--- a/src/fleet/FleetJobState.cpp
+++ b/src/fleet/FleetJobState.cpp
@@ -220,34 +220,37 @@
     return !m_changedParts.empty() || m_writtenState.value_or(FleetJobState::Queued) != state || (m_isReleased && !m_storedParts.empty());
 }
 
-void FleetJob::appendRow(std::vector<TaskRecord> &rows, const FleetTask &task, const RunLocator &locateRun) const
+void FleetJob::appendRow(std::vector<TaskRecord> &rows, const FleetTask &task, const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp)
 {
     if (task.lastAttempt == 0 && !task.isDone) {
         return;
     }
     const auto &id = task.id;
-    TaskRecord row {id.occurrence, id.step, id.index, task.lastAttempt, {}, task.isDone, task.checkpoint, {}, task.olderFailures};
+    TaskRecord row {id.occurrence, id.step, id.index, task.lastAttempt, {}, task.isDone, task.checkpoint, {}, task.olderFailures, {}};
     row.failedAttempts.assign(task.failedAttempts.begin(), task.failedAttempts.end());
     for (const auto attempt : task.activeAttempts) {
         row.runs.push_back(locateRun(id, attempt));
     }
+    if (locateGivenUp && !task.isDone) {
+        row.givenUpStarts = locateGivenUp(id);
+    }
     rows.push_back(std::move(row));
 }
 
-JobRecord FleetJob::record(const RunLocator &locateRun) const
+JobRecord FleetJob::record(const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp) const
 {
     JobRecord out {m_request.id, state, {}, 0};
     for (const auto &[number, occurrence] : m_occurrences) {
         for (const auto &step : occurrence.steps) {
             for (const auto &task : step.tasks) {
-                appendRow(out.tasks, task, locateRun);
+                appendRow(out.tasks, task, locateRun, locateGivenUp);
             }
         }
     }
     return out;
 }
 
-JobRecord FleetJob::partRecord(int part, const RunLocator &locateRun) const
+JobRecord FleetJob::partRecord(int part, const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp) const
 {
     JobRecord out {m_request.id, state, {}, part};
     const int end = (part + 1) * m_tasksPerPart;
@@ -259,16 +262,16 @@
         const int rest = number % m_tasksPerOccurrence;
         const auto step = std::prev(std::upper_bound(m_stepOffsets.begin(), m_stepOffsets.end(), rest));
         const auto &tasks = occurrence->second.steps[static_cast<std::size_t>(step - m_stepOffsets.begin())].tasks;
-        appendRow(out.tasks, tasks[static_cast<std::size_t>(rest - *step)], locateRun);
+        appendRow(out.tasks, tasks[static_cast<std::size_t>(rest - *step)], locateRun, locateGivenUp);
     }
     return out;
 }
 
-JobProgress FleetJob::takeProgress(const RunLocator &locateRun)
+JobProgress FleetJob::takeProgress(const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp)
 {
     JobProgress out;
     for (const auto part : m_changedParts) {
-        auto record = part == 0 ? JobRecord() : partRecord(part, locateRun);
+        auto record = part == 0 ? JobRecord() : partRecord(part, locateRun, locateGivenUp);
         if (!record.tasks.empty() || m_storedParts.contains(part)) {
             m_storedParts.insert(part);
             out.records.push_back(std::move(record));
@@ -276,7 +279,7 @@
     }
     // Part 0 comes last: one that holds all tasks must not be replaced before the other parts are stored.
     if (m_changedParts.contains(0) || m_writtenState != state) {
-        out.records.push_back(partRecord(0, locateRun));
+        out.records.push_back(partRecord(0, locateRun, locateGivenUp));
         m_writtenState = state;
     }
     m_changedParts.clear();
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -71,6 +71,7 @@
             worker.hasMarkedRuns = worker.hasMarkedRuns || run.mayHoldLateLease;
             m_state.runs.emplace(run.key, std::move(run));
         }
+        restoreGivenUpStarts(record.job, row, now);
     }
 }
 
@@ -101,6 +102,10 @@
     const auto longest = LeadershipConfirmation::longestLease(m_limits.leadershipBound, m_limits.lease);
     for (auto &[id, worker] : m_state.workers) {
         worker.lease.assumeGrantedUntil(now + longest);
+        // Their age is not stored; they were sent before this planner opened.
+        for (auto &it : worker.unansweredStarts) {
+            it.since = now;
+        }
         if (mayHoldInheritedLateLease(worker)) {
             assumeLateLease(worker, now);
         }
@@ -302,6 +307,7 @@
     m_batch = std::make_unique<Batch>();
     out.dropped = std::move(m_droppedRecords);
     m_droppedRecords.clear();
+    const auto locateGivenUp = givenUpStartLocator();
     for (auto it = m_dirtyJobs.begin(); it != m_dirtyJobs.end();) {
         auto *job = m_state.findJob(*it);
         if (job != nullptr && job->heldBackUntil && now < *job->heldBackUntil) {
@@ -309,7 +315,7 @@
             continue;
         }
         if (job != nullptr) {
-            auto progress = job->takeProgress(runLocator());
+            auto progress = job->takeProgress(runLocator(), locateGivenUp);
             std::move(progress.records.begin(), progress.records.end(), std::back_inserter(out.records));
             std::move(progress.deletedKeys.begin(), progress.deletedKeys.end(), std::back_inserter(out.dropped));
             m_batch->storedStates.emplace_back(*it, job->state);
@@ -350,7 +356,7 @@
 std::optional<JobRecord> FleetPlanner::progressOf(const std::string &job) const
 {
     const auto it = m_state.jobs.find(job);
-    return it == m_state.jobs.end() ? std::nullopt : std::optional(it->second->record(runLocator()));
+    return it == m_state.jobs.end() ? std::nullopt : std::optional(it->second->record(runLocator(), givenUpStartLocator()));
 }
 
 void FleetPlanner::batchStored(std::int64_t number, TimePoint now, const std::set<std::string> &refused)
--- a/src/fleet/FleetPlannerIncarnations.cpp
+++ b/src/fleet/FleetPlannerIncarnations.cpp
@@ -161,6 +161,63 @@
         return it.key == key;
     });
     worker.unansweredStarts.push_back({key, now, worker.startedUnixMs != workerStartedUnixMs, false, now});
+    markGivenUpStartChanged(key);
+}
+
+void FleetPlanner::forgetOldUnansweredStarts(FleetWorker &worker, TimePoint now)
+{
+    std::erase_if(worker.unansweredStarts, [this, now](const auto &it) {
+        const bool isOld = now - it.since > m_limits.maxExecutionDelay;
+        if (isOld) {
+            markGivenUpStartChanged(it.key);
+        }
+        return isOld;
+    });
+}
+
+void FleetPlanner::setReplaced(FleetWorker &worker, bool isReplaced)
+{
+    if (worker.isReplaced == isReplaced) {
+        return;
+    }
+    worker.isReplaced = isReplaced;
+    for (const auto &it : worker.unansweredStarts) {
+        markGivenUpStartChanged(it.key);
+    }
+}
+
+void FleetPlanner::markGivenUpStartChanged(const RunKey &key)
+{
+    auto *job = m_state.findJob(key.task.job);
+    const auto *task = job == nullptr ? nullptr : job->find(key.task);
+    // The record of a run that may be at work covers its start request.
+    if (task != nullptr && !task->isDone && !m_state.runs.contains(key)) {
+        markDirty(*job, key.task);
+    }
+}
+
+void FleetPlanner::restoreGivenUpStarts(const std::string &job, const TaskRecord &row, TimePoint now)
+{
+    for (const auto &it : row.givenUpStarts) {
+        const RunKey key {{job, row.occurrence, row.step, row.index}, it.attempt};
+        m_state.findOrCreateWorker(it.worker).unansweredStarts.push_back({key, now, false, false, now});
+    }
+}
+
+GivenUpStartLocator FleetPlanner::givenUpStartLocator() const
+{
+    std::map<FleetTaskId, std::vector<GivenUpStartRecord>> starts;
+    for (const auto &[id, worker] : m_state.workers) {
+        for (const auto &it : worker.unansweredStarts) {
+            if (!worker.isReplaced && !m_state.runs.contains(it.key)) {
+                starts[it.key.task].push_back({it.key.attempt, id});
+            }
+        }
+    }
+    return [starts = std::move(starts)](const FleetTaskId &task) {
+        const auto it = starts.find(task);
+        return it == starts.end() ? std::vector<GivenUpStartRecord> {} : it->second;
+    };
 }
 
 void FleetPlanner::stopUnansweredStarts(FleetWorker &worker, TimePoint now)
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -76,9 +76,7 @@
     std::erase_if(worker.recentFailures, [now](const auto &it) {
         return now - it.first > FailureWindow;
     });
-    std::erase_if(worker.unansweredStarts, [this, now](const auto &it) {
-        return now - it.since > m_limits.maxExecutionDelay;
-    });
+    forgetOldUnansweredStarts(worker, now);
     stopUnansweredStarts(worker, now);
     removeLateLeaseMarks(worker, now);
     sendPollIfDue(worker, now);
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -190,7 +190,7 @@
         // Another worker answers where the known one did, so that one no longer exists. Elsewhere, its entry names a wrong address.
         m_events.write("worker_replaced", {{"worker", request.worker.id}});
         handleWorkerRestart(worker, 0, now);
-        worker.isReplaced = true;
+        setReplaced(worker, true);
         worker.nextPollAt = now + Millis(10 * PollRetryDelay.count());
         return;
     }
@@ -217,7 +217,7 @@
     }
     worker.answeredToken = std::max(worker.answeredToken, request.fencingToken);
     worker.calls.pollAnswered();
-    worker.isReplaced = false;
+    setReplaced(worker, false);
     worker.answeredHost = request.worker.host;
     worker.answeredPort = request.worker.port;
     worker.lease.observe(response.workerClockMs, now);
--- a/src/fleet/FleetRecords.cpp
+++ b/src/fleet/FleetRecords.cpp
@@ -9,7 +9,7 @@
 {
     namespace adaptor {
 
-    // Order of the fields of a stored type in its msgpack array. Readers accept shorter arrays, which older versions wrote.
+    // Order of the fields of a stored type in its msgpack array. Readers accept shorter arrays, which older versions wrote, and longer ones.
     template<typename T>
     struct FieldOrder;
 
@@ -73,11 +73,17 @@
         static auto of(auto &it) { return std::tie(it.attempt, it.worker, it.workerStartedUnixMs, it.isOrphaned, it.mayHoldLateLease); }
     };
 
+    template<>
+    struct FieldOrder<marjoramhaven::GivenUpStartRecord> {
+        static auto of(auto &it) { return std::tie(it.attempt, it.worker); }
+    };
+
     template<>
     struct FieldOrder<marjoramhaven::TaskRecord> {
         static auto of(auto &it)
         {
-            return std::tie(it.occurrence, it.step, it.index, it.lastAttempt, it.failedAttempts, it.isDone, it.checkpoint, it.runs, it.olderFailures);
+            return std::tie(
+                it.occurrence, it.step, it.index, it.lastAttempt, it.failedAttempts, it.isDone, it.checkpoint, it.runs, it.olderFailures, it.givenUpStarts);
         }
     };
 
