A start that times out is sent again under the same attempt

What callers would see: a task runs twice at once. Two or more starts of a task time out on one worker, each under an attempt of its own; the worker starts again and, before it has seen a higher fencing token, carries out more than one of them.

Cause: a start that timed out was stopped and its task placed on the same worker under the next attempt. A worker refuses a late start of an attempt that it runs, or has ended, but not one of a lower attempt beside a run of a higher one, so each attempt that was given up is one more run of the task.

Now a start without an answer is sent again under its attempt as long as its worker takes starts, however often it times out. All its copies are one run, whichever incarnation carries them out. Refusals of repetitions still lead to the stop, after three, and so do a ticket that expires, a drain and a restart. A task that may run speculatively goes elsewhere as before.

No stop and no list has to be awaited before the start is sent again.

Existing tests: PossibleRuns, UnansweredStarts, EventEvidence/placedRunTells... and Evidence/listUnderWayWithTheAnswerToAStop... reached the stop of a start by letting it time out once, which no longer leads to a stop.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -147,6 +147,8 @@
     bool mayRepeatStart(const FleetRun &run, TimePoint now) const;
     void requestStart(FleetRun &run, TimePoint now);
     void keepUnconfirmed(FleetRun &run, TimePoint now);
+    // Lets the start request of a run be sent again for a while, after one that was not answered.
+    void extendStartRepetition(FleetRun &run, TimePoint now);
     // FleetPlannerStops.cpp: stop requests
     // Returns why a run of this job and task has to be stopped whatever its worker and its progress are, or StopReason::None. Job and task are nullptr if there
     // is none any more.
--- a/include/marjoramhaven/fleet/FleetRun.h
+++ b/include/marjoramhaven/fleet/FleetRun.h
@@ -80,6 +80,8 @@
     std::optional<TimePoint> startAnsweredAt;
     /// How often the planner has sent the start request.
     int startSendings = 0;
+    /// How often the worker has refused a repetition of the start request.
+    int startRefusals = 0;
     /// The start request is sent again no earlier than this, while its outcome is not known.
     TimePoint nextStartAt {};
     /// The start request is not sent again after this.
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr Millis StartTimeout {600};
-// A start request whose outcome is not known is sent again to the same worker, with pauses that double. One that timed out is not.
-constexpr int MaxStartSendings = 4;
+// A start request whose outcome is not known is sent again to the same worker, with pauses that double. It may time out any number of times.
+constexpr int MaxStartRefusals = 3;
+constexpr int MaxStartRetryDoublings = 3;
 constexpr Millis FirstStartRetryDelay {40};
 constexpr Millis StartRetryWindow {600};
 constexpr Millis PauseAfterRefusal {50};
@@ -79,7 +80,7 @@
     const auto worker = m_state.workers.find(run.worker);
     const auto it = m_state.jobs.find(run.key.task.job);
     // A repeated request grants a lease like the first.
-    if (!m_leadership.isValid(now) || run.startSendings >= MaxStartSendings || now >= run.repeatStartUntil || run.isListed || it == m_state.jobs.end()
+    if (!m_leadership.isValid(now) || run.startRefusals >= MaxStartRefusals || now >= run.repeatStartUntil || run.isListed || it == m_state.jobs.end()
         || it->second->isEnded()) {
         return false;
     }
@@ -155,6 +156,7 @@
         run->startedClockMs = run->state == RunState::Running ? response.workerClockMs : 0;
         return;
     case WorkerCallOutcome::Unknown:
+        extendStartRepetition(*run, now);
         keepUnconfirmed(*run, now);
         return;
     case WorkerCallOutcome::Fenced:
@@ -192,17 +194,27 @@
     worker.avoidUntil = std::max(worker.avoidUntil, now + avoid);
     if (run->startSendings > 1 || (isFencedByItself && response.sendings > 1)) {
         // The refusal proves nothing about the earlier requests, whose outcome is not known.
+        ++run->startRefusals;
         keepUnconfirmed(*run, now);
     } else {
         discardUnstartedRun(key, reason, pause, now);
     }
 }
 
+void FleetPlanner::extendStartRepetition(FleetRun &run, TimePoint now)
+{
+    const auto *job = m_state.findJob(run.key.task.job);
+    // A speculative run may start elsewhere beside the one that is not known.
+    if (job != nullptr && !job->spec(run.key.task.step).allowsSpeculation && run.repeatStartUntil != TimePoint {}) {
+        run.repeatStartUntil = now + StartRetryWindow;
+    }
+}
+
 void FleetPlanner::keepUnconfirmed(FleetRun &run, TimePoint now)
 {
     auto &worker = m_state.findOrCreateWorker(run.worker);
     setState(run, RunState::Unconfirmed, now);
-    run.nextStartAt = now + FirstStartRetryDelay * (1 << (run.startSendings - 1));
+    run.nextStartAt = now + FirstStartRetryDelay * (1 << std::min(run.startSendings - 1, MaxStartRetryDoublings));
     worker.avoidUntil = std::max(worker.avoidUntil, now + AvoidAfterRefusal);
     worker.nextPollAt = std::min(worker.nextPollAt, now);
 }
--- a/tests/fleet/EventEvidenceTest.cpp
+++ b/tests/fleet/EventEvidenceTest.cpp
@@ -198,10 +198,7 @@
         if (isAnswerLost) {
             script->advance(Millis(600));
             script->planner.handleStartResponse(start, {}, script->now);
-            script->advance(Millis(25));
-            for (int i = 0; i < 3 && script->port.stops.empty(); ++i) {
-                script->answerPoll("w0", {});
-            }
+            script->refuseRepetitionsUntilStopped("w0");
             BOOST_REQUIRE_EQUAL(script->port.stops.size(), 1U);
             script->planner.handleStopResponse(script->port.stops.back(), script->done(), script->now);
             script->answerPoll("w0", {});
--- a/tests/fleet/EvidenceTest.cpp
+++ b/tests/fleet/EvidenceTest.cpp
@@ -54,15 +54,14 @@
     BOOST_TEST(script.port.starts.back().attempt == 2);
 }
 
-// The timeout of the start request has passed, so that it is not sent again. It is carried out just before the stop; the list was made before both.
+// The start request has timed out, and its repetitions were refused. It is carried out just before the stop; the list was made before both.
 BOOST_AUTO_TEST_CASE(listUnderWayWithTheAnswerToAStopDoesNotProveThatTheRunIsGone)
 {
     PlannerScript script;
     const auto start = startTask(script);
     script.advance(Millis(600));
     script.planner.handleStartResponse(start, {}, script.now);
-    script.answerPoll(start.worker.id, {});
-    script.planner.handlePollResponse(script.lastPoll(start.worker.id), script.list({}), script.now);
+    script.refuseRepetitionsUntilStopped(start.worker.id);
     BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
     script.advance(Millis(25));
     const auto poll = script.lastPoll(start.worker.id);
--- a/tests/fleet/PlannerScript.h
+++ b/tests/fleet/PlannerScript.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/test/unit_test.hpp>
+
 #include "marjoramhaven/fleet/FleetPlanner.h"
 
 namespace marjoramhaven::test {
@@ -121,6 +123,26 @@
         advance(Millis(25));
     }
 
+    /// Refuses the repetitions of a start whose outcome is not known, with empty lists of its worker between them, until the planner stops it. They are left
+    /// out of `port.starts`.
+    void refuseRepetitionsUntilStopped(const std::string &worker, std::int64_t startedUnixMs = 1)
+    {
+        constexpr int MaxLists = 16;
+        const auto stopCount = port.stops.size();
+        const auto first = port.starts.back();
+        for (int i = 0; i < MaxLists && port.stops.size() == stopCount; ++i) {
+            const auto startCount = port.starts.size();
+            answerPoll(worker, {}, startedUnixMs);
+            if (port.starts.size() > startCount) {
+                const auto again = port.starts.back();
+                BOOST_TEST(again.worker.id == first.worker.id);
+                BOOST_TEST(again.attempt == first.attempt);
+                port.starts.pop_back();
+                planner.handleStartResponse(again, {WorkerCallOutcome::Unhealthy, 0, "status 503"}, now);
+            }
+        }
+    }
+
     /// The answer of a worker that has carried out a start or a stop.
     WorkerResponse done() const { return {WorkerCallOutcome::Done, millisOf(now), "done"}; }
 
--- a/tests/fleet/PossibleRunsTest.cpp
+++ b/tests/fleet/PossibleRunsTest.cpp
@@ -33,17 +33,14 @@
     script.planner.batchStored(batch.number, script.now);
 }
 
-// Lets the start request under way to "w0" go unanswered, its stop be confirmed, and "w0" list nothing.
+// Lets the start request under way to "w0" go unanswered and its repetitions be refused, its stop be confirmed, and "w0" list nothing.
 void giveUpStart(PlannerScript &script)
 {
     const auto start = script.port.starts.back();
     BOOST_REQUIRE_EQUAL(start.worker.id, "w0");
     script.advance(Millis(600));
     script.planner.handleStartResponse(start, NoAnswer, script.now);
-    script.advance(Millis(25));
-    for (int i = 0; i < 3 && script.port.stops.empty(); ++i) {
-        script.answerPoll("w0", {});
-    }
+    script.refuseRepetitionsUntilStopped("w0");
     BOOST_REQUIRE_EQUAL(script.port.stops.size(), 1U);
     script.planner.handleStopResponse(script.port.stops.back(), script.done(), script.now);
     script.answerPoll("w0", {});
--- a/tests/fleet/RepeatedStartsTest.cpp
+++ b/tests/fleet/RepeatedStartsTest.cpp
@@ -55,6 +55,24 @@
     BOOST_TEST(script.port.stops.empty());
 }
 
+// Guards against two runs at once: several starts of a task that timed out, each under an attempt of its own, are carried out late by the next incarnation.
+BOOST_AUTO_TEST_CASE(startThatTimesOutAgainAndAgainIsRepeatedWithTheSameAttempt)
+{
+    constexpr int Timeouts = 8;
+    PlannerScript script;
+    script.submit("j", 4000);
+    script.planAndStore();
+    for (int i = 0; i < Timeouts; ++i) {
+        BOOST_REQUIRE_EQUAL(script.port.starts.size(), static_cast<std::size_t>(i) + 1);
+        BOOST_TEST(script.port.starts.back().worker.id == "w0");
+        BOOST_TEST(script.port.starts.back().attempt == 1);
+        passTime(script, Millis(600));
+        script.planner.handleStartResponse(script.port.starts.back(), NoAnswer, script.now);
+        passTime(script, LongestRetryDelay);
+    }
+    BOOST_TEST(script.port.stops.empty());
+}
+
 // Guards against a task that runs twice: the worker has carried out the first request, refuses the others, and lists the run late.
 BOOST_AUTO_TEST_CASE(refusalOfARepeatedStartProvesNothingAboutTheFirst)
 {
--- a/tests/fleet/UnansweredStartsTest.cpp
+++ b/tests/fleet/UnansweredStartsTest.cpp
@@ -20,7 +20,7 @@
     return script.port.starts.front();
 }
 
-// Lets the timeout of a start request pass, after which the planner doesn't send it again.
+// Lets the timeout of a start request pass.
 void loseAnswer(PlannerScript &script, const StartRunRequest &start)
 {
     script.advance(Millis(600));
@@ -28,13 +28,11 @@
     script.advance(Millis(25));
 }
 
-// Answers polls of "w0" with empty lists until the planner stops the run there, and returns that request.
+// Lets "w0" refuse the repetitions of the start and list nothing until the planner stops the run there, and returns that request.
 StopRunRequest awaitStop(PlannerScript &script, std::int64_t startedUnixMs = 1)
 {
     const auto before = script.port.stops.size();
-    for (int i = 0; i < 3 && script.port.stops.size() == before; ++i) {
-        script.answerPoll("w0", {}, startedUnixMs);
-    }
+    script.refuseRepetitionsUntilStopped("w0", startedUnixMs);
     BOOST_REQUIRE_EQUAL(script.port.stops.size(), before + 1);
     return script.port.stops.back();
 }
