A start without an answer stands in the record also while its run is at work

What callers would see: a task that must run once runs twice.

Cause: a start that times out is sent again under its attempt, so the run that is at work and the start that may still be carried out late have one attempt. The record left the start out while there is a run of it. A successor that can't reach the worker gives the run up after 8.2 s and knew of no start, while the worker's next incarnation may carry it out until 13 s after its sending.

Now the record names each start that may still be carried out, whether its run is known or not, as the leader itself remembers it.

The test's way to a start that is given up is by refused repetitions now, as in the other tests; its checks are unchanged.

--- a/src/fleet/FleetPlannerIncarnations.cpp
+++ b/src/fleet/FleetPlannerIncarnations.cpp
@@ -190,8 +190,7 @@
 {
     auto *job = m_state.findJob(key.task.job);
     const auto *task = job == nullptr ? nullptr : job->find(key.task);
-    // The record of a run that may be at work covers its start request.
-    if (task != nullptr && !task->isDone && !m_state.runs.contains(key)) {
+    if (task != nullptr && !task->isDone) {
         markDirty(*job, key.task);
     }
 }
@@ -209,7 +208,7 @@
     std::map<FleetTaskId, std::vector<GivenUpStartRecord>> starts;
     for (const auto &[id, worker] : m_state.workers) {
         for (const auto &it : worker.unansweredStarts) {
-            if (!worker.isReplaced && !m_state.runs.contains(it.key)) {
+            if (!worker.isReplaced) {
                 starts[it.key.task].push_back({it.key.attempt, id});
             }
         }
--- a/tests/fleet/GivenUpRecordsTest.cpp
+++ b/tests/fleet/GivenUpRecordsTest.cpp
@@ -32,10 +32,7 @@
     BOOST_REQUIRE_EQUAL(leader.port.starts.size(), 1U);
     leader.advance(Millis(600));
     leader.planner.handleStartResponse(leader.port.starts.front(), {}, leader.now);
-    leader.advance(Millis(25));
-    for (int i = 0; i < 3 && leader.port.stops.empty(); ++i) {
-        leader.answerPoll("w0", {});
-    }
+    leader.refuseRepetitionsUntilStopped("w0");
     BOOST_REQUIRE_EQUAL(leader.port.stops.size(), 1U);
     leader.planner.handleStopResponse(leader.port.stops.back(), leader.done(), leader.now);
     leader.answerPoll("w0", {});
