A task whose start may still be carried out starts only on the same worker

What callers would see: a task runs twice at once, or again after it is done. Its start was given up on a worker that could not take it back at that moment (it drains, is full or slow, has just restarted, owes a stop), so it moved. The first worker starts again within 13 s and carries the old start out before it has seen a higher fencing token.

Cause: a task went back to the worker of its given-up start only if that took it in the same call of plan(); otherwise it was placed elsewhere, as long as that worker's present incarnation refused the start. Its next one doesn't.

Now such a task starts only where the start was given up, or once the 13 s are over in which the start may come; a long-running one waits 4.5 s, as before. The same holds if starts are open on two workers, for members of gangs, and when the start request is due. Tasks that go back are placed before all others, so that these don't take the room, and the advisor is asked about the worker that such a task waits for. On the worker itself a restart ends the task's newer run before the old start can come.

--- a/include/marjoramhaven/fleet/GivenUpStarts.h
+++ b/include/marjoramhaven/fleet/GivenUpStarts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "marjoramhaven/fleet/FleetState.h"
@@ -16,11 +17,17 @@
     /// Worker of the last of them that takes tasks, and when the planner learned that its outcome is not known. Empty if there is none.
     std::string worker;
     TimePoint newest {};
+    /// Ids of all workers on which one of them may be carried out.
+    std::set<std::string> workers;
 
     /// Adds a start on a worker.
     void add(const FleetState &state, const FleetWorker &on, const UnansweredStart &start);
     /// Returns true if the task must not start anywhere now.
     bool mustWait(bool isLongRunning, TimePoint now) const;
+    /// Returns true if the task may start only where they were given up: elsewhere, a restart of that worker could make it run twice.
+    bool isBound(bool isLongRunning, TimePoint now) const;
+    /// Returns true if the task may start on a worker now.
+    bool mayStartOn(const std::string &id, bool isLongRunning, TimePoint now) const;
 };
 
 /// Returns true if a start that was given up may be carried out by the worker now: the worker is silent and may have restarted, or its present incarnation has
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -53,14 +53,18 @@
     // Returns the worker on which a start of the task was given up, if it takes the task now. If it restarts then and carries that start out, the task's new
     // run is gone with the earlier incarnation.
     FleetWorker *workerToGoBackTo(const PendingStep &pending, const FleetTask &task, TimePoint now) const;
+    // Places the tasks that may start only where a start of theirs was given up, and leaves those that can't to wait.
     void placeTasksThatGoBack(PendingStep &pending, TimePoint now);
     static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
     bool isUsable(const FleetWorker &worker, TimePoint now) const;
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
-    FleetWorker *
-    chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, const StepPlacement &placement) const;
+    FleetWorker *chooseWorker(const PendingStep &pending,
+                              const FleetTask &task,
+                              const std::vector<FleetWorker *> &candidates,
+                              const StepPlacement &placement,
+                              TimePoint now) const;
     std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
     // Returns the workers that may still carry out a start request of the step that was given up, which only their next incarnation would.
     std::set<std::string> workersWithGivenUpStarts(const FleetStep &step) const;
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -63,7 +63,7 @@
     if (!worker.hasRoomFor({})) {
         return "its worker has less room than when it was placed";
     }
-    if (!spec.allowsSpeculation && givenUpStartsOf(m_state, run.key.task).mustWait(spec.isLongRunning, now)) {
+    if (!spec.allowsSpeculation && !givenUpStartsOf(m_state, run.key.task).mayStartOn(run.worker, spec.isLongRunning, now)) {
         return "an earlier start of its task may be carried out now";
     }
     if (spec.maxPerWorker > 0) {
--- a/src/fleet/GivenUpStarts.cpp
+++ b/src/fleet/GivenUpStarts.cpp
@@ -21,6 +21,7 @@
     if (state.runs.contains(start.key) || on.isReplaced) {
         return;
     }
+    workers.insert(on.report.id);
     isAnyOpen = isAnyOpen || mayCarryOutEarlierStarts(on);
     oldest = oldest == TimePoint {} ? start.since : std::min(oldest, start.since);
     const bool mayTakeItBack = on.isListed && !on.report.isDraining;
@@ -32,7 +33,17 @@
 
 bool GivenUpStarts::mustWait(bool isLongRunning, TimePoint now) const
 {
-    return isAnyOpen && (!isLongRunning || now - oldest < LongestWaitOfLongRunningTask);
+    return isAnyOpen && isBound(isLongRunning, now);
+}
+
+bool GivenUpStarts::isBound(bool isLongRunning, TimePoint now) const
+{
+    return !workers.empty() && (!isLongRunning || now - oldest < LongestWaitOfLongRunningTask);
+}
+
+bool GivenUpStarts::mayStartOn(const std::string &id, bool isLongRunning, TimePoint now) const
+{
+    return !isBound(isLongRunning, now) || (!isAnyOpen && workers.size() == 1 && workers.contains(id));
 }
 
 std::map<FleetTaskId, GivenUpStarts> givenUpStarts(const FleetState &state)
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -101,8 +101,9 @@
 FleetWorker *TaskPlacer::workerToGoBackTo(const PendingStep &pending, const FleetTask &task, TimePoint now) const
 {
     const auto &spec = *pending.spec;
-    const auto it = m_state.workers.find(givenUpStartsOf(task, spec).worker);
-    if (it == m_state.workers.end() || task.failedOn.contains(it->first)) {
+    const auto starts = givenUpStartsOf(task, spec);
+    const auto it = m_state.workers.find(starts.worker);
+    if (it == m_state.workers.end() || task.failedOn.contains(it->first) || !starts.mayStartOn(it->first, spec.isLongRunning, now)) {
         return nullptr;
     }
     // That it did not answer the start is no reason to avoid it here, unlike for other tasks.
@@ -119,13 +120,23 @@
     if (m_givenUpStarts.empty() || pending.spec->isGang) {
         return;
     }
+    std::vector<FleetWorker *> awaited;
     std::erase_if(pending.waiting, [&](FleetTask *task) {
-        auto *worker = workerToGoBackTo(pending, *task, now);
-        if (worker != nullptr) {
+        if (auto *worker = workerToGoBackTo(pending, *task, now)) {
             m_actions.createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
+            return true;
         }
-        return worker != nullptr;
+        const auto starts = givenUpStartsOf(*task, *pending.spec);
+        const bool isBound = starts.isBound(pending.spec->isLongRunning, now);
+        const auto it = isBound ? m_state.workers.find(starts.worker) : m_state.workers.end();
+        if (it != m_state.workers.end() && m_state.acceptsStarts(it->second, now)) {
+            awaited.push_back(&it->second);
+        }
+        return isBound;
     });
+    if (!awaited.empty() && FleetState::queueOf(*pending.job).needsAdvice) {
+        requestAdvice(pending, awaited, awaited.size(), now);
+    }
 }
 
 void TaskPlacer::plan(TimePoint now)
@@ -148,6 +159,10 @@
             usable.push_back(&worker);
         }
     }
+    // Others must not take the room on the only worker on which a task may start.
+    for (auto &it : pending) {
+        placeTasksThatGoBack(it, now);
+    }
     for (auto &it : pending) {
         placeStep(it, usable, now);
     }
@@ -161,7 +176,6 @@
 
 void TaskPlacer::placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
-    placeTasksThatGoBack(pending, now);
     if (pending.waiting.empty()) {
         return;
     }
@@ -262,17 +276,21 @@
     return out;
 }
 
-FleetWorker *
-TaskPlacer::chooseWorker(const PendingStep &pending, const FleetTask &task, const std::vector<FleetWorker *> &candidates, const StepPlacement &placement) const
+FleetWorker *TaskPlacer::chooseWorker(const PendingStep &pending,
+                                      const FleetTask &task,
+                                      const std::vector<FleetWorker *> &candidates,
+                                      const StepPlacement &placement,
+                                      TimePoint now) const
 {
     const auto &spec = *pending.spec;
     const auto needs = FleetState::reservedResources(spec);
+    const auto starts = givenUpStartsOf(task, spec);
     FleetWorker *best = nullptr;
     std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
     for (auto *it : candidates) {
         const auto runs = placement.runsPerWorker.find(it->report.id);
         const bool isFull = spec.maxPerWorker > 0 && runs != placement.runsPerWorker.end() && runs->second >= spec.maxPerWorker;
-        if (isFull || !it->hasRoomFor(needs)) {
+        if (isFull || !it->hasRoomFor(needs) || !starts.mayStartOn(it->report.id, spec.isLongRunning, now)) {
             continue;
         }
         const bool hasFailed = !task.failedOn.empty() && task.failedOn.contains(it->report.id);
@@ -296,7 +314,7 @@
     StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
     std::vector<FleetTask *> left;
     for (auto *task : pending.waiting) {
-        auto *worker = chooseWorker(pending, *task, candidates, placement);
+        auto *worker = chooseWorker(pending, *task, candidates, placement, now);
         if (worker == nullptr) {
             left.push_back(task);
             continue;
@@ -316,7 +334,7 @@
     }
     std::vector<std::pair<RunKey, FleetWorker *>> placed;
     for (auto *task : pending.waiting) {
-        auto *worker = chooseWorker(pending, *task, candidates, placement);
+        auto *worker = chooseWorker(pending, *task, candidates, placement, now);
         if (worker == nullptr) {
             break;
         }
--- a/tests/fleet/PossibleRunsTest.cpp
+++ b/tests/fleet/PossibleRunsTest.cpp
@@ -111,6 +111,56 @@
     }
 }
 
+// Guards against two runs of one task: it moves to another worker, and the one on which its start was given up restarts and carries that start out.
+BOOST_AUTO_TEST_CASE(taskWaitsWhileTheWorkerOfItsGivenUpStartCannotTakeItBack)
+{
+    for (const bool isFull : {true, false}) {
+        PlannerScript script;
+        script.submitStep("j", spreadStep(1));
+        script.planAndStore();
+        giveUpStart(script);
+        auto entry = script.entry("w0");
+        entry.isDraining = !isFull;
+        entry.capacity = isFull ? FleetResources {200, 200, 0} : entry.capacity;
+        script.planner.workerReported(entry, script.now);
+        // It may be carried out for 13 s, of which about one has passed.
+        for (int i = 0; i < 11; ++i) {
+            script.advance(Millis(1000));
+            script.answerPoll("w0", {});
+            script.answerPoll("w1", {});
+            script.planAndStore();
+            BOOST_TEST(script.port.starts.size() == 1U);
+        }
+        script.advance(Millis(2000));
+        script.answerPoll("w1", {});
+        script.planAndStore();
+        BOOST_REQUIRE_EQUAL(script.port.starts.size(), 2U);
+        BOOST_TEST(script.port.starts.back().worker.id == "w1");
+    }
+}
+
+// Guards against two runs of one task: others take the room on the worker to which a task has to go back.
+BOOST_AUTO_TEST_CASE(taskThatGoesBackIsPlacedBeforeMoreUrgentOnes)
+{
+    PlannerScript script;
+    script.queue.priority = 1;
+    script.submit("j", 4000);
+    script.planAndStore();
+    giveUpStart(script);
+    script.answerPoll("w1", {});
+    script.queue.priority = 0;
+    for (const auto *id : {"k", "l", "m"}) {
+        script.submit(id, 4000);
+    }
+    script.planAndStore();
+    const auto &starts = script.port.starts;
+    const auto it = std::find_if(starts.begin() + 1, starts.end(), [](const auto &start) {
+        return start.task.job == "j";
+    });
+    BOOST_REQUIRE(it != starts.end());
+    BOOST_TEST(it->worker.id == "w0");
+}
+
 // Guards against two runs of one task: a worker on which a start was given up falls silent, restarts, and carries that start out.
 BOOST_AUTO_TEST_CASE(taskWaitsWhileItsGivenUpStartMayBeCarriedOut)
 {
