Tests over the wire: the runs that workers see, in a file of their own

LateCallsTest.cpp counted the runs of each task that were at work at once inside its fleet. Each case demands, as before, that at most one run of its task is at work at a time, and that there was one; before, the largest number of any task was compared, and each of these cases has one task.

--- a/tests/adapter/LateCallsTest.cpp
+++ b/tests/adapter/LateCallsTest.cpp
@@ -1,9 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-#include <map>
-
 #include "FleetProcesses.h"
+#include "RunsAtWork.h"
 
 using namespace marjoramhaven;
 using namespace marjoramhaven::test;
@@ -18,11 +16,6 @@
 constexpr int ReadyWithinMs = 3000;
 constexpr int StartWithinMs = 5000;
 
-std::string taskOf(const std::string &job)
-{
-    return job + ".0.0.0";
-}
-
 void wait(Millis time)
 {
     waitFor(
@@ -32,10 +25,9 @@
         static_cast<int>(time.count()));
 }
 
-// One process and some workers, which may carry out calls late. Counts the runs of each task that are at work at the same time.
+// One process and some workers, which may carry out calls late.
 struct LateFleet {
-    std::map<std::string, std::vector<std::string>> workersOf;
-    std::size_t mostAtOnce = 0;
+    RunsAtWork runs;
     Fleet fleet;
     WireStandIn &platform = fleet.platform;
 
@@ -43,13 +35,7 @@
         : fleet(1, 262'144, workerCount)
     {
         platform.onRunEvent = [this](const RunEvent &it) {
-            auto &workers = workersOf[it.task.toString()];
-            if (it.kind == RunEvent::Kind::Started) {
-                workers.push_back(it.worker);
-            } else if (const auto at = std::find(workers.begin(), workers.end(), it.worker); at != workers.end()) {
-                workers.erase(at);
-            }
-            mostAtOnce = std::max(mostAtOnce, workers.size());
+            runs.record(it);
         };
         BOOST_REQUIRE(waitFor(
             [this]() {
@@ -82,7 +68,7 @@
         };
     }
 
-    bool isAtWork(const std::string &job) { return workersOf[taskOf(job)].size() == 1; }
+    bool isAtWork(const std::string &job) const { return runs.countOf(taskOf(job)) == 1; }
 
     // Submits a job whose start request has no answer, and returns the worker that keeps the request, once the task is at work.
     std::size_t loseStartOf(const std::string &job)
@@ -114,7 +100,7 @@
                 return isAtWork(First);
             },
             StartWithinMs));
-        BOOST_REQUIRE_EQUAL(workersOf[taskOf(First)].front(), "i-0");
+        BOOST_REQUIRE_EQUAL(runs.runsOf[taskOf(First)].front().worker, "i-0");
     }
 
     // Returns the entry of the first worker, but with the address of the second and a start that is so much later.
@@ -168,7 +154,7 @@
     late.carryOutLateCalls();
     wait(Millis(1000));
     BOOST_TEST(late.platform.lateCallCount() == 1);
-    BOOST_TEST(late.mostAtOnce == 1);
+    BOOST_TEST(late.runs.mostAtOnceOf(taskOf(First)) == 1);
 }
 
 // Guards against a second run of a task at work: an entry from before its worker's restart named another worker's address, which answered for itself.
@@ -180,7 +166,7 @@
     late.startOnFirstWorker();
     late.platform.store().put("keyed.servers", "i-0", stale);
     wait(Millis(3000));
-    BOOST_TEST(late.mostAtOnce == 1);
+    BOOST_TEST(late.runs.mostAtOnceOf(taskOf(First)) == 1);
 }
 
 // Guards against a task that runs twice because the end of its run was deleted, unread, by a poll that acknowledged ends of the incarnation before.
@@ -221,7 +207,7 @@
     late.platform.restartWorker(worker);
     wait(Millis(1000));
     BOOST_TEST(late.platform.lateCallCount() == 1);
-    BOOST_TEST(late.mostAtOnce == 1);
+    BOOST_TEST(late.runs.mostAtOnceOf(taskOf(First)) == 1);
 }
 
 // Guards against a worker whose runs and ends are ignored for ever, because the clock that its start is read from went back.
@@ -243,7 +229,7 @@
     late.startOnFirstWorker();
     late.platform.store().put("keyed.servers", "i-0", late.entryAtOtherAddress(Millis(100)));
     wait(Millis(3000));
-    BOOST_TEST(late.mostAtOnce == 1);
+    BOOST_TEST(late.runs.mostAtOnceOf(taskOf(First)) == 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
