--- a/tests/adapter/FleetProcesses.h
+++ b/tests/adapter/FleetProcesses.h
@@ -46,8 +46,13 @@
     int port = 0;
 
     Node(const std::string &name, WireStandIn &platform)
-        : settings(settingsOf(name, platform))
-        , events(name, -1)
+        : Node(settingsOf(name, platform))
+    {
+    }
+
+    explicit Node(const FleetNodeSettings &nodeSettings)
+        : settings(nodeSettings)
+        , events(settings.name, -1)
         , httpClient(context, 10)
         , log(httpClient, settings.store, settings.storeMaxRecordBytes)
         , workers(httpClient)
--- a/tests/support/WireStandIn.cpp
+++ b/tests/support/WireStandIn.cpp
@@ -152,7 +152,9 @@
     std::erase_if(m_pendingPolls, [worker](const PendingPoll &it) {
         return it.worker == worker;
     });
-    writeInventoryEntry(worker);
+    if (!m_isHoldingEntriesBack) {
+        writeInventoryEntry(worker);
+    }
 }
 
 void WireStandIn::putConfiguration(std::int64_t version, const std::string &host, const std::vector<std::string> &prefixes, bool needsAdvice, int furtherQueues)
--- a/tests/support/WireStandIn.h
+++ b/tests/support/WireStandIn.h
@@ -36,6 +36,8 @@
     const StoreStandIn &store() const { return m_storeModel; }
     /// While true, the workers answer stop requests with status 503 and carry none out.
     void setRefusingStops(bool isRefusing) { m_isRefusingStops = isRefusing; }
+    /// While true, workers that restart write no entries, so that the newest ones are those of earlier incarnations.
+    void setHoldingEntriesBack(bool isHolding) { m_isHoldingEntriesBack = isHolding; }
     /// Opens another port of the store, for the reader of a cut-off simulation, and returns it. Where a record names one of these ports of a worker or a
     /// process, that reader finds the other one, such as that of a proxy on its own way there.
     int addStoreView(std::map<int, int> ports);
@@ -94,6 +96,7 @@
     int m_storePort = 0;
     int m_advisorPort = 0;
     bool m_isRefusingStops = false;
+    bool m_isHoldingEntriesBack = false;
     std::vector<PendingPoll> m_pendingPolls;
     std::vector<KeptCall> m_keptCalls;
     int m_lateCallCount = 0;
