A task waits for a start that was not answered before the takeover, whatever its worker's entry says

What callers would see: see the failing test before this commit: a task of their job that must run once runs twice.

Cause: where a successor doesn't reach a worker, it took the run for gone 8.2 s after its opening, unless the worker's entry named another incarnation. An entry may lag, and it isn't written anew while it stays the same, so its age proves nothing. The start of a run that its predecessor had just sent may be carried out for 12 s.

Change: RunRecord::mayStartLate stays set until the worker has listed the run for 3 s and no start of it is unanswered. A successor that doesn't reach the worker keeps the task of such a run waiting for 13 s from its opening; others as before, 8.2 s. Not for lasting tasks. Versions without the field ignore it.

Price: 4.8 s more for tasks that began less than about 3 s before a takeover on a worker that isn't reached.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -165,6 +165,8 @@
     bool isOrphaned = false;
     /// See FleetRun::mayHoldLateLease.
     bool mayHoldLateLease = false;
+    /// See FleetRun::mayStartLate. Versions that don't know the field ignore it.
+    bool mayStartLate = false;
 };
 
 /// Stored form of a start request without an answer whose run the planner has given up, and which a later incarnation of the worker may still carry out.
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -174,6 +174,8 @@
     void assumeLateLease(FleetWorker &worker, TimePoint now) const;
     // Removes the marks of a worker's runs once no lease of a late request can be left, so that a successor need not wait for it.
     void removeLateLeaseMarks(FleetWorker &worker, TimePoint now);
+    // Notes that no start request of the run can be carried out late, once that is known.
+    void settleStart(FleetRun &run, TimePoint now);
     // Returns true if a late request may have granted the incarnation on which the previous leader's runs are a longer lease than that leader did.
     bool mayHoldInheritedLateLease(const FleetWorker &worker) const;
     // Returns true if the worker's entry names another incarnation than the one on which the run was placed.
--- a/include/marjoramhaven/fleet/FleetRun.h
+++ b/include/marjoramhaven/fleet/FleetRun.h
@@ -76,6 +76,9 @@
     bool isListed = false;
     /// True if the run was placed, or found, while a late request may have granted its worker a longer lease than its leaders did.
     bool mayHoldLateLease = false;
+    /// True until the worker has listed the run and no start request without an answer is left, which its next incarnation might carry out. Not used for
+    /// long-running tasks.
+    bool mayStartLate = false;
     /// When the worker confirmed the start request; unset if it has not.
     std::optional<TimePoint> startAnsweredAt;
     /// How often the planner has sent the start request.
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -61,6 +61,7 @@
             run.state = RunState::Inherited;
             run.stopReason = it.isOrphaned ? StopReason::Orphaned : StopReason::None;
             run.mayHoldLateLease = it.mayHoldLateLease;
+            run.mayStartLate = it.mayStartLate;
             run.isSpeedKnown = false;
             run.stateSince = now;
             auto &worker = m_state.findOrCreateWorker(it.worker);
@@ -349,7 +350,7 @@
             return RunRecord {attempt, {}, 0};
         }
         const auto &run = it->second;
-        return RunRecord {attempt, run.worker, run.workerStartedUnixMs, run.stopReason == StopReason::Orphaned, run.mayHoldLateLease};
+        return RunRecord {attempt, run.worker, run.workerStartedUnixMs, run.stopReason == StopReason::Orphaned, run.mayHoldLateLease, run.mayStartLate};
     };
 }
 
--- a/src/fleet/FleetPlannerIncarnations.cpp
+++ b/src/fleet/FleetPlannerIncarnations.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Millis UnansweredStopTimeout {600};
+// Short runs end before their records are written again because of this.
+constexpr Millis StartSettleTime {3000};
 
 } // namespace
 
@@ -54,6 +56,8 @@
         }
         run->workerStartedUnixMs = startedUnixMs;
         run->mayHoldLateLease = true;
+        const auto *owner = m_state.findJob(key.task.job);
+        run->mayStartLate = owner != nullptr && !owner->spec(key.task.step).isLongRunning;
         worker.hasMarkedRuns = true;
         run->isStopAnswered = false;
         // The new incarnation may be of another kind.
@@ -118,6 +122,27 @@
     }
 }
 
+void FleetPlanner::settleStart(FleetRun &run, TimePoint now)
+{
+    if (!run.mayStartLate || !run.isListed || now - run.stateSince < StartSettleTime) {
+        return;
+    }
+    const auto &worker = m_state.findOrCreateWorker(run.worker);
+    const bool isUnanswered = std::any_of(worker.unansweredStarts.begin(), worker.unansweredStarts.end(), [&run](const auto &it) {
+        return it.key == run.key;
+    });
+    // What became of the requests of the previous leader is not known.
+    const bool isInherited = run.startSendings == 0;
+    if (isUnanswered || (isInherited && now - m_openedAt <= m_limits.maxExecutionDelay)) {
+        return;
+    }
+    run.mayStartLate = false;
+    auto *job = m_state.findJob(run.key.task.job);
+    if (job != nullptr && job->find(run.key.task) != nullptr) {
+        markDirty(*job, run.key.task);
+    }
+}
+
 bool FleetPlanner::mayHoldInheritedLateLease(const FleetWorker &worker) const
 {
     return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) {
--- a/src/fleet/FleetPlannerMonitoring.cpp
+++ b/src/fleet/FleetPlannerMonitoring.cpp
@@ -44,6 +44,7 @@
     }
     // Erasing from m_state.runs would invalidate this loop. No call removes a run whose start request was sent, and only such runs are passed to them.
     for (auto &[key, run] : m_state.runs) {
+        settleStart(run, now);
         if (run.stopReason != StopReason::None) {
             trySendStop(run, now);
         } else if (run.state == RunState::Unconfirmed && now >= run.nextStartAt && mayRepeatStart(run, now)) {
--- a/src/fleet/FleetPlannerRuns.cpp
+++ b/src/fleet/FleetPlannerRuns.cpp
@@ -40,6 +40,7 @@
     task.lastAttempt = attempt;
     task.activeAttempts.push_back(attempt);
     const auto &spec = job.spec(task.id.step);
+    run.mayStartLate = !spec.isLongRunning;
     worker.allocate(run.key, FleetState::allocationFor(job, spec, now));
     if (job.state == FleetJobState::Queued) {
         job.state = FleetJobState::Running;
--- a/src/fleet/FleetPlannerWorkers.cpp
+++ b/src/fleet/FleetPlannerWorkers.cpp
@@ -123,8 +123,8 @@
                         {"answer_age_ms", worker.lastResponseAt == TimePoint {} ? WorkerCallHistory::None : (now - worker.lastResponseAt).count()},
                         {"lease_age_ms", worker.calls.leaseAgeMs(now)},
                         {"answered_lease_age_ms", worker.calls.answeredLeaseAgeMs(now)}});
-        if (run->state == RunState::Inherited && namesOtherIncarnation(worker, *run)) {
-            // Whether the previous leader's start request was answered is not known, and the next incarnation may carry it out late.
+        if (run->state == RunState::Inherited && (run->mayStartLate || namesOtherIncarnation(worker, *run))) {
+            // Whether the previous leader's start request was answered is not known, and the next incarnation may carry it out late, whatever the entry says.
             rememberUnansweredStart(worker, key, run->workerStartedUnixMs, m_openedAt);
         }
         const auto checkpoint = run->checkpoint;
--- a/src/fleet/FleetRecords.cpp
+++ b/src/fleet/FleetRecords.cpp
@@ -70,7 +70,7 @@
 
     template<>
     struct FieldOrder<marjoramhaven::RunRecord> {
-        static auto of(auto &it) { return std::tie(it.attempt, it.worker, it.workerStartedUnixMs, it.isOrphaned, it.mayHoldLateLease); }
+        static auto of(auto &it) { return std::tie(it.attempt, it.worker, it.workerStartedUnixMs, it.isOrphaned, it.mayHoldLateLease, it.mayStartLate); }
     };
 
     template<>
--- a/tests/fleet/GivenUpRecordsTest.cpp
+++ b/tests/fleet/GivenUpRecordsTest.cpp
@@ -271,6 +271,33 @@
     }
 }
 
+// Guards against the same, and against a wait without need: the record tells whether the worker had listed the run and no start of it was unanswered.
+BOOST_AUTO_TEST_CASE(successorWaitsForAStartOnlyUntilItsPredecessorHadListedTheRun)
+{
+    const auto granted = LeadershipConfirmation::longestLease(PlannerLimits {}.leadershipBound, PlannerLimits {}.lease);
+    for (const bool isSettled : {false, true}) {
+        PlannerScript leader(1);
+        // Late calls to earlier incarnations can't have granted any lease that is left.
+        for (int i = 0; i < 50; ++i) {
+            leader.advance(Millis(250));
+            leader.answerPoll("w0", {});
+        }
+        leader.submitStep("j", oneTask(false));
+        leader.planAndStore();
+        BOOST_REQUIRE_EQUAL(leader.port.starts.size(), 1U);
+        leader.planner.handleStartResponse(leader.port.starts.back(), leader.done(), leader.now);
+        leader.answerPoll("w0", {{{"j", 0, 0, 0}, 1, {}, 1, 0}});
+        leader.planner.batchStored(leader.planner.takeBatch(leader.now).number, leader.now);
+        leader.advance(Millis(isSettled ? 3500 : 0));
+        BOOST_TEST(leader.planner.hasUnstoredChanges() == isSettled);
+        const auto progress = leader.planner.progressOf("j");
+        BOOST_REQUIRE(progress);
+        const auto waited = waitOfSuccessor(*decodeJobRecord(encodeJobRecord(*progress)), false, false);
+        BOOST_TEST(waited > (isSettled ? granted : LongestDelay));
+        BOOST_TEST(waited < (isSettled ? granted : LongestDelay) + Millis(500));
+    }
+}
+
 // Guards against a job that is held back because the starts that were given up make its record too large.
 BOOST_AUTO_TEST_CASE(recordWithManyGivenUpStartsIsNotTooLarge)
 {
