A test of leases cuts workers off when their runs have been at work for some seconds

leaderBehindACutDoesNotExtendLeasesThatItsSuccessorTakesForLapsed failed 8 times of 8 since a successor waits 13 s for a start that may not have been answered before the takeover: the test cut the workers off at the very moment their runs began, and wants them at work elsewhere 9 s after the takeover. What it guards, that the leader behind the cut extends no lease for longer than its successor waits, is about runs at work, so they are at work for 4 s first. All checks and bounds are as before; it passes.

--- a/tests/fleet/LeaseTest.cpp
+++ b/tests/fleet/LeaseTest.cpp
@@ -62,6 +62,8 @@
             FakeFleetOptions options;
             options.workerClockRate = clockRate;
             const auto fleet = busyFleet(options);
+            // A start that has just been sent may still be carried out late, for which a successor would wait longer.
+            fleet->run(Millis(4000));
             fleet->cutOffPlanner({fleet->workerOf("j.0.0.0"), fleet->workerOf("j.0.0.11")}, takeover);
             fleet->run(takeover + Millis(9000));
             // The work of the workers behind the cut has been started elsewhere.
