Two tests count as strictly as they say

Found by the review: runs of one task on one worker were ended together by one end, so that two of them might count as one; the attempt tells them apart now. The test of the time of decision passed without any request to a worker; it demands at least one.

--- a/tests/adapter/RunsAtWork.h
+++ b/tests/adapter/RunsAtWork.h
@@ -20,6 +20,7 @@
 struct RunsAtWork {
     struct Run {
         std::string worker;
+        std::int64_t attempt = 0;
         TimePoint startedAt {};
         std::optional<TimePoint> endedAt;
         RunEnd end = RunEnd::Done;
@@ -32,10 +33,10 @@
         const auto task = event.task.toString();
         auto &runs = runsOf[task];
         if (event.kind == RunEvent::Kind::Started) {
-            runs.push_back({event.worker, event.at, std::nullopt, RunEnd::Done});
+            runs.push_back({event.worker, event.attempt, event.at, std::nullopt, RunEnd::Done});
         }
         for (auto &it : runs) {
-            if (event.kind == RunEvent::Kind::Ended && it.worker == event.worker && !it.endedAt) {
+            if (event.kind == RunEvent::Kind::Ended && it.worker == event.worker && it.attempt == event.attempt && !it.endedAt) {
                 it.endedAt = event.at;
                 it.end = event.end;
             }
--- a/tests/fleetnode/LeadershipTest.cpp
+++ b/tests/fleetnode/LeadershipTest.cpp
@@ -162,6 +162,7 @@
     MemoryLog log;
     const auto before = monotonicNow();
     const auto node = leaderOfOneWorker(log);
+    BOOST_REQUIRE(!node->workers.pollLimits.empty());
     for (const auto &it : node->workers.pollLimits) {
         BOOST_REQUIRE(it.decidedAt);
         BOOST_TEST((*it.decidedAt >= before && *it.decidedAt <= monotonicNow()));
