Starts without an answer: a bound for long-running tasks, no haste after refusals, the later time counts

- A start that times out again and again was repeated for as long as its worker took starts, and each time-out renewed the 4.5 s for which a long-running task may wait.
Such a task has to be at work again within seconds: its start is repeated for 2 s, and its wait counts from the first time-out.
- A task that may start on one worker only was sent there each 50 ms, with a record each time, while that worker refused its first sending.
It pauses for 400 ms, as other tasks avoid such a worker.
- A start of the previous leader that was noticed late was then remembered with the time of the opening, which shortened the wait.
The later time counts.

--- a/include/marjoramhaven/fleet/FleetRun.h
+++ b/include/marjoramhaven/fleet/FleetRun.h
@@ -83,6 +83,8 @@
     std::optional<TimePoint> startAnsweredAt;
     /// How often the planner has sent the start request.
     int startSendings = 0;
+    /// When the planner first learned that a start request was not answered; unset if each was.
+    std::optional<TimePoint> firstUnansweredAt;
     /// How often the worker has refused a repetition of the start request.
     int startRefusals = 0;
     /// The start request is sent again no earlier than this, while its outcome is not known.
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -71,8 +71,10 @@
 /// A start request that its worker may carry out later than its answer came, also in a new incarnation.
 struct UnansweredStart {
     RunKey key;
-    /// When the planner learned that the outcome of the request is not known.
+    /// When the planner learned that the outcome of the newest request is not known.
     TimePoint since {};
+    /// The same for the first of the requests, which all carry the same attempt.
+    TimePoint firstSince {};
     /// True if the worker has restarted since, and its new incarnation has not confirmed that the run is stopped.
     bool mustStop = false;
     bool isStopInFlight = false;
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -106,6 +106,7 @@
         // Their age is not stored; they were sent before this planner opened.
         for (auto &it : worker.unansweredStarts) {
             it.since = now;
+            it.firstSince = now;
         }
         if (mayHoldInheritedLateLease(worker)) {
             assumeLateLease(worker, now);
--- a/src/fleet/FleetPlannerIncarnations.cpp
+++ b/src/fleet/FleetPlannerIncarnations.cpp
@@ -182,10 +182,16 @@
 
 void FleetPlanner::rememberUnansweredStart(FleetWorker &worker, const RunKey &key, std::int64_t workerStartedUnixMs, TimePoint now)
 {
-    std::erase_if(worker.unansweredStarts, [&key](const auto &it) {
+    auto since = now;
+    auto firstSince = now;
+    std::erase_if(worker.unansweredStarts, [&](const auto &it) {
+        if (it.key == key) {
+            since = std::max(since, it.since);
+            firstSince = std::min(firstSince, it.firstSince);
+        }
         return it.key == key;
     });
-    worker.unansweredStarts.push_back({key, now, worker.startedUnixMs != workerStartedUnixMs, false, now});
+    worker.unansweredStarts.push_back({key, since, firstSince, worker.startedUnixMs != workerStartedUnixMs, false, now});
     markGivenUpStartChanged(key);
 }
 
@@ -224,7 +230,7 @@
 {
     for (const auto &it : row.givenUpStarts) {
         const RunKey key {{job, row.occurrence, row.step, row.index}, it.attempt};
-        m_state.findOrCreateWorker(it.worker).unansweredStarts.push_back({key, now, false, false, now});
+        m_state.findOrCreateWorker(it.worker).unansweredStarts.push_back({key, now, now, false, false, now});
     }
 }
 
--- a/src/fleet/FleetPlannerStarts.cpp
+++ b/src/fleet/FleetPlannerStarts.cpp
@@ -13,7 +13,9 @@
 constexpr int MaxStartRetryDoublings = 3;
 constexpr Millis FirstStartRetryDelay {40};
 constexpr Millis StartRetryWindow {600};
+constexpr Millis LongestRepetitionOfLongRunningTask {2000};
 constexpr Millis PauseAfterRefusal {50};
+constexpr Millis PauseOfBoundTaskAfterRefusal {400};
 constexpr Millis AvoidAfterRefusal {400};
 constexpr Millis AvoidAfterSilence {1500};
 
@@ -191,6 +193,10 @@
         pause = PauseAfterRefusal;
         break;
     }
+    // A task that may start on this worker only is not kept from it by avoidUntil.
+    if (pause > Millis(0) && !givenUpStartsOf(m_state, key.task).workers.empty()) {
+        pause = PauseOfBoundTaskAfterRefusal;
+    }
     worker.avoidUntil = std::max(worker.avoidUntil, now + avoid);
     if (run->startSendings > 1 || (isFencedByItself && response.sendings > 1)) {
         // The refusal proves nothing about the earlier requests, whose outcome is not known.
@@ -204,8 +210,17 @@
 void FleetPlanner::extendStartRepetition(FleetRun &run, TimePoint now)
 {
     const auto *job = m_state.findJob(run.key.task.job);
+    if (job == nullptr || run.repeatStartUntil == TimePoint {}) {
+        return;
+    }
+    if (!run.firstUnansweredAt) {
+        run.firstUnansweredAt = now;
+    }
+    const auto &spec = job->spec(run.key.task.step);
+    // A long-running task has to be at work again soon, perhaps on another worker.
+    const bool isTooLong = spec.isLongRunning && now - *run.firstUnansweredAt > LongestRepetitionOfLongRunningTask;
     // A speculative run may start elsewhere beside the one that is not known.
-    if (job != nullptr && !job->spec(run.key.task.step).allowsSpeculation && run.repeatStartUntil != TimePoint {}) {
+    if (!spec.allowsSpeculation && !isTooLong) {
         run.repeatStartUntil = now + StartRetryWindow;
     }
 }
--- a/src/fleet/GivenUpStarts.cpp
+++ b/src/fleet/GivenUpStarts.cpp
@@ -23,7 +23,7 @@
     }
     workers.insert(on.report.id);
     isAnyOpen = isAnyOpen || mayCarryOutEarlierStarts(on);
-    oldest = oldest == TimePoint {} ? start.since : std::min(oldest, start.since);
+    oldest = oldest == TimePoint {} ? start.firstSince : std::min(oldest, start.firstSince);
     const bool mayTakeItBack = on.isListed && !on.report.isDraining;
     if (mayTakeItBack && (worker.empty() || start.since > newest)) {
         newest = start.since;
