--- a/tests/soak/SoakChecker.h
+++ b/tests/soak/SoakChecker.h
@@ -16,6 +16,10 @@
     std::vector<int> steps;
     /// The tasks are a gang that lasts until the job is cancelled.
     bool isGang = false;
+    /// Each task works for 10 to 14 s, longer than the leases of its worker.
+    bool isLong = false;
+    /// The tasks last until the job is cancelled, and start again however they end.
+    bool isLasting = false;
     /// Number of occurrences, the first of them due at this Unix time in milliseconds, and the time between them; 0 for a job that runs once, at once.
     int repeatCount = 0;
     std::int64_t firstDueUnixMs = 0;
@@ -42,6 +46,7 @@
 
     // Observations of workers.
     void handleRunEvent(const RunEvent &event);
+    void handleAcknowledgement(const EndAcknowledgement &end);
     void workerRestarted(const std::string &worker, TimePoint now);
 
     // Observations of callers and of the test.
@@ -55,17 +60,32 @@
     int startCount() const { return m_startCount; }
 
 private:
+    // A run on a worker, by the worker and the attempt.
+    using RunKey = std::pair<std::string, std::int64_t>;
+    // A run that ended as done.
+    struct Completion {
+        RunKey run;
+        TimePoint at {};
+        // Whether the end was acknowledged without a lapse of the worker's lease in between. That stands for good.
+        bool isAcknowledged = false;
+        // Runs of the task that started later.
+        std::vector<std::string> laterStarts;
+    };
+
     void checkStart(const RunEvent &event);
     bool isStepDone(const std::string &job, int occurrence, int step) const;
-    bool isCompletionLost(const FleetTaskId &task) const;
+    bool isCompletionLost(const Completion &completion) const;
+    void checkCompletions(const RunEvent &start);
+    std::string nameOfStart(const RunEvent &event) const;
     std::size_t workerIndex(const std::string &worker) const;
 
     const WireStandIn &m_platform;
+    const TimePoint m_createdAt;
     std::map<std::string, JobHistory> m_jobs;
     std::set<std::string> m_startedJobs;
-    std::map<FleetTaskId, std::set<std::string>> m_running;
-    /// The worker on which each task completed first, and the time.
-    std::map<FleetTaskId, std::pair<std::string, TimePoint>> m_firstCompletions;
+    /// The runs that are running, with a description of how each started.
+    std::map<FleetTaskId, std::map<RunKey, std::string>> m_running;
+    std::map<FleetTaskId, std::vector<Completion>> m_completions;
     std::map<std::string, TimePoint> m_restartedAt;
     int m_startCount = 0;
     std::vector<std::string> m_violations;
