Comments name starts without an answer as they are stored

They stand in the record also while their run is at work. Comments only; the release build of the program is byte for byte the same before and after (checked when it was built).

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -169,7 +169,7 @@
     bool mayStartLate = false;
 };
 
-/// Stored form of a start request without an answer whose run the planner has given up, and which a later incarnation of the worker may still carry out.
+/// Stored form of a start request without an answer, which its worker, or a later incarnation of it, may still carry out.
 struct GivenUpStartRecord {
     std::int64_t attempt = 0;
     std::string worker;
@@ -189,7 +189,8 @@
     std::vector<RunRecord> runs;
     /// Number of failed runs that `failedAttempts` does not list.
     int olderFailures = 0;
-    /// Start requests that may still be carried out; empty once the task is done. Versions that don't know the field ignore it.
+    /// Start requests without an answer that may still be carried out, whether their runs are given up or at work; empty once the task is done. Versions that
+    /// don't know the field ignore it.
     std::vector<GivenUpStartRecord> givenUpStarts = {};
 };
 
--- a/include/marjoramhaven/fleet/FleetJobState.h
+++ b/include/marjoramhaven/fleet/FleetJobState.h
@@ -23,7 +23,7 @@
 
 /// Returns the stored form of an active run of a task.
 using RunLocator = std::function<RunRecord(const FleetTaskId &, std::int64_t attempt)>;
-/// Returns the stored form of the start requests of a task that were given up and may still be carried out.
+/// Returns the stored form of the start requests of a task that were not answered and may still be carried out.
 using GivenUpStartLocator = std::function<std::vector<GivenUpStartRecord>(const FleetTaskId &)>;
 
 /// State of one accepted job as the planner knows it.
@@ -65,7 +65,7 @@
     /// Makes the members of each gang agree once all parts are restored, since the parts of a change may not all have been stored.
     void alignGangs();
     /// Returns the whole progress in one record, as a successor has to find it. The locators are called for each active run and for each task that isn't done;
-    /// without the second one, no starts are given up.
+    /// without the second one, there are no start requests without an answer.
     JobRecord record(const RunLocator &locateRun, const GivenUpStartLocator &locateGivenUp = {}) const;
     /// Notes that the stored form of a task has changed.
     void markChanged(const FleetTaskId &task);
--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -191,7 +191,7 @@
     void forgetOldUnansweredStarts(FleetWorker &worker, TimePoint now);
     // Notes whether another worker answers where this one did.
     void setReplaced(FleetWorker &worker, bool isReplaced);
-    // Start requests that were given up are stored with their tasks, until none of them may be carried out any more.
+    // Start requests without an answer are stored with their tasks, until they can't be carried out any more.
     void markGivenUpStartChanged(const RunKey &key);
     void restoreGivenUpStarts(const std::string &job, const TaskRecord &row, TimePoint now);
     GivenUpStartLocator givenUpStartLocator() const;
