A gang asks on about workers whose room completes it

Callers saw a gang with an advisor `queued` for good, with room for eight of its tasks and 42 % of the service in use.

Cause: requestGangAdvice asked about further workers only while it knew fewer than two allowed ones for each task, whether these had room or not. The count was right when it was made ("some become free soon") and kept after the room had moved: with lasting tasks on all named workers it asked about no others, neither added ones nor such as became free. The log showed it: one advice line of the step, about 15 workers, all full, and none after it.

Now a gang that knows enough workers asks about others once their room, with that of the known ones, is enough for the whole gang. Each worker is still asked about once a step, and never while no room would let the gang start, so a waiting gang does not keep the advisor from steps that could start.

--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -72,6 +72,8 @@
     void holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const;
     void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    // Returns how many tasks of a gang have room on a worker now.
+    static std::size_t slotsOn(const PendingStep &pending, const FleetWorker &worker);
     // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
     static std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
     // TaskPlacerPreemption.cpp: preemption for tasks of higher priority
--- a/src/fleet/TaskPlacerGangs.cpp
+++ b/src/fleet/TaskPlacerGangs.cpp
@@ -48,6 +48,13 @@
     return out;
 }
 
+std::size_t TaskPlacer::slotsOn(const PendingStep &pending, const FleetWorker &worker)
+{
+    const auto free = worker.slotsFor(FleetState::reservedResources(*pending.spec));
+    const auto limit = pending.spec->maxPerWorker;
+    return static_cast<std::size_t>(limit > 0 ? std::min<std::int64_t>(free, limit) : free);
+}
+
 // Small tasks fill each gap before a gang finds all its gaps at the same time. So the workers that need to free the least for the gang are kept from steps that
 // rank behind it, until it starts.
 void TaskPlacer::holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
@@ -109,34 +116,42 @@
     return isEnough && m_heldWorkerCount + out.size() <= limit ? out : std::vector<std::string> {};
 }
 
-// The advisor's verdict on a worker does not change, only its ticket expires. So a gang asks until it knows enough workers, whether they have room or not, and
-// then only for new tickets once all its tasks have room. Asking again and again without room would keep the advisor from steps that could start.
+// The advisor's verdict on a worker does not change, only its ticket expires. So a gang asks about each worker once: first until it knows enough of them,
+// whether these have room or not, and later about others with room if that completes the gang. It asks for new tickets once all its tasks have room. Asking
+// again and again without room would keep the advisor from steps that could start.
 void TaskPlacer::requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const auto name = pending.name();
-    const auto needs = FleetState::reservedResources(*pending.spec);
     const auto size = pending.waiting.size();
     std::vector<FleetWorker *> withRoom;
     std::vector<FleetWorker *> unknown;
+    std::vector<FleetWorker *> unknownWithRoom;
     std::size_t allowed = 0;
-    std::int64_t slots = 0;
+    std::size_t slots = 0;
+    std::size_t unknownSlots = 0;
     for (auto *it : workersForGang(pending, workers)) {
         const auto verdict = m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now);
+        const auto free = slotsOn(pending, *it);
         if (verdict == AdviceCache::Verdict::Unknown) {
             unknown.push_back(it);
+            unknownSlots += free;
+            if (free > 0) {
+                unknownWithRoom.push_back(it);
+            }
         } else if (verdict != AdviceCache::Verdict::Forbidden) {
             ++allowed;
-            const auto free = it->slotsFor(needs);
-            slots += pending.spec->maxPerWorker > 0 ? std::min<std::int64_t>(free, pending.spec->maxPerWorker) : free;
+            slots += free;
             if (free > 0) {
                 withRoom.push_back(it);
             }
         }
     }
-    if (slots >= static_cast<std::int64_t>(size)) {
+    if (slots >= size) {
         requestAdvice(pending, withRoom, size, now);
     } else if (allowed < size * AllowedWorkersPerTask) {
         requestAdvice(pending, unknown, size * AllowedWorkersPerTask - allowed, now);
+    } else if (slots + unknownSlots >= size) {
+        requestAdvice(pending, unknownWithRoom, size - slots, now);
     }
 }
 
--- a/tests/fleet/FakeFleet.cpp
+++ b/tests/fleet/FakeFleet.cpp
@@ -30,7 +30,7 @@
     queue.objectiveMs = 500;
     FleetWorkerTimes workerTimes;
     workerTimes.clockRate = options.workerClockRate;
-    for (int i = 0; i < options.workers; ++i) {
+    for (int i = 0; i < options.workers + options.spareWorkers; ++i) {
         WorkerReport report;
         report.id = "w" + std::to_string(i);
         report.service = "svc";
@@ -66,7 +66,7 @@
                 recordRunEvent(event);
             }));
         m_isUnresponsive.push_back(false);
-        m_isListed.push_back(true);
+        m_isListed.push_back(i < options.workers);
         m_refusedRequestShares.push_back(0);
     }
     openPlanner();
--- a/tests/fleet/FakeFleet.h
+++ b/tests/fleet/FakeFleet.h
@@ -18,6 +18,8 @@
 /// Parameters of a FakeFleet.
 struct FakeFleetOptions {
     int workers = 6;
+    /// Workers after these that are not listed until addWorkers().
+    int spareWorkers = 0;
     FleetResources capacity {8000, 16000, 0};
     int advisorProxies = 3;
     /// One-way network latency between the planner and a worker.
@@ -55,6 +57,8 @@
     QueuePolicy queue;
     /// Changes the behaviour of a task; by default a task runs for its step's estimated duration and completes.
     std::function<void(const FleetTaskId &, TaskBehaviour &)> configureTask;
+    /// Returns true if the advisor allows a step to run on a worker; by default it allows all.
+    std::function<bool(const std::string &step, const std::string &worker)> advisorAllows;
 
     FleetJobRequest makeJob(const std::string &id, std::vector<StepSpec> steps) const;
     void submit(const FleetJobRequest &request);
@@ -76,6 +80,8 @@
     void restartWorker(int worker);
     void drainWorker(int worker, Millis remaining);
     void unlistWorker(int worker);
+    /// Lists this many of the spare workers.
+    void addWorkers(int count);
     /// Lets this share of the requests to workers time out and be carried out later.
     void setDelayedRequestShare(double share);
     /// The same for polls, which all other requests leave alone.
@@ -102,6 +108,8 @@
     std::optional<TimePoint> firstStart(const std::string &task) const;
     int endsOf(const std::string &task, RunEnd end) const;
     int adviceCalls() const { return m_adviceCalls; }
+    /// Returns how many workers the calls to the advisor have named, the same one as often as it was named.
+    int advisedWorkers() const { return m_advisedWorkers; }
     /// Returns the number of start requests that were sent with an expired ticket.
     int expiredTickets() const { return m_expiredTickets; }
     FleetWorkerModel &worker(int number) { return *m_workers[static_cast<std::size_t>(number)]; }
@@ -173,6 +181,7 @@
     double m_delayedPollShare = 0;
     double m_lostResponseShare = 0;
     int m_adviceCalls = 0;
+    int m_advisedWorkers = 0;
     int m_expiredTickets = 0;
     std::map<FleetTaskId, int> m_startingOn;
     std::vector<RunEvent> m_starts;
--- a/tests/fleet/FakeFleetFaults.cpp
+++ b/tests/fleet/FakeFleetFaults.cpp
@@ -109,6 +109,16 @@
     }
 }
 
+void FakeFleet::addWorkers(int count)
+{
+    for (std::size_t i = 0; i < m_workers.size() && count > 0; ++i) {
+        if (!m_isListed[i]) {
+            m_isListed[i] = true;
+            --count;
+        }
+    }
+}
+
 void FakeFleet::setDelayedRequestShare(double share)
 {
     m_hasFaults = true;
--- a/tests/fleet/FakeFleetPlanner.h
+++ b/tests/fleet/FakeFleetPlanner.h
@@ -244,13 +244,16 @@
     void sendAdviceRequest(const AdviceRequest &request) override
     {
         ++fleet.m_adviceCalls;
+        fleet.m_advisedWorkers += static_cast<int>(request.workers.size());
         const auto process = self();
         fleet.after(fleet.m_options.adviceDelay + AdvicePerWorker * static_cast<int>(request.workers.size()), [this, process, request]() {
             AdviceResponse response;
             response.isAnswered = true;
             const auto issuedMs = (fleet.m_now - TimePoint {}).count();
             for (const auto &it : request.workers) {
-                response.allowed.push_back({it, std::to_string(issuedMs)});
+                if (!fleet.advisorAllows || fleet.advisorAllows(request.step, it)) {
+                    response.allowed.push_back({it, std::to_string(issuedMs)});
+                }
             }
             process->receive([this, request, response]() {
                 planner->handleAdviceResponse(request, response, fleet.m_now);
--- /dev/null
+++ b/tests/fleet/WaitingStepsTest.cpp
@@ -0,0 +1,149 @@
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+#include <utility>
+
+#include "FakeFleet.h"
+#include "PlannerScript.h"
+
+using namespace marjoramhaven;
+using namespace marjoramhaven::test;
+
+namespace {
+
+StepSpec step(int count, std::int64_t cpu, std::int64_t ms)
+{
+    StepSpec out;
+    out.taskCount = count;
+    out.needs = {cpu, 500, 0};
+    out.estimateMs = ms;
+    return out;
+}
+
+StepSpec gang(int count, std::int64_t cpu, std::int64_t ms)
+{
+    auto out = step(count, cpu, ms);
+    out.isGang = true;
+    return out;
+}
+
+StepSpec lasting(int count, std::int64_t cpu, const std::string &label = {})
+{
+    auto out = step(count, cpu, 400);
+    out.isLongRunning = true;
+    out.maxPerWorker = 1;
+    out.requiredLabel = label;
+    return out;
+}
+
+FakeFleetOptions fleetOf(int workers, int spareWorkers = 0)
+{
+    FakeFleetOptions out;
+    out.workers = workers;
+    out.spareWorkers = spareWorkers;
+    return out;
+}
+
+void useAdvisor(QueuePolicy &queue)
+{
+    queue.needsAdvice = true;
+    queue.adviceBaseMs = 5;
+    queue.advicePerWorkerMs = 1;
+    queue.ticketValidityMs = 2500;
+}
+
+FleetJobRequest withoutAdvice(FleetJobRequest request)
+{
+    request.queue.needsAdvice = false;
+    request.queue.prefix = "/plain/";
+    return request;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WaitingSteps)
+
+// Guards against a gang that never starts: the workers that its advisor had named were full for good, and it asked about no others once these had room.
+BOOST_AUTO_TEST_CASE(gangStartsOnWorkersThatAreAddedAfterItsAdvisorHasNamedEnough)
+{
+    FakeFleet fleet(fleetOf(16, 4));
+    useAdvisor(fleet.queue);
+    fleet.submit(withoutAdvice(fleet.makeJob("watch", {lasting(16, 4500)})));
+    fleet.run(Millis(1000));
+    fleet.submit(fleet.makeJob("gang", {gang(2, 4000, 500)}));
+    fleet.run(Millis(4000));
+    BOOST_TEST(!fleet.firstStart("gang.0.0.0"));
+    fleet.addWorkers(4);
+    fleet.run(Millis(3000));
+    BOOST_TEST((fleet.stateOf("gang") == FleetJobState::Completed));
+    BOOST_TEST(fleet.violations().empty());
+}
+
+// Guards against the same without a new worker: room opens on workers that the gang had not asked about.
+BOOST_AUTO_TEST_CASE(gangStartsOnWorkersWhoseLastingTasksAreCancelledAfterItsAdvisorHasNamedEnough)
+{
+    constexpr int Workers = 48;
+    FakeFleet fleet(fleetOf(Workers));
+    useAdvisor(fleet.queue);
+    std::set<std::string> asked;
+    fleet.advisorAllows = [&asked](const std::string & /*step*/, const std::string &worker) {
+        asked.insert(worker);
+        return true;
+    };
+    for (int i = 0; i < Workers; ++i) {
+        const auto worker = "w" + std::to_string(i);
+        fleet.submit(withoutAdvice(fleet.makeJob("watch-" + worker, {lasting(1, 4500, "only-" + worker)})));
+    }
+    fleet.run(Millis(1000));
+    fleet.submit(fleet.makeJob("gang", {gang(2, 4000, 500)}));
+    fleet.run(Millis(4000));
+    BOOST_REQUIRE(asked.size() < Workers);
+    const auto askedFirst = asked;
+    for (int i = 0; i < Workers; ++i) {
+        const auto worker = "w" + std::to_string(i);
+        if (!askedFirst.contains(worker)) {
+            fleet.cancel("watch-" + worker);
+        }
+    }
+    fleet.run(Millis(3000));
+    BOOST_TEST((fleet.stateOf("gang") == FleetJobState::Completed));
+    BOOST_TEST(fleet.violations().empty());
+}
+
+// Guards against the same where the advisor allows a few workers only, and a first answer about new ones names none.
+BOOST_AUTO_TEST_CASE(gangAsksOnUntilItsAdvisorAllowsWorkersWithRoom)
+{
+    FakeFleet fleet(fleetOf(8, 20));
+    useAdvisor(fleet.queue);
+    fleet.advisorAllows = [](const std::string & /*step*/, const std::string &worker) {
+        const int number = std::stoi(worker.substr(1));
+        return number < 8 || number >= 26;
+    };
+    fleet.submit(withoutAdvice(fleet.makeJob("watch", {lasting(8, 4500)})));
+    fleet.run(Millis(1000));
+    fleet.submit(fleet.makeJob("gang", {gang(2, 8000, 500)}));
+    fleet.run(Millis(2000));
+    fleet.addWorkers(20);
+    fleet.run(Millis(4000));
+    BOOST_TEST((fleet.stateOf("gang") == FleetJobState::Completed));
+    BOOST_TEST(fleet.violations().empty());
+}
+
+// Guards against a waiting gang that keeps the advisor from steps that could start.
+BOOST_AUTO_TEST_CASE(gangThatFindsNoRoomAsksAboutEachWorkerOnce)
+{
+    FakeFleet fleet(fleetOf(24));
+    useAdvisor(fleet.queue);
+    fleet.submit(withoutAdvice(fleet.makeJob("watch", {lasting(24, 3000)})));
+    fleet.run(Millis(1000));
+    fleet.submit(fleet.makeJob("gang", {gang(6, 5000, 500)}));
+    // Small tasks fill the rest all the time, so that each worker has room for the gang for moments.
+    for (int i = 0; i < 100; ++i) {
+        fleet.submit(withoutAdvice(fleet.makeJob("small" + std::to_string(i), {step(12, 2500, 300)})));
+        fleet.run(Millis(100));
+    }
+    BOOST_TEST(fleet.advisedWorkers() <= 24 * 2);
+    BOOST_TEST(fleet.violations().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
