Room that lasting runs take up is no room to wait for

Callers saw a small job wait for a minute beside three empty workers, the only ones with its label: a gang of four held them and waited for a fourth one, which misses 1 of 32 cores that a lasting task keeps. A second play without any label: a gang holds workers that lasting tasks fill, as they miss the least, and never those that become free in two seconds.

Cause: workers counted as usable soon, whatever takes up their room.

A worker knows the part of its room that runs which do not end by themselves take up. Where that leaves too little, it is no candidate for a gang: neither for holding, nor for the limit of a quarter of the workers, nor for "allowed, so some become free soon" at the advisor.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -18,6 +18,25 @@
     std::int64_t cpuMilli = 0;
     std::int64_t memoryMb = 0;
     std::int64_t gpus = 0;
+
+    FleetResources &operator+=(const FleetResources &other)
+    {
+        cpuMilli += other.cpuMilli;
+        memoryMb += other.memoryMb;
+        gpus += other.gpus;
+        return *this;
+    }
+    FleetResources &operator-=(const FleetResources &other)
+    {
+        cpuMilli -= other.cpuMilli;
+        memoryMb -= other.memoryMb;
+        gpus -= other.gpus;
+        return *this;
+    }
+    friend FleetResources operator+(FleetResources a, const FleetResources &b) { return a += b; }
+    friend FleetResources operator-(FleetResources a, const FleetResources &b) { return a -= b; }
+    /// Returns true if none of these resources exceeds the same one of `room`.
+    bool fitIn(const FleetResources &room) const { return cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && gpus <= room.gpus; }
 };
 
 /// One step of a job: a number of identical tasks.
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -64,6 +64,8 @@
     bool isPreemptible = false;
     /// True if a stop was requested, so that the resources become free soon.
     bool isStopping = false;
+    /// True if the run does not end by itself.
+    bool isLasting = false;
     /// When the run was placed on the worker.
     TimePoint placedAt {};
 };
@@ -139,6 +141,8 @@
     std::map<RunKey, RunAllocation> allocations;
     /// Sum of the resources in `allocations`.
     FleetResources used;
+    /// The part of `used` that belongs to runs which do not end by themselves.
+    FleetResources usedByLastingRuns;
     /// True if the worker was slow when plan() began.
     bool isSlow = false;
     /// True while plan() holds the free resources for a gang that ranks before the steps that are still to be placed.
@@ -160,6 +164,8 @@
     bool refusesEarlierRequests() const { return answeredToken >= requiredToken; }
     /// Returns true if the worker has these resources free.
     bool hasRoomFor(const FleetResources &needs) const;
+    /// Returns true if the worker has these resources free once all runs that end by themselves have ended.
+    bool mayHaveRoomFor(const FleetResources &needs) const;
     /// Returns how many tasks with these needs fit into the worker's free resources.
     std::int64_t slotsFor(const FleetResources &needs) const;
     /// Allocates the resources of a run; does nothing if the run has an allocation already.
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -74,7 +74,7 @@
     void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     // Returns how many tasks of a gang have room on a worker now.
     static std::size_t slotsOn(const PendingStep &pending, const FleetWorker &worker);
-    // Returns the workers that may run the gang and are large enough for one of its tasks, whether or not they have room now.
+    // Returns the workers that may run the gang and that have room for one of its tasks now or once the runs on them that end by themselves have ended.
     static std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
     // TaskPlacerPreemption.cpp: preemption for tasks of higher priority
     static bool mayPreempt(const PendingStep &pending, TimePoint now);
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -65,8 +65,12 @@
 
 bool FleetWorker::hasRoomFor(const FleetResources &needs) const
 {
-    return used.cpuMilli + needs.cpuMilli <= report.capacity.cpuMilli && used.memoryMb + needs.memoryMb <= report.capacity.memoryMb
-        && used.gpus + needs.gpus <= report.capacity.gpus;
+    return needs.fitIn(report.capacity - used);
+}
+
+bool FleetWorker::mayHaveRoomFor(const FleetResources &needs) const
+{
+    return needs.fitIn(report.capacity - usedByLastingRuns);
 }
 
 std::int64_t FleetWorker::slotsFor(const FleetResources &needs) const
@@ -86,9 +90,10 @@
     if (!allocations.emplace(key, allocation).second) {
         return;
     }
-    used.cpuMilli += allocation.needs.cpuMilli;
-    used.memoryMb += allocation.needs.memoryMb;
-    used.gpus += allocation.needs.gpus;
+    used += allocation.needs;
+    if (allocation.isLasting) {
+        usedByLastingRuns += allocation.needs;
+    }
 }
 
 void FleetWorker::release(const RunKey &key)
@@ -97,10 +102,10 @@
     if (it == allocations.end()) {
         return;
     }
-    const auto &needs = it->second.needs;
-    used.cpuMilli -= needs.cpuMilli;
-    used.memoryMb -= needs.memoryMb;
-    used.gpus -= needs.gpus;
+    used -= it->second.needs;
+    if (it->second.isLasting) {
+        usedByLastingRuns -= it->second.needs;
+    }
     allocations.erase(it);
 }
 
--- a/src/fleet/TaskPlacerGangs.cpp
+++ b/src/fleet/TaskPlacerGangs.cpp
@@ -30,12 +30,6 @@
                      share(needs.gpus, worker.used.gpus, capacity.gpus)});
 }
 
-bool isLargeEnough(const FleetWorker &worker, const FleetResources &needs)
-{
-    const auto &capacity = worker.report.capacity;
-    return needs.cpuMilli <= capacity.cpuMilli && needs.memoryMb <= capacity.memoryMb && needs.gpus <= capacity.gpus;
-}
-
 } // namespace
 
 std::vector<FleetWorker *> TaskPlacer::workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers)
@@ -43,7 +37,7 @@
     const auto needs = FleetState::reservedResources(*pending.spec);
     std::vector<FleetWorker *> out;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
-        return isLargeEnough(*it, needs) && !it->isHeld && FleetState::isEligible(*it, *pending.job, *pending.spec);
+        return it->mayHaveRoomFor(needs) && !it->isHeld && FleetState::isEligible(*it, *pending.job, *pending.spec);
     });
     return out;
 }
--- a/src/fleet/TaskPlacerPreemption.cpp
+++ b/src/fleet/TaskPlacerPreemption.cpp
@@ -12,18 +12,6 @@
 // Maximum number of runs stopped for one step at a time.
 constexpr std::size_t MaxVictims = 12;
 
-bool fits(const FleetResources &needs, const FleetResources &room)
-{
-    return needs.cpuMilli <= room.cpuMilli && needs.memoryMb <= room.memoryMb && needs.gpus <= room.gpus;
-}
-
-void add(FleetResources &to, const FleetResources &from)
-{
-    to.cpuMilli += from.cpuMilli;
-    to.memoryMb += from.memoryMb;
-    to.gpus += from.gpus;
-}
-
 } // namespace
 
 bool TaskPlacer::mayPreempt(const PendingStep &pending, TimePoint now)
@@ -37,13 +25,12 @@
 bool TaskPlacer::canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims)
 {
     const auto needs = FleetState::reservedResources(*pending.spec);
-    const auto &capacity = worker.report.capacity;
-    FleetResources room {capacity.cpuMilli - worker.used.cpuMilli, capacity.memoryMb - worker.used.memoryMb, capacity.gpus - worker.used.gpus};
+    auto room = worker.report.capacity - worker.used;
     std::vector<std::pair<const RunKey *, const RunAllocation *>> candidates;
     const int priority = pending.spec->isLongRunning ? 0 : FleetState::queueOf(*pending.job).priority;
     for (const auto &[key, it] : worker.allocations) {
         if (it.isStopping) {
-            add(room, it.needs);
+            room += it.needs;
         } else if (it.isPreemptible && it.priority > priority) {
             candidates.emplace_back(&key, &it);
         }
@@ -53,15 +40,15 @@
         return a.second->placedAt > b.second->placedAt;
     });
     for (const auto &[key, allocation] : candidates) {
-        if (fits(needs, room)) {
+        if (needs.fitIn(room)) {
             break;
         }
-        add(room, allocation->needs);
+        room += allocation->needs;
         if (victims != nullptr) {
             victims->push_back(*key);
         }
     }
-    return fits(needs, room);
+    return needs.fitIn(room);
 }
 
 void TaskPlacer::preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now)
--- a/tests/fleet/WaitingStepsTest.cpp
+++ b/tests/fleet/WaitingStepsTest.cpp
@@ -146,4 +146,62 @@
     BOOST_TEST(fleet.violations().empty());
 }
 
+// Guards against a gang that holds workers whose room never comes back, and so never those that are free soon.
+BOOST_AUTO_TEST_CASE(gangHoldsNoWorkersThatLastingTasksFillForGood)
+{
+    FakeFleet fleet(fleetOf(16));
+    // Long enough that the gang keeps its value while it waits.
+    fleet.queue.slackFactor = 20;
+    for (const char *rack : {"r0", "r1"}) {
+        fleet.submit(fleet.makeJob(std::string("watch-") + rack, {lasting(3, 4200, rack)}));
+    }
+    fleet.run(Millis(1000));
+    auto small = step(10, 4500, 1700);
+    small.maxPerWorker = 1;
+    int jobs = 0;
+    const auto submitSmall = [&]() {
+        auto request = fleet.makeJob("small" + std::to_string(jobs++), {small});
+        request.queue.priority = 1;
+        fleet.submit(request);
+        fleet.run(Millis(600));
+    };
+    for (int i = 0; i < 4; ++i) {
+        submitSmall();
+    }
+    auto wide = gang(2, 4000, 500);
+    wide.maxPerWorker = 1;
+    const auto at = fleet.now();
+    fleet.submit(fleet.makeJob("gang", {wide}));
+    for (int i = 0; i < 12; ++i) {
+        submitSmall();
+    }
+    const auto begun = fleet.firstStart("gang.0.0.0");
+    BOOST_REQUIRE(begun);
+    BOOST_TEST((*begun - at).count() < 6000);
+    BOOST_TEST(fleet.violations().empty());
+}
+
+// Guards against a gang that waits for room which never comes, and keeps a small job from the only workers that it may use.
+BOOST_AUTO_TEST_CASE(gangWithoutEnoughWorkersKeepsNoneFromOtherSteps)
+{
+    FakeFleet fleet(fleetOf(24));
+    fleet.queue.slackFactor = 20;
+    for (int rack = 1; rack < 8; ++rack) {
+        fleet.submit(fleet.makeJob("watch" + std::to_string(rack), {lasting(3, 4200, "r" + std::to_string(rack))}));
+    }
+    fleet.run(Millis(1000));
+    auto wide = gang(4, 4000, 9600);
+    wide.maxPerWorker = 1;
+    fleet.submit(fleet.makeJob("gang", {wide}));
+    fleet.run(Millis(3000));
+    auto small = step(2, 300, 900);
+    small.requiredLabel = "r0";
+    auto request = fleet.makeJob("small", {small});
+    request.queue.priority = 1;
+    fleet.submit(request);
+    fleet.run(Millis(2500));
+    BOOST_TEST((fleet.stateOf("small") == FleetJobState::Completed));
+    BOOST_TEST(fleet.violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
