A step in one rack takes another one when its own may run no more of its tasks

Callers saw a lasting task that never started again after its worker was lost, beside eight empty workers of other racks.

Cause: restrictToOneRack took the old rack as long as a worker there had room for the task's resources; that each of them had as many tasks of the step as it may was looked at later, in chooseWorker, which refused them all. PROTOCOL.md says what a second rack costs (remote-factor), not that it is forbidden.

Workers that are full for the step are left out before the rack is chosen.

--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -65,6 +65,8 @@
                               const std::vector<FleetWorker *> &candidates,
                               const StepPlacement &placement,
                               TimePoint now) const;
+    // Removes the workers that have as many runs of the step as one worker may have.
+    void removeFullWorkers(const PendingStep &pending, std::vector<FleetWorker *> &workers) const;
     std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
     // Returns the workers that may still carry out a start request of the step that was given up, which only their next incarnation would.
     std::set<std::string> workersWithGivenUpStarts(const FleetStep &step) const;
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -185,6 +185,7 @@
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
         return it->hasRoomFor(needs) && !it->isHeld && FleetState::isEligible(*it, *pending.job, *pending.spec);
     });
+    removeFullWorkers(pending, withRoom);
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
     if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
         return;
@@ -229,6 +230,19 @@
     }
 }
 
+void TaskPlacer::removeFullWorkers(const PendingStep &pending, std::vector<FleetWorker *> &workers) const
+{
+    const auto limit = pending.spec->maxPerWorker;
+    if (limit <= 0 || workers.empty()) {
+        return;
+    }
+    const auto runs = m_state.runsPerWorker(*pending.step);
+    std::erase_if(workers, [&](const FleetWorker *it) {
+        const auto own = runs.find(it->report.id);
+        return own != runs.end() && own->second >= limit;
+    });
+}
+
 // Returns the candidates in the rack where the step has runs already, or else in the rack that fits all waiting tasks with the fewest free slots. Returns all
 // candidates if there is no such rack.
 std::vector<FleetWorker *> TaskPlacer::restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const
--- a/tests/fleet/WaitingStepsTest.cpp
+++ b/tests/fleet/WaitingStepsTest.cpp
@@ -204,4 +204,22 @@
     BOOST_TEST(fleet.violations().empty());
 }
 
+// Guards against a lasting task that never starts again: its rack had room for its resources, but no worker there might run one more task of the step.
+BOOST_AUTO_TEST_CASE(lastingTaskOfARackLocalStepStartsOnAnotherRackIfItsOwnMayRunNoMore)
+{
+    FakeFleet fleet(fleetOf(9));
+    auto watch = lasting(3, 1000);
+    watch.isRackLocal = true;
+    fleet.submit(fleet.makeJob("watch", {watch}));
+    fleet.run(Millis(1500));
+    const int lost = fleet.workerOf("watch.0.0.0");
+    BOOST_REQUIRE(lost >= 0);
+    fleet.setUnresponsive(lost, true);
+    fleet.unlistWorker(lost);
+    fleet.run(Millis(14000));
+    BOOST_TEST(fleet.startsOf("watch.0.0.0") == 2);
+    BOOST_TEST(fleet.workerOf("watch.0.0.0") / 3 != lost / 3);
+    BOOST_TEST(fleet.violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
