One place says which workers a step may use

StepFit says for a step and a worker whether a task may start now and what keeps it from there otherwise; placing, choosing a rack, advice, holding and preemption ask it. What depends on a single task (given-up starts, earlier failures) stays in chooseWorker.

Nothing that callers see changes.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -37,6 +37,8 @@
     friend FleetResources operator-(FleetResources a, const FleetResources &b) { return a -= b; }
     /// Returns true if none of these resources exceeds the same one of `room`.
     bool fitIn(const FleetResources &room) const { return cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && gpus <= room.gpus; }
+    /// Returns how many times these resources fit into `room`; a large number if they are all 0.
+    std::size_t timesIn(const FleetResources &room) const;
 };
 
 /// One step of a job: a number of identical tasks.
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -166,8 +166,6 @@
     bool hasRoomFor(const FleetResources &needs) const;
     /// Returns true if the worker has these resources free once all runs that end by themselves have ended.
     bool mayHaveRoomFor(const FleetResources &needs) const;
-    /// Returns how many tasks with these needs fit into the worker's free resources.
-    std::int64_t slotsFor(const FleetResources &needs) const;
     /// Allocates the resources of a run; does nothing if the run has an allocation already.
     void allocate(const RunKey &key, const RunAllocation &allocation);
     /// Releases the resources of a run; does nothing if the run has no allocation.
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -39,11 +39,6 @@
     // Sort key of pending steps: jobs that are too late to have any value last; then by priority; then jobs that are on time first; then by deadline.
     using PendingStepRank = std::tuple<bool, int, int, TimePoint, const FleetJob *>;
     struct PendingStep;
-    // Runs of the step that is being placed, and workers that are chosen last for it.
-    struct StepPlacement {
-        std::map<std::string, int> runsPerWorker;
-        std::set<std::string> doubtful;
-    };
 
     // TaskPlacer.cpp
     std::vector<PendingStep> pendingSteps(TimePoint now);
@@ -60,22 +55,19 @@
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
+    // Returns the best worker for a task; those in `doubtful` come last.
     FleetWorker *chooseWorker(const PendingStep &pending,
                               const FleetTask &task,
                               const std::vector<FleetWorker *> &candidates,
-                              const StepPlacement &placement,
+                              const std::set<std::string> &doubtful,
                               TimePoint now) const;
-    // Removes the workers that have as many runs of the step as one worker may have.
-    void removeFullWorkers(const PendingStep &pending, std::vector<FleetWorker *> &workers) const;
     std::vector<FleetWorker *> restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const;
     // Returns the workers that may still carry out a start request of the step that was given up, which only their next incarnation would.
     std::set<std::string> workersWithGivenUpStarts(const FleetStep &step) const;
     // TaskPlacerGangs.cpp: workers and advice for gangs that don't fit yet
     void holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
-    std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const;
+    std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
     void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
-    // Returns how many tasks of a gang have room on a worker now.
-    static std::size_t slotsOn(const PendingStep &pending, const FleetWorker &worker);
     // Returns the workers that may run the gang and that have room for one of its tasks now or once the runs on them that end by themselves have ended.
     static std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
     // TaskPlacerPreemption.cpp: preemption for tasks of higher priority
--- a/src/fleet/FleetJob.cpp
+++ b/src/fleet/FleetJob.cpp
@@ -15,6 +15,15 @@
 
 } // namespace
 
+std::size_t FleetResources::timesIn(const FleetResources &room) const
+{
+    constexpr std::int64_t Unlimited = 1000;
+    const auto times = [](std::int64_t available, std::int64_t need) {
+        return need <= 0 ? Unlimited : std::max<std::int64_t>(0, available / need);
+    };
+    return static_cast<std::size_t>(std::min({times(room.cpuMilli, cpuMilli), times(room.memoryMb, memoryMb), times(room.gpus, gpus)}));
+}
+
 void FleetConfiguration::add(QueuePolicy queue)
 {
     auto &entry = m_queues[queue.host][queue.prefix];
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -73,18 +73,6 @@
     return needs.fitIn(report.capacity - usedByLastingRuns);
 }
 
-std::int64_t FleetWorker::slotsFor(const FleetResources &needs) const
-{
-    constexpr std::int64_t Unlimited = 1000;
-    const auto slots = [](std::int64_t room, std::int64_t need) {
-        return need <= 0 ? Unlimited : std::max<std::int64_t>(0, room / need);
-    };
-    const auto &capacity = report.capacity;
-    return std::min({slots(capacity.cpuMilli - used.cpuMilli, needs.cpuMilli),
-                     slots(capacity.memoryMb - used.memoryMb, needs.memoryMb),
-                     slots(capacity.gpus - used.gpus, needs.gpus)});
-}
-
 void FleetWorker::allocate(const RunKey &key, const RunAllocation &allocation)
 {
     if (!allocations.emplace(key, allocation).second) {
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -69,7 +69,7 @@
                 if (step.isDone() || !occurrence.isReady(spec)) {
                     continue;
                 }
-                PendingStep pending {&job, number, static_cast<int>(i), &step, &spec, {}, {}};
+                PendingStep pending {&job, &step, &spec, {}, StepFit(m_state, job, number, static_cast<int>(i), step, now), {}};
                 for (auto &task : step.tasks) {
                     if ((task.isWaiting(now) && !givenUpStartsOf(task, spec).mustWait(spec.isLongRunning, now))
                         || (spec.allowsSpeculation && needsSpeculativeRun(task))) {
@@ -108,11 +108,8 @@
     }
     // That it did not answer the start is no reason to avoid it here, unlike for other tasks.
     auto &worker = it->second;
-    const bool isAllowed = !FleetState::queueOf(*pending.job).needsAdvice
-        || m_state.advice.verdict(pending.name(), it->first, worker.startedUnixMs, now) == AdviceCache::Verdict::Allowed;
-    const bool isFull = spec.maxPerWorker > 0 && m_state.runsPerWorker(*pending.step)[it->first] >= spec.maxPerWorker;
-    const bool mayTakeIt = m_state.acceptsStarts(worker, now) && FleetState::isEligible(worker, *pending.job, spec) && !worker.isSlow && !worker.isHeld;
-    return mayTakeIt && isAllowed && !isFull && worker.hasRoomFor(FleetState::reservedResources(spec)) ? &worker : nullptr;
+    const bool mayTakeIt = m_state.acceptsStarts(worker, now) && !worker.isSlow;
+    return mayTakeIt && pending.fit.hasRoom(worker) && pending.fit.isAllowed(worker) ? &worker : nullptr;
 }
 
 void TaskPlacer::placeTasksThatGoBack(PendingStep &pending, TimePoint now)
@@ -123,6 +120,7 @@
     std::vector<FleetWorker *> awaited;
     std::erase_if(pending.waiting, [&](FleetTask *task) {
         if (auto *worker = workerToGoBackTo(pending, *task, now)) {
+            pending.fit.addRun(*worker);
             m_actions.createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
             return true;
         }
@@ -179,24 +177,17 @@
     if (pending.waiting.empty()) {
         return;
     }
-    const auto needs = FleetState::reservedResources(*pending.spec);
-    const auto &queue = FleetState::queueOf(*pending.job);
     std::vector<FleetWorker *> withRoom;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
-        return it->hasRoomFor(needs) && !it->isHeld && FleetState::isEligible(*it, *pending.job, *pending.spec);
+        return pending.fit.hasRoom(*it);
     });
-    removeFullWorkers(pending, withRoom);
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
     if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
         return;
     }
-    const auto name = pending.name();
-    const auto isAllowed = [&](const FleetWorker *it) {
-        return !queue.needsAdvice || m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now) == AdviceCache::Verdict::Allowed;
-    };
     auto ready = withRoom;
     std::erase_if(ready, [&](const FleetWorker *it) {
-        return !isAllowed(it);
+        return !pending.fit.isAllowed(*it);
     });
     if (pending.spec->isRackLocal) {
         ready = restrictToOneRack(pending, ready);
@@ -217,32 +208,19 @@
         --m_preemptionsLeft;
         std::vector<FleetWorker *> usable;
         std::copy_if(workers.begin(), workers.end(), std::back_inserter(usable), [&](const FleetWorker *it) {
-            return FleetState::isEligible(*it, *pending.job, *pending.spec);
+            return pending.fit.isSuited(*it);
         });
         preemptFor(pending, usable, now);
         std::erase_if(usable, [&](const FleetWorker *it) {
-            return !it->hasRoomFor(needs) && !canPreemptFor(*it, pending, nullptr);
+            return !pending.fit.hasRoom(*it) && !canPreemptFor(*it, pending, nullptr);
         });
         withRoom = std::move(usable);
     }
-    if (queue.needsAdvice && !withRoom.empty()) {
+    if (FleetState::queueOf(*pending.job).needsAdvice && !withRoom.empty()) {
         requestAdvice(pending, withRoom, pending.waiting.size(), now);
     }
 }
 
-void TaskPlacer::removeFullWorkers(const PendingStep &pending, std::vector<FleetWorker *> &workers) const
-{
-    const auto limit = pending.spec->maxPerWorker;
-    if (limit <= 0 || workers.empty()) {
-        return;
-    }
-    const auto runs = m_state.runsPerWorker(*pending.step);
-    std::erase_if(workers, [&](const FleetWorker *it) {
-        const auto own = runs.find(it->report.id);
-        return own != runs.end() && own->second >= limit;
-    });
-}
-
 // Returns the candidates in the rack where the step has runs already, or else in the rack that fits all waiting tasks with the fewest free slots. Returns all
 // candidates if there is no such rack.
 std::vector<FleetWorker *> TaskPlacer::restrictToOneRack(const PendingStep &pending, const std::vector<FleetWorker *> &candidates) const
@@ -253,15 +231,13 @@
         best = it == m_state.workers.end() ? best : it->second.report.rack;
     }
     if (best.empty()) {
-        const auto needs = FleetState::reservedResources(*pending.spec);
-        std::map<std::string, std::int64_t> slots;
+        std::map<std::string, std::size_t> slots;
         for (const auto *it : candidates) {
-            const auto fitting = it->slotsFor(needs);
-            slots[it->report.rack] += pending.spec->maxPerWorker > 0 ? std::min<std::int64_t>(fitting, pending.spec->maxPerWorker) : fitting;
+            slots[it->report.rack] += pending.fit.slots(*it);
         }
-        std::int64_t fewest = std::numeric_limits<std::int64_t>::max();
+        auto fewest = std::numeric_limits<std::size_t>::max();
         for (const auto &[rack, count] : slots) {
-            if (!rack.empty() && count >= static_cast<std::int64_t>(pending.waiting.size()) && count < fewest) {
+            if (!rack.empty() && count >= pending.waiting.size() && count < fewest) {
                 best = rack;
                 fewest = count;
             }
@@ -293,25 +269,23 @@
 FleetWorker *TaskPlacer::chooseWorker(const PendingStep &pending,
                                       const FleetTask &task,
                                       const std::vector<FleetWorker *> &candidates,
-                                      const StepPlacement &placement,
+                                      const std::set<std::string> &doubtful,
                                       TimePoint now) const
 {
     const auto &spec = *pending.spec;
-    const auto needs = FleetState::reservedResources(spec);
+    const auto &needs = pending.fit.needs();
     const auto starts = givenUpStartsOf(task, spec);
     FleetWorker *best = nullptr;
     std::tuple<bool, bool, bool, bool, std::int64_t> bestRank;
     for (auto *it : candidates) {
-        const auto runs = placement.runsPerWorker.find(it->report.id);
-        const bool isFull = spec.maxPerWorker > 0 && runs != placement.runsPerWorker.end() && runs->second >= spec.maxPerWorker;
-        if (isFull || !it->hasRoomFor(needs) || !starts.mayStartOn(it->report.id, spec.isLongRunning, now)) {
+        if (!pending.fit.hasRoomIfSuited(*it) || !starts.mayStartOn(it->report.id, spec.isLongRunning, now)) {
             continue;
         }
         const bool hasFailed = !task.failedOn.empty() && task.failedOn.contains(it->report.id);
         const bool isFar = !spec.preferredRack.empty() && !it->hasLabel(spec.preferredRack);
         const auto left = it->report.capacity.cpuMilli - it->used.cpuMilli - needs.cpuMilli;
         // Best fit keeps large free blocks for large tasks; best-effort tasks go to the worker with the most free CPU.
-        const std::tuple rank(hasFailed, placement.doubtful.contains(it->report.id), it->isSlow, isFar, spec.isBestEffort ? -left : left);
+        const std::tuple rank(hasFailed, doubtful.contains(it->report.id), it->isSlow, isFar, spec.isBestEffort ? -left : left);
         if (best == nullptr || rank < bestRank) {
             best = it;
             bestRank = rank;
@@ -325,39 +299,40 @@
     if (candidates.empty()) {
         return;
     }
-    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
+    const auto doubtful = workersWithGivenUpStarts(*pending.step);
     std::vector<FleetTask *> left;
     for (auto *task : pending.waiting) {
-        auto *worker = chooseWorker(pending, *task, candidates, placement, now);
+        auto *worker = chooseWorker(pending, *task, candidates, doubtful, now);
         if (worker == nullptr) {
             left.push_back(task);
             continue;
         }
+        pending.fit.addRun(*worker);
         m_actions.createRun(*pending.job, *task, *worker, task->lastAttempt + 1, now);
-        ++placement.runsPerWorker[worker->report.id];
     }
     pending.waiting = std::move(left);
 }
 
 void TaskPlacer::placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now)
 {
-    StepPlacement placement {m_state.runsPerWorker(*pending.step), workersWithGivenUpStarts(*pending.step)};
+    const auto doubtful = workersWithGivenUpStarts(*pending.step);
     std::int64_t attempt = 0;
     for (const auto *task : pending.waiting) {
         attempt = std::max(attempt, task->lastAttempt + 1);
     }
     std::vector<std::pair<RunKey, FleetWorker *>> placed;
     for (auto *task : pending.waiting) {
-        auto *worker = chooseWorker(pending, *task, candidates, placement, now);
+        auto *worker = chooseWorker(pending, *task, candidates, doubtful, now);
         if (worker == nullptr) {
             break;
         }
         placed.emplace_back(RunKey {task->id, attempt}, worker);
         worker->allocate(placed.back().first, FleetState::allocationFor(*pending.job, *pending.spec, now));
-        ++placement.runsPerWorker[worker->report.id];
+        pending.fit.addRun(*worker);
     }
     for (const auto &[key, worker] : placed) {
         worker->release(key);
+        pending.fit.removeRun(*worker);
     }
     if (placed.size() != pending.waiting.size()) {
         return;
--- a/src/fleet/TaskPlacerAdvice.cpp
+++ b/src/fleet/TaskPlacerAdvice.cpp
@@ -46,11 +46,10 @@
                 if (step.isDone() || occurrence.isReady(spec) || step.isAdvicePrefetched || !isStartImminent(job, occurrence, spec)) {
                     continue;
                 }
-                PendingStep pending {&job, number, static_cast<int>(i), &step, &spec, {}, {}};
-                const auto needs = FleetState::reservedResources(spec);
+                PendingStep pending {&job, &step, &spec, {}, StepFit(m_state, job, number, static_cast<int>(i), step, now), {}};
                 std::vector<FleetWorker *> candidates;
                 std::copy_if(workers.begin(), workers.end(), std::back_inserter(candidates), [&](const FleetWorker *it) {
-                    return it->hasRoomFor(needs) && FleetState::isEligible(*it, *pending.job, *pending.spec);
+                    return pending.fit.hasRoom(*it);
                 });
                 step.isAdvicePrefetched = requestAdvice(pending, candidates, step.tasks.size() * PrefetchFactor, now);
             }
@@ -61,20 +60,18 @@
 // Requests advice about candidates without a cached answer or with an expired ticket, sized for `wanted` tasks. Returns false if no request was sent.
 bool TaskPlacer::requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now)
 {
-    const auto name = pending.name();
+    const auto &name = pending.fit.name();
     const auto &queue = FleetState::queueOf(*pending.job);
     if (!m_state.advice.mayRequest(queue, now) || m_state.advice.isRequestBlocked(name, now)) {
         return false;
     }
-    const auto perWorker = m_state.runsPerWorker(*pending.step);
     std::vector<FleetWorker *> expired;
     std::vector<FleetWorker *> unknown;
     for (auto *it : candidates) {
-        const auto count = perWorker.find(it->report.id);
-        if (pending.spec->maxPerWorker > 0 && count != perWorker.end() && count->second >= pending.spec->maxPerWorker) {
+        if (pending.fit.isFull(*it)) {
             continue;
         }
-        const auto verdict = m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now);
+        const auto verdict = pending.fit.verdict(*it);
         if (verdict == AdviceCache::Verdict::Expired) {
             expired.push_back(it);
         } else if (verdict == AdviceCache::Verdict::Unknown) {
--- a/src/fleet/TaskPlacerGangs.cpp
+++ b/src/fleet/TaskPlacerGangs.cpp
@@ -34,21 +34,13 @@
 
 std::vector<FleetWorker *> TaskPlacer::workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers)
 {
-    const auto needs = FleetState::reservedResources(*pending.spec);
     std::vector<FleetWorker *> out;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
-        return it->mayHaveRoomFor(needs) && !it->isHeld && FleetState::isEligible(*it, *pending.job, *pending.spec);
+        return !it->isHeld && pending.fit.mayHaveRoom(*it);
     });
     return out;
 }
 
-std::size_t TaskPlacer::slotsOn(const PendingStep &pending, const FleetWorker &worker)
-{
-    const auto free = worker.slotsFor(FleetState::reservedResources(*pending.spec));
-    const auto limit = pending.spec->maxPerWorker;
-    return static_cast<std::size_t>(limit > 0 ? std::min<std::int64_t>(free, limit) : free);
-}
-
 // Small tasks fill each gap before a gang finds all its gaps at the same time. So the workers that need to free the least for the gang are kept from steps that
 // rank behind it, until it starts.
 void TaskPlacer::holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
@@ -62,7 +54,7 @@
         }
         step.heldWorkers.clear();
         if (!isWorthless && now - step.readySince >= HoldDelay) {
-            step.heldWorkers = chooseWorkersForGang(pending, workers, now);
+            step.heldWorkers = chooseWorkersForGang(pending, workers);
         }
     }
     for (const auto &it : step.heldWorkers) {
@@ -75,38 +67,35 @@
 }
 
 // Returns the workers to hold, or none if there are not enough for the whole gang.
-std::vector<std::string> TaskPlacer::chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now) const
+std::vector<std::string> TaskPlacer::chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const
 {
-    const auto name = pending.name();
-    const auto needs = FleetState::reservedResources(*pending.spec);
     auto candidates = workersForGang(pending, workers);
     const auto limit = candidates.size() / (m_heldWorkerCount == 0 ? FirstGangDivisor : HeldWorkersDivisor);
     if (m_heldWorkerCount >= limit) {
         return {};
     }
     std::erase_if(candidates, [&](const FleetWorker *it) {
-        const auto verdict = m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now);
-        return FleetState::queueOf(*pending.job).needsAdvice && verdict != AdviceCache::Verdict::Allowed && verdict != AdviceCache::Verdict::Expired;
+        const auto verdict = pending.fit.verdict(*it);
+        return verdict != AdviceCache::Verdict::Allowed && verdict != AdviceCache::Verdict::Expired;
     });
     std::vector<std::pair<double, FleetWorker *>> byMissing;
     for (auto *it : candidates) {
-        byMissing.emplace_back(missingShare(*it, needs), it);
+        byMissing.emplace_back(missingShare(*it, pending.fit.needs()), it);
     }
     // Workers stay in the order of their ids where they are equal, so that the choice does not change without need.
     std::stable_sort(byMissing.begin(), byMissing.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
     std::vector<std::string> out;
-    std::int64_t tasks = 0;
+    std::size_t tasks = 0;
     for (const auto &[missing, worker] : byMissing) {
-        if (tasks >= static_cast<std::int64_t>(pending.waiting.size())) {
+        if (tasks >= pending.waiting.size()) {
             break;
         }
-        const auto slots = std::max<std::int64_t>(1, worker->slotsFor(needs));
-        tasks += pending.spec->maxPerWorker > 0 ? std::min<std::int64_t>(slots, pending.spec->maxPerWorker) : slots;
+        tasks += std::max<std::size_t>(1, pending.fit.slots(*worker));
         out.push_back(worker->report.id);
     }
-    const bool isEnough = tasks >= static_cast<std::int64_t>(pending.waiting.size());
+    const bool isEnough = tasks >= pending.waiting.size();
     return isEnough && m_heldWorkerCount + out.size() <= limit ? out : std::vector<std::string> {};
 }
 
@@ -115,7 +104,6 @@
 // again and again without room would keep the advisor from steps that could start.
 void TaskPlacer::requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
-    const auto name = pending.name();
     const auto size = pending.waiting.size();
     std::vector<FleetWorker *> withRoom;
     std::vector<FleetWorker *> unknown;
@@ -124,8 +112,8 @@
     std::size_t slots = 0;
     std::size_t unknownSlots = 0;
     for (auto *it : workersForGang(pending, workers)) {
-        const auto verdict = m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now);
-        const auto free = slotsOn(pending, *it);
+        const auto verdict = pending.fit.verdict(*it);
+        const auto free = pending.fit.slots(*it);
         if (verdict == AdviceCache::Verdict::Unknown) {
             unknown.push_back(it);
             unknownSlots += free;
--- a/src/fleet/TaskPlacerPreemption.cpp
+++ b/src/fleet/TaskPlacerPreemption.cpp
@@ -24,7 +24,7 @@
 // already count as gone. Appends the runs to preempt to `victims` unless that is nullptr.
 bool TaskPlacer::canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims)
 {
-    const auto needs = FleetState::reservedResources(*pending.spec);
+    const auto &needs = pending.fit.needs();
     auto room = worker.report.capacity - worker.used;
     std::vector<std::pair<const RunKey *, const RunAllocation *>> candidates;
     const int priority = pending.spec->isLongRunning ? 0 : FleetState::queueOf(*pending.job).priority;
@@ -54,16 +54,11 @@
 void TaskPlacer::preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now)
 {
     pending.step->nextPreemptAt = now + PreemptionInterval;
-    const auto &queue = FleetState::queueOf(*pending.job);
-    const auto name = pending.name();
-    auto perWorker = m_state.runsPerWorker(*pending.step);
     std::vector<std::vector<RunKey>> victimSets;
     std::size_t freedSlots = 0;
     for (auto *it : candidates) {
-        const bool isAllowed = !queue.needsAdvice || m_state.advice.verdict(name, it->report.id, it->startedUnixMs, now) == AdviceCache::Verdict::Allowed;
-        const bool isFull = pending.spec->maxPerWorker > 0 && perWorker[it->report.id] >= pending.spec->maxPerWorker;
         std::vector<RunKey> victims;
-        if (!isAllowed || isFull || !canPreemptFor(*it, pending, &victims)) {
+        if (!pending.fit.isAllowed(*it) || pending.fit.isFull(*it) || !canPreemptFor(*it, pending, &victims)) {
             continue;
         }
         if (victims.empty()) {
--- a/src/fleet/TaskPlacerSteps.h
+++ b/src/fleet/TaskPlacerSteps.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "marjoramhaven/fleet/StepFit.h"
 #include "marjoramhaven/fleet/TaskPlacer.h"
 
 namespace marjoramhaven {
@@ -10,15 +11,11 @@
 /// A ready step with tasks that wait to be placed on workers.
 struct TaskPlacer::PendingStep {
     FleetJob *job = nullptr;
-    int occurrence = 0;
-    int number = 0;
     FleetStep *step = nullptr;
     const StepSpec *spec = nullptr;
     std::vector<FleetTask *> waiting;
+    StepFit fit;
     PendingStepRank rank {};
-
-    /// Returns the name of the step in requests to the advisor.
-    std::string name() const { return job->id() + "." + std::to_string(occurrence) + "." + std::to_string(number); }
 };
 
 } // namespace marjoramhaven
