A held worker gives away what its gang does not need

A hold is now the resources of the gang's tasks on that worker, until the gang probably starts: the latest estimated end of the runs that it waits for. The rest is free for any step, and the held part for steps that end before that, by 1.5 times their estimate (backfill). A step that has waited 2 s ignores holds if no other worker may ever run it, or if under half of its service is in use.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -35,6 +35,7 @@
     }
     friend FleetResources operator+(FleetResources a, const FleetResources &b) { return a += b; }
     friend FleetResources operator-(FleetResources a, const FleetResources &b) { return a -= b; }
+    friend FleetResources operator*(const FleetResources &a, std::int64_t times) { return {a.cpuMilli * times, a.memoryMb * times, a.gpus * times}; }
     /// Returns true if none of these resources exceeds the same one of `room`.
     bool fitIn(const FleetResources &room) const { return cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && gpus <= room.gpus; }
     /// Returns how many times these resources fit into `room`; a large number if they are all 0.
--- a/include/marjoramhaven/fleet/FleetTask.h
+++ b/include/marjoramhaven/fleet/FleetTask.h
@@ -37,6 +37,12 @@
     bool isWaiting(TimePoint now) const { return !isDone && activeAttempts.empty() && notBefore <= now; }
 };
 
+/// A worker on which room is kept for tasks of a gang.
+struct GangHold {
+    std::string worker;
+    std::int64_t tasks = 0;
+};
+
 /// One step of one occurrence of a job.
 struct FleetStep {
     std::vector<FleetTask> tasks;
@@ -47,9 +53,10 @@
     TimePoint readySince {};
     /// Other runs are preempted for this step again no earlier than this.
     TimePoint nextPreemptAt {};
-    /// For a gang that waits: the workers that are held for it, chosen again after this time.
-    std::vector<std::string> heldWorkers;
+    /// For a gang that waits: the workers that are held for it, chosen again after the time below, and when it probably has room on all of them.
+    std::vector<GangHold> holds;
     TimePoint nextHoldAt {};
+    TimePoint expectedStart {};
     /// True if advice was requested before the step became ready.
     bool isAdvicePrefetched = false;
 
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -68,6 +68,15 @@
     bool isLasting = false;
     /// When the run was placed on the worker.
     TimePoint placedAt {};
+    /// When the run probably ends, by the estimate of its step; of no meaning for one that lasts.
+    TimePoint expectedEnd {};
+};
+
+/// Room on a worker that is kept free for a gang.
+struct WorkerHold {
+    FleetResources resources;
+    /// When the gang probably has room on all its workers.
+    TimePoint until {};
 };
 
 /// A start request that its worker may carry out later than its answer came, also in a new incarnation.
@@ -145,8 +154,8 @@
     FleetResources usedByLastingRuns;
     /// True if the worker was slow when plan() began.
     bool isSlow = false;
-    /// True while plan() holds the free resources for a gang that ranks before the steps that are still to be placed.
-    bool isHeld = false;
+    /// Set while plan() keeps room for a gang that ranks before the steps that are still to be placed.
+    std::optional<WorkerHold> hold;
     /// No runs start here before this time, because the worker refused a request, did not answer or had failing runs.
     TimePoint avoidUntil {};
     /// Start requests at least one sending of which was not answered; the worker may still carry them out, also in a new incarnation.
@@ -166,6 +175,8 @@
     bool hasRoomFor(const FleetResources &needs) const;
     /// Returns true if the worker has these resources free once all runs that end by themselves have ended.
     bool mayHaveRoomFor(const FleetResources &needs) const;
+    /// Returns when the worker probably has these resources free, `now` at the earliest; TimePoint::max() if only the end of a run that lasts could free them.
+    TimePoint roomExpectedAt(const FleetResources &needs, TimePoint now) const;
     /// Allocates the resources of a run; does nothing if the run has an allocation already.
     void allocate(const RunKey &key, const RunAllocation &allocation);
     /// Releases the resources of a run; does nothing if the run has no allocation.
--- a/include/marjoramhaven/fleet/StepFit.h
+++ b/include/marjoramhaven/fleet/StepFit.h
@@ -78,11 +78,19 @@
     /// Returns what keeps a worker from running one more task now; of several obstacles the one that lasts longest.
     FitObstacle obstacle(const FleetWorker &worker) const;
 
+    /// Returns the resources of a worker that the step may use now: the free ones without those that are held for a gang, unless a task would have ended before
+    /// the gang probably starts.
+    FleetResources freeOn(const FleetWorker &worker) const;
+    /// Lets the step use what is held for gangs.
+    void ignoreHolds() { m_ignoresHolds = true; }
+
     /// Counts one more run of the step on a worker, or takes one back.
     void addRun(const FleetWorker &worker) { changeRuns(worker, 1); }
     void removeRun(const FleetWorker &worker) { changeRuns(worker, -1); }
 
 private:
+    // Returns true if a task that starts now has probably ended by then.
+    bool endsBefore(TimePoint time) const;
     void changeRuns(const FleetWorker &worker, int by);
     const std::map<std::string, int> &runsPerWorker() const;
 
@@ -94,6 +102,7 @@
     const StepSpec *m_spec;
     TimePoint m_now;
     FleetResources m_needs;
+    bool m_ignoresHolds = false;
     // Made when first needed, as most steps that wait find no room at all.
     mutable std::string m_name;
     mutable std::optional<std::map<std::string, int>> m_runsPerWorker;
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -52,6 +52,8 @@
     void placeTasksThatGoBack(PendingStep &pending, TimePoint now);
     static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
     bool isUsable(const FleetWorker &worker, TimePoint now) const;
+    // Returns the workers that have room for a task of the step and that the advisor has not forbidden.
+    static std::vector<FleetWorker *> workersWithRoom(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
@@ -66,7 +68,13 @@
     std::set<std::string> workersWithGivenUpStarts(const FleetStep &step) const;
     // TaskPlacerGangs.cpp: workers and advice for gangs that don't fit yet
     void holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
-    std::vector<std::string> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
+    std::vector<GangHold> chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const;
+    // Returns when a gang probably has room on all workers that are held for it.
+    TimePoint expectedStart(const PendingStep &pending, TimePoint now) const;
+    // Returns true if a step that found no room has waited long enough to use room that is held for gangs: it may run nowhere else, or under half of its
+    // service is in use.
+    bool mayIgnoreHolds(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
+    bool isHalfFree(const std::string &service, const std::vector<FleetWorker *> &workers);
     void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     // Returns the workers that may run the gang and that have room for one of its tasks now or once the runs on them that end by themselves have ended.
     static std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
@@ -85,6 +93,8 @@
     std::map<FleetTaskId, GivenUpStarts> m_givenUpStarts;
     /// Number of workers that this call of plan() holds for gangs.
     std::size_t m_heldWorkerCount = 0;
+    /// Whether under half of a service's capacity is in use, for the services that this call of plan() has looked at.
+    std::map<std::string, bool> m_halfFreeServices;
     /// Number of steps for which this call of plan() may still preempt runs.
     int m_preemptionsLeft = 0;
 };
--- a/src/fleet/FleetState.cpp
+++ b/src/fleet/FleetState.cpp
@@ -86,7 +86,13 @@
 
 RunAllocation FleetState::allocationFor(const FleetJob &job, const StepSpec &spec, TimePoint now)
 {
-    return {reservedResources(spec), queueOf(job).priority, spec.checkpoints && !spec.isGang && !spec.isLongRunning, false, spec.isLongRunning, now};
+    return {reservedResources(spec),
+            queueOf(job).priority,
+            spec.checkpoints && !spec.isGang && !spec.isLongRunning,
+            false,
+            spec.isLongRunning,
+            now,
+            now + Millis(spec.estimateMs)};
 }
 
 } // namespace marjoramhaven
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -73,6 +73,26 @@
     return needs.fitIn(report.capacity - usedByLastingRuns);
 }
 
+TimePoint FleetWorker::roomExpectedAt(const FleetResources &needs, TimePoint now) const
+{
+    auto free = report.capacity - used;
+    std::vector<std::pair<TimePoint, FleetResources>> ends;
+    for (const auto &[key, it] : allocations) {
+        if (it.isStopping || !it.isLasting) {
+            ends.emplace_back(it.isStopping ? now : std::max(now, it.expectedEnd), it.needs);
+        }
+    }
+    std::sort(ends.begin(), ends.end(), [](const auto &a, const auto &b) {
+        return a.first < b.first;
+    });
+    auto out = now;
+    for (auto it = ends.begin(); it != ends.end() && !needs.fitIn(free); ++it) {
+        out = it->first;
+        free += it->second;
+    }
+    return needs.fitIn(free) ? out : TimePoint::max();
+}
+
 void FleetWorker::allocate(const RunKey &key, const RunAllocation &allocation)
 {
     if (!allocations.emplace(key, allocation).second) {
--- a/src/fleet/StepFit.cpp
+++ b/src/fleet/StepFit.cpp
@@ -1,9 +1,17 @@
 #include "marjoramhaven/fleet/StepFit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marjoramhaven {
 
+namespace {
+
+// Tasks may take longer than their estimate by this factor.
+constexpr double EstimateMargin = 1.5;
+
+} // namespace
+
 StepFit::StepFit(const FleetState &state, const FleetJob &job, int occurrence, int number, const FleetStep &step, TimePoint now)
     : m_state(&state)
     , m_job(&job)
@@ -32,9 +40,22 @@
     return *m_runsPerWorker;
 }
 
+FleetResources StepFit::freeOn(const FleetWorker &worker) const
+{
+    const auto free = worker.report.capacity - worker.used;
+    const bool mayUseHeld = !worker.hold || m_ignoresHolds || endsBefore(worker.hold->until);
+    return mayUseHeld ? free : free - worker.hold->resources;
+}
+
+bool StepFit::endsBefore(TimePoint time) const
+{
+    const auto longest = Millis(std::llround(static_cast<double>(m_spec->estimateMs) * EstimateMargin));
+    return !m_spec->isLongRunning && m_spec->estimateMs > 0 && m_now + longest <= time;
+}
+
 bool StepFit::hasRoomIfSuited(const FleetWorker &worker) const
 {
-    return worker.hasRoomFor(m_needs) && !worker.isHeld && !isFull(worker);
+    return m_needs.fitIn(freeOn(worker)) && !isFull(worker);
 }
 
 std::size_t StepFit::slots(const FleetWorker &worker) const
@@ -42,7 +63,7 @@
     if (!hasRoom(worker)) {
         return 0;
     }
-    const auto fitting = m_needs.timesIn(worker.report.capacity - worker.used);
+    const auto fitting = m_needs.timesIn(freeOn(worker));
     if (m_spec->maxPerWorker <= 0) {
         return fitting;
     }
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -149,9 +149,10 @@
     });
     m_preemptionsLeft = MaxPreemptingSteps;
     m_heldWorkerCount = 0;
+    m_halfFreeServices.clear();
     std::vector<FleetWorker *> usable;
     for (auto &[id, worker] : m_state.workers) {
-        worker.isHeld = false;
+        worker.hold.reset();
         worker.isSlow = m_state.speeds.isSlow(id, now);
         if (isUsable(worker, now)) {
             usable.push_back(&worker);
@@ -172,15 +173,25 @@
     return m_state.acceptsStarts(worker, now) && worker.avoidUntil <= now;
 }
 
+std::vector<FleetWorker *> TaskPlacer::workersWithRoom(const PendingStep &pending, const std::vector<FleetWorker *> &workers)
+{
+    std::vector<FleetWorker *> out;
+    std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
+        return pending.fit.hasRoom(*it) && pending.fit.verdict(*it) != AdviceCache::Verdict::Forbidden;
+    });
+    return out;
+}
+
 void TaskPlacer::placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     if (pending.waiting.empty()) {
         return;
     }
-    std::vector<FleetWorker *> withRoom;
-    std::copy_if(workers.begin(), workers.end(), std::back_inserter(withRoom), [&](const FleetWorker *it) {
-        return pending.fit.hasRoom(*it);
-    });
+    auto withRoom = workersWithRoom(pending, workers);
+    if (withRoom.empty() && mayIgnoreHolds(pending, workers, now)) {
+        pending.fit.ignoreHolds();
+        withRoom = workersWithRoom(pending, workers);
+    }
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
     if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
         return;
--- a/src/fleet/TaskPlacerAdvice.cpp
+++ b/src/fleet/TaskPlacerAdvice.cpp
@@ -47,11 +47,7 @@
                     continue;
                 }
                 PendingStep pending {&job, &step, &spec, {}, StepFit(m_state, job, number, static_cast<int>(i), step, now), {}};
-                std::vector<FleetWorker *> candidates;
-                std::copy_if(workers.begin(), workers.end(), std::back_inserter(candidates), [&](const FleetWorker *it) {
-                    return pending.fit.hasRoom(*it);
-                });
-                step.isAdvicePrefetched = requestAdvice(pending, candidates, step.tasks.size() * PrefetchFactor, now);
+                step.isAdvicePrefetched = requestAdvice(pending, workersWithRoom(pending, workers), step.tasks.size() * PrefetchFactor, now);
             }
         }
     }
--- a/src/fleet/TaskPlacerGangs.cpp
+++ b/src/fleet/TaskPlacerGangs.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t AllowedWorkersPerTask = 2;
 // Held workers are partly idle, so a gang holds some only if it has found no room by itself within this time.
 constexpr Millis HoldDelay {1500};
+// A step waits this long for room that is held for gangs; callers expect a start within 3 s where there is room.
+constexpr Millis HoldPatience {2000};
 // Interval at which a waiting gang asks for advice and chooses the workers to hold; both look at all workers.
 constexpr Millis HoldInterval {100};
 
@@ -36,13 +38,13 @@
 {
     std::vector<FleetWorker *> out;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
-        return !it->isHeld && pending.fit.mayHaveRoom(*it);
+        return !it->hold && pending.fit.mayHaveRoom(*it);
     });
     return out;
 }
 
-// Small tasks fill each gap before a gang finds all its gaps at the same time. So the workers that need to free the least for the gang are kept from steps that
-// rank behind it, until it starts.
+// Small tasks fill each gap before a gang finds all its gaps at the same time. So room for it is kept from steps that rank behind it, on the workers that need
+// to free the least, until it starts. What these workers have beyond that room, and until the gang probably starts, is free for others.
 void TaskPlacer::holdWorkersForGang(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
 {
     const bool isWorthless = std::get<0>(pending.rank);
@@ -52,22 +54,32 @@
         if (FleetState::queueOf(*pending.job).needsAdvice) {
             requestGangAdvice(pending, workers, now);
         }
-        step.heldWorkers.clear();
+        step.holds.clear();
         if (!isWorthless && now - step.readySince >= HoldDelay) {
-            step.heldWorkers = chooseWorkersForGang(pending, workers);
+            step.holds = chooseWorkersForGang(pending, workers);
+            step.expectedStart = expectedStart(pending, now);
         }
     }
-    for (const auto &it : step.heldWorkers) {
-        const auto worker = m_state.workers.find(it);
-        if (worker != m_state.workers.end() && !worker->second.isHeld) {
-            worker->second.isHeld = true;
+    for (const auto &it : step.holds) {
+        const auto worker = m_state.workers.find(it.worker);
+        if (worker != m_state.workers.end() && !worker->second.hold) {
+            worker->second.hold = WorkerHold {pending.fit.needs() * it.tasks, step.expectedStart};
             ++m_heldWorkerCount;
         }
     }
 }
 
+TimePoint TaskPlacer::expectedStart(const PendingStep &pending, TimePoint now) const
+{
+    auto out = now;
+    for (const auto &it : pending.step->holds) {
+        out = std::max(out, m_state.workers.at(it.worker).roomExpectedAt(pending.fit.needs() * it.tasks, now));
+    }
+    return out;
+}
+
 // Returns the workers to hold, or none if there are not enough for the whole gang.
-std::vector<std::string> TaskPlacer::chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const
+std::vector<GangHold> TaskPlacer::chooseWorkersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers) const
 {
     auto candidates = workersForGang(pending, workers);
     const auto limit = candidates.size() / (m_heldWorkerCount == 0 ? FirstGangDivisor : HeldWorkersDivisor);
@@ -86,17 +98,45 @@
     std::stable_sort(byMissing.begin(), byMissing.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
-    std::vector<std::string> out;
-    std::size_t tasks = 0;
+    std::vector<GangHold> out;
+    auto tasksLeft = pending.waiting.size();
     for (const auto &[missing, worker] : byMissing) {
-        if (tasks >= pending.waiting.size()) {
+        if (tasksLeft == 0) {
             break;
         }
-        tasks += std::max<std::size_t>(1, pending.fit.slots(*worker));
-        out.push_back(worker->report.id);
+        const auto tasks = std::min(tasksLeft, std::max<std::size_t>(1, pending.fit.slots(*worker)));
+        tasksLeft -= tasks;
+        out.push_back({worker->report.id, static_cast<std::int64_t>(tasks)});
+    }
+    return tasksLeft == 0 && m_heldWorkerCount + out.size() <= limit ? out : std::vector<GangHold> {};
+}
+
+bool TaskPlacer::mayIgnoreHolds(const PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now)
+{
+    if (m_heldWorkerCount == 0 || now - pending.step->readySince < HoldPatience) {
+        return false;
+    }
+    const bool mayRunElsewhere = std::any_of(workers.begin(), workers.end(), [&pending](const FleetWorker *it) {
+        return !it->hold && pending.fit.mayHaveRoom(*it) && !pending.fit.isFull(*it) && pending.fit.verdict(*it) != AdviceCache::Verdict::Forbidden;
+    });
+    return !mayRunElsewhere || isHalfFree(FleetState::queueOf(*pending.job).service, workers);
+}
+
+bool TaskPlacer::isHalfFree(const std::string &service, const std::vector<FleetWorker *> &workers)
+{
+    const auto known = m_halfFreeServices.find(service);
+    if (known != m_halfFreeServices.end()) {
+        return known->second;
+    }
+    FleetResources capacity;
+    FleetResources used;
+    for (const auto *it : workers) {
+        if (it->report.service == service) {
+            capacity += it->report.capacity;
+            used += it->used;
+        }
     }
-    const bool isEnough = tasks >= pending.waiting.size();
-    return isEnough && m_heldWorkerCount + out.size() <= limit ? out : std::vector<std::string> {};
+    return m_halfFreeServices[service] = (used * 2).fitIn(capacity);
 }
 
 // The advisor's verdict on a worker does not change, only its ticket expires. So a gang asks about each worker once: first until it knows enough of them,
--- a/src/fleet/TaskPlacerPreemption.cpp
+++ b/src/fleet/TaskPlacerPreemption.cpp
@@ -25,7 +25,7 @@
 bool TaskPlacer::canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims)
 {
     const auto &needs = pending.fit.needs();
-    auto room = worker.report.capacity - worker.used;
+    auto room = pending.fit.freeOn(worker);
     std::vector<std::pair<const RunKey *, const RunAllocation *>> candidates;
     const int priority = pending.spec->isLongRunning ? 0 : FleetState::queueOf(*pending.job).priority;
     for (const auto &[key, it] : worker.allocations) {
--- a/tests/fleet/StepFitTest.cpp
+++ b/tests/fleet/StepFitTest.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 const TimePoint Now = atMillis(100'000);
+const TimePoint Later = Now + Millis(10'000);
 
 // One worker of 8 cores and a job of one step.
 struct OneWorker {
@@ -31,11 +32,12 @@
     StepSpec &step() { return request.steps.front(); }
     FleetWorker &worker() { return state.findOrCreateWorker("w0"); }
 
-    void allocate(std::int64_t cpu, bool isLasting)
+    void allocate(std::int64_t cpu, bool isLasting, TimePoint expectedEnd = Later)
     {
         RunAllocation out;
         out.needs = {cpu, 100, 0};
         out.isLasting = isLasting;
+        out.expectedEnd = expectedEnd;
         worker().allocate({{"other", 0, 0, static_cast<int>(worker().allocations.size())}, 1}, out);
     }
 
@@ -140,4 +142,35 @@
     BOOST_TEST(it.obstacle() == FitObstacle::Forbidden);
 }
 
+BOOST_AUTO_TEST_CASE(heldRoomIsFreeForTasksThatEndBeforeTheGangStarts)
+{
+    OneWorker it;
+    it.worker().hold = WorkerHold {{4000, 500, 0}, Now};
+    BOOST_TEST(it.slots() == 1U);
+    it.worker().hold->resources.cpuMilli = 6000;
+    BOOST_TEST(it.obstacle() == FitObstacle::Held);
+    it.worker().hold->until = Later;
+    BOOST_TEST(it.obstacle() == FitObstacle::None);
+    it.step().isLongRunning = true;
+    BOOST_TEST(it.obstacle() == FitObstacle::Held);
+    it.withFit([&it](StepFit &fit) {
+        fit.ignoreHolds();
+        BOOST_TEST(fit.obstacle(it.worker()) == FitObstacle::None);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(roomIsExpectedWhenEnoughRunsHaveEnded)
+{
+    OneWorker it;
+    auto &worker = it.worker();
+    BOOST_TEST((worker.roomExpectedAt({8000, 100, 0}, Now) == Now));
+    it.allocate(2000, true);
+    it.allocate(3000, false, Later);
+    it.allocate(3000, false, Now + Millis(4000));
+    BOOST_TEST((worker.roomExpectedAt({3000, 100, 0}, Now) == Now + Millis(4000)));
+    BOOST_TEST((worker.roomExpectedAt({6000, 100, 0}, Now) == Later));
+    BOOST_TEST((worker.roomExpectedAt({6000, 100, 0}, Later + Millis(1)) == Later + Millis(1)));
+    BOOST_TEST((worker.roomExpectedAt({7000, 100, 0}, Now) == TimePoint::max()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
