--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -157,6 +157,7 @@
     std::int64_t otherRunsAtWork(const FleetRun &run) const;
     void requestStop(FleetRun &run, StopReason reason, TimePoint now) override;
     void sendAdviceRequest(const AdviceRequest &request) override { m_port.sendAdviceRequest(request); }
+    void reportWaiting(const WaitingStepReport &report) override;
     void trySendStop(FleetRun &run, TimePoint now);
     void stopRunsOf(FleetJob &job, StopReason reason, TimePoint now);
     void stopGang(FleetJob &job, FleetStep &step, TimePoint now);
--- a/include/marjoramhaven/fleet/FleetTask.h
+++ b/include/marjoramhaven/fleet/FleetTask.h
@@ -57,6 +57,8 @@
     std::vector<GangHold> holds;
     TimePoint nextHoldAt {};
     TimePoint expectedStart {};
+    /// Why the step waits is reported again no earlier than this.
+    TimePoint nextReportAt {};
     /// True if advice was requested before the step became ready.
     bool isAdvicePrefetched = false;
 
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -14,6 +14,16 @@
 
 namespace marjoramhaven {
 
+/// A step whose tasks have waited for long, and what keeps each worker from running them.
+struct WaitingStepReport {
+    /// The step as the advisor knows it.
+    std::string step;
+    std::size_t waitingTasks = 0;
+    Millis waited {0};
+    /// For each obstacle the number of workers and the first of them.
+    std::string workers;
+};
+
 /// Carries out what a TaskPlacer decides.
 class PlacementActions
 {
@@ -24,6 +34,8 @@
     virtual FleetRun &createRun(FleetJob &job, FleetTask &task, FleetWorker &worker, std::int64_t attempt, TimePoint now) = 0;
     virtual void requestStop(FleetRun &run, StopReason reason, TimePoint now) = 0;
     virtual void sendAdviceRequest(const AdviceRequest &request) = 0;
+    /// Records why a step waits.
+    virtual void reportWaiting(const WaitingStepReport &report) = 0;
 };
 
 /// Decides which waiting tasks start on which workers, which runs are preempted for them, and about which workers the advisor is asked.
@@ -78,6 +90,9 @@
     void requestGangAdvice(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     // Returns the workers that may run the gang and that have room for one of its tasks now or once the runs on them that end by themselves have ended.
     static std::vector<FleetWorker *> workersForGang(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
+    // TaskPlacerReports.cpp: why steps wait
+    void reportWaitingSteps(const std::vector<PendingStep> &pending, TimePoint now);
+    std::string obstaclesOf(const PendingStep &pending, TimePoint now) const;
     // TaskPlacerPreemption.cpp: preemption for tasks of higher priority
     static bool mayPreempt(const PendingStep &pending, TimePoint now);
     static bool canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims);
@@ -97,6 +112,7 @@
     std::map<std::string, bool> m_halfFreeServices;
     /// Number of steps for which this call of plan() may still preempt runs.
     int m_preemptionsLeft = 0;
+    TimePoint m_nextReportAt {};
 };
 
 } // namespace marjoramhaven
--- a/src/cli/ExplainCommand.cpp
+++ b/src/cli/ExplainCommand.cpp
@@ -79,7 +79,7 @@
     const std::pair<const char *, const char *> expected[] = {
         {"submit", "no process logged an answer to its submission (the log of that process is missing, or the caller never reached one)"},
         {"job_known", "no planner received the job (it was not stored, or the planner's log is missing)"},
-        {"run_placed", "no task was ever placed: see the advice events above, and which other tasks were placed meanwhile"},
+        {"run_placed", "no task was ever placed: see the step_waits and advice events above, and which other tasks were placed meanwhile"},
         {"job_ended", "it has not ended"},
     };
     std::vector<std::string> out;
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -288,6 +288,15 @@
     }
 }
 
+void FleetPlanner::reportWaiting(const WaitingStepReport &report)
+{
+    m_events.write("step_waits",
+                   {{"step", report.step},
+                    {"waiting", static_cast<std::int64_t>(report.waitingTasks)},
+                    {"waited_ms", report.waited.count()},
+                    {"workers", report.workers}});
+}
+
 void FleetPlanner::handleAdviceResponse(const AdviceRequest &request, const AdviceResponse &response, TimePoint now)
 {
     m_events.write("advice",
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -166,6 +166,7 @@
         placeStep(it, usable, now);
     }
     prefetchAdvice(usable, now);
+    reportWaitingSteps(pending, now);
 }
 
 bool TaskPlacer::isUsable(const FleetWorker &worker, TimePoint now) const
