A queue is known by its name, not by its place

Callers saw tasks of a removed queue run on the workers of another queue, which one configuration had added at the same host and prefix; no configuration ever sent the old queue's tasks there.

Cause: in each new configuration, updateQueue looked for a job's queue by host and prefix. A job now keeps the queue of the same name, wherever that is, and the policy of its submission when no such queue is left. pending counts the jobs of the queue that is at the prefix now. Answers and cancellations go by the job's id, as before.

--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -114,11 +114,16 @@
     const QueuePolicy *route(const std::string &host, const std::string &path) const;
     /// Returns the queue with exactly this host and prefix, or nullptr.
     const QueuePolicy *find(const std::string &host, const std::string &prefix) const;
+    /// Returns the queue that had this policy in an earlier configuration, or nullptr if it is gone. A queue is known by its name: it keeps its jobs if its
+    /// host or prefix changes, and another queue that takes over its host and prefix does not get them.
+    const QueuePolicy *findAgain(const QueuePolicy &earlier) const;
     std::size_t queueCount() const;
 
 private:
     /// By host, then by prefix.
     std::map<std::string, std::map<std::string, QueuePolicy>> m_queues;
+    /// Host and prefix of each queue, by its name.
+    std::map<std::string, std::pair<std::string, std::string>> m_places;
 };
 
 /// A job as its caller submitted it, with the policy of its queue at the time of submission.
--- a/src/fleet/FleetJob.cpp
+++ b/src/fleet/FleetJob.cpp
@@ -27,6 +27,11 @@
 void FleetConfiguration::add(QueuePolicy queue)
 {
     auto &entry = m_queues[queue.host][queue.prefix];
+    const auto replaced = m_places.find(entry.name);
+    if (replaced != m_places.end() && replaced->second == std::pair(queue.host, queue.prefix)) {
+        m_places.erase(replaced);
+    }
+    m_places[queue.name] = {queue.host, queue.prefix};
     entry = std::move(queue);
 }
 
@@ -62,6 +67,16 @@
     return it == queues->second.end() ? nullptr : &it->second;
 }
 
+const QueuePolicy *FleetConfiguration::findAgain(const QueuePolicy &earlier) const
+{
+    const auto *samePlace = find(earlier.host, earlier.prefix);
+    if (samePlace != nullptr && samePlace->name == earlier.name) {
+        return samePlace;
+    }
+    const auto it = m_places.find(earlier.name);
+    return it == m_places.end() ? nullptr : find(it->second.first, it->second.second);
+}
+
 std::size_t FleetConfiguration::queueCount() const
 {
     return std::accumulate(m_queues.begin(), m_queues.end(), std::size_t(0), [](std::size_t sum, const auto &it) {
--- a/src/fleet/FleetPlanner.cpp
+++ b/src/fleet/FleetPlanner.cpp
@@ -265,8 +265,7 @@
 
 void FleetPlanner::updateQueue(FleetJob &job) const
 {
-    const auto &own = job.request().queue;
-    job.currentQueue = m_state.configuration.find(own.host, own.prefix);
+    job.currentQueue = m_state.configuration.findAgain(job.request().queue);
 }
 
 void FleetPlanner::addAdvisorProxy(const std::string &proxy)
@@ -433,9 +432,13 @@
 
 std::int64_t FleetPlanner::pendingJobCount(const std::string &host, const std::string &prefix) const
 {
+    // The process that asks may have a newer configuration, with a queue that this one lacks.
+    const auto *queue = m_state.configuration.find(host, prefix);
     return std::count_if(m_state.activeJobs.begin(), m_state.activeJobs.end(), [&](const std::string &id) {
         const auto &job = *m_state.jobs.at(id);
-        return !job.hasBegun && !job.isEnded() && job.request().queue.host == host && job.request().queue.prefix == prefix;
+        const auto &own = job.request().queue;
+        const bool isOfQueue = queue == nullptr ? own.host == host && own.prefix == prefix : job.currentQueue == queue;
+        return !job.hasBegun && !job.isEnded() && isOfQueue;
     });
 }
 
--- a/tests/fleet/ConfigurationTest.cpp
+++ b/tests/fleet/ConfigurationTest.cpp
@@ -60,6 +60,35 @@
     BOOST_TEST(configuration.find("a", "/x/")->maxAttempts == 7);
 }
 
+BOOST_AUTO_TEST_CASE(queueIsFoundAgainByItsName)
+{
+    FleetConfiguration configuration;
+    auto moved = queueAt("a", "/x/");
+    moved.name = "moved";
+    auto other = queueAt("a", "/y/");
+    other.name = "other";
+    configuration.add(moved);
+    configuration.add(other);
+    auto earlier = queueAt("a", "/y/");
+    earlier.name = "moved";
+    BOOST_TEST(configuration.findAgain(earlier)->prefix == "/x/");
+    earlier.name = "gone";
+    BOOST_TEST((configuration.findAgain(earlier) == nullptr));
+    // Of two queues of one name, the one at the same place is meant.
+    other.name = "moved";
+    other.prefix = "/z/";
+    configuration.add(other);
+    earlier.name = "moved";
+    earlier.prefix = "/x/";
+    BOOST_TEST(configuration.findAgain(earlier)->prefix == "/x/");
+    // A queue that is replaced at its place is gone.
+    earlier.name = "other";
+    auto third = queueAt("a", "/y/");
+    third.name = "third";
+    configuration.add(third);
+    BOOST_TEST((configuration.findAgain(earlier) == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(lookupsAgreeWithALinearSearch)
 {
     std::mt19937 random(7);
