The planner's jobs, restoring and stored progress have files of their own

The life cycle of jobs, the restoring of state at a takeover and the storing of progress are moved out, unchanged; what is left is the planner's own entry points.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -122,13 +122,15 @@
         TimePoint newestSince {};
     };
 
-    // FleetPlanner.cpp: jobs
+    // FleetPlannerProgress.cpp: what is stored
     // Notes that a job has changes to store: of its state, or also of a task.
     void markDirty(FleetJob &job);
     void markDirty(FleetJob &job, const FleetTaskId &task);
     // Lets no runs of a job start until the log takes its progress.
     void holdBack(FleetJob &job, TimePoint now);
     RunLocator runLocator() const;
+    // FleetPlannerJobs.cpp: life cycle of jobs
+    void updateQueue(FleetJob &job) const;
     void finishJob(FleetJob &job, FleetJobState state, const char *reason, TimePoint now);
     void completeJobIfDone(FleetJob &job, TimePoint now);
     // Tasks of ended jobs are released only between events, because functions further up the call stack may still refer to them.
@@ -225,7 +227,6 @@
     void observeFinishedRun(const FleetRun &run, FleetStep &step, TimePoint now);
     void observeRunningRun(FleetRun &run, const FleetWorker &worker, const FleetStep &step, const StepSpec &spec, TimePoint now);
     void moveFromSlowWorker(FleetRun &run, const StepSpec &spec, double tookMs, double usualMs, TimePoint now);
-    void updateQueue(FleetJob &job) const;
 
     PlannerTransport &m_port;
     EventLog &m_events;
