A stop that is not carried out is no room to wait for

While its worker refused the stop, an urgent step waited for that room and preempted nothing else. A stop counts for 2 s now.

Evidence: the case fails on the code before (stops go to one of two workers only, for 4 s).

--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -62,8 +62,9 @@
     int priority = 0;
     /// True if the run may be stopped for a higher priority, because it resumes elsewhere from its checkpoint.
     bool isPreemptible = false;
-    /// True if a stop was requested, so that the resources become free soon.
+    /// True if a stop was requested, so that the resources become free soon, and since when.
     bool isStopping = false;
+    TimePoint stoppingSince {};
     /// True if the run does not end by itself.
     bool isLasting = false;
     /// When the run was placed on the worker.
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -95,7 +95,7 @@
     std::string obstaclesOf(const PendingStep &pending, TimePoint now) const;
     // TaskPlacerPreemption.cpp: preemption for tasks of higher priority
     static bool mayPreempt(const PendingStep &pending, TimePoint now);
-    static bool canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims);
+    static bool canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims, TimePoint now);
     void preemptFor(PendingStep &pending, const std::vector<FleetWorker *> &candidates, TimePoint now);
     // TaskPlacerAdvice.cpp: requests to the advisor for steps that are ready or will be soon
     bool requestAdvice(PendingStep &pending, const std::vector<FleetWorker *> &candidates, std::size_t wanted, TimePoint now);
--- a/src/fleet/FleetPlannerLists.cpp
+++ b/src/fleet/FleetPlannerLists.cpp
@@ -60,7 +60,10 @@
         worker.hasMarkedRuns = worker.hasMarkedRuns || orphan.mayHoldLateLease;
         setState(orphan, RunState::Running, now);
         const bool isKnownStep = job != nullptr && row.task.step >= 0 && row.task.step < static_cast<int>(job->request().steps.size());
-        const RunAllocation unknown {worker.report.capacity, 0, false, false, false, now, now};
+        RunAllocation unknown;
+        unknown.needs = worker.report.capacity;
+        unknown.placedAt = now;
+        unknown.expectedEnd = now;
         worker.allocate(key, isKnownStep ? FleetState::allocationFor(*job, job->spec(row.task.step), now) : unknown);
         run = &m_state.runs.emplace(key, std::move(orphan)).first->second;
         if (task != nullptr) {
--- a/src/fleet/FleetPlannerRestore.cpp
+++ b/src/fleet/FleetPlannerRestore.cpp
@@ -43,6 +43,7 @@
             const auto &spec = job->spec(row.step);
             auto allocation = FleetState::allocationFor(*job, spec, now);
             allocation.isStopping = it.isOrphaned;
+            allocation.stoppingSince = now;
             allocation.expectedEnd = now;
             worker.allocate(run.key, allocation);
             worker.hasMarkedRuns = worker.hasMarkedRuns || run.mayHoldLateLease;
--- a/src/fleet/FleetPlannerStops.cpp
+++ b/src/fleet/FleetPlannerStops.cpp
@@ -49,6 +49,7 @@
         auto &allocations = m_state.findOrCreateWorker(run.worker).allocations;
         if (const auto it = allocations.find(run.key); it != allocations.end()) {
             it->second.isStopping = true;
+            it->second.stoppingSince = now;
         }
         m_events.write("run_stop",
                        {{"task", run.key.task.toString()},
--- a/src/fleet/FleetState.cpp
+++ b/src/fleet/FleetState.cpp
@@ -86,13 +86,14 @@
 
 RunAllocation FleetState::allocationFor(const FleetJob &job, const StepSpec &spec, TimePoint now)
 {
-    return {reservedResources(spec),
-            queueOf(job).priority,
-            spec.checkpoints && !spec.isGang && !spec.isLongRunning,
-            false,
-            spec.isLongRunning,
-            now,
-            now + Millis(spec.estimateMs)};
+    RunAllocation out;
+    out.needs = reservedResources(spec);
+    out.priority = queueOf(job).priority;
+    out.isPreemptible = spec.checkpoints && !spec.isGang && !spec.isLongRunning;
+    out.isLasting = spec.isLongRunning;
+    out.placedAt = now;
+    out.expectedEnd = now + Millis(spec.estimateMs);
+    return out;
 }
 
 } // namespace marjoramhaven
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -224,7 +224,7 @@
         });
         preemptFor(pending, usable, now);
         std::erase_if(usable, [&](const FleetWorker *it) {
-            return !pending.fit.hasRoom(*it) && !canPreemptFor(*it, pending, nullptr);
+            return !pending.fit.hasRoom(*it) && !canPreemptFor(*it, pending, nullptr, now);
         });
         withRoom = std::move(usable);
     }
--- a/src/fleet/TaskPlacerPreemption.cpp
+++ b/src/fleet/TaskPlacerPreemption.cpp
@@ -9,6 +9,8 @@
 // Resources become free all the time without preemption, so only steps that wait longer than this preempt other runs.
 constexpr Millis PreemptionDelay {80};
 constexpr Millis PreemptionInterval {60};
+// A run whose worker has not stopped it within this time may stay; others are preempted then.
+constexpr Millis LongestStop {2000};
 // Maximum number of runs stopped for one step at a time.
 constexpr std::size_t MaxVictims = 12;
 
@@ -20,18 +22,18 @@
     return isUrgent && !pending.spec->isGang && now - pending.step->readySince >= PreemptionDelay && now >= pending.step->nextPreemptAt;
 }
 
-// Returns true if the worker has room for a task of the step after preempting runs of lower priority that resume from a checkpoint. Runs that are being stopped
-// already count as gone. Appends the runs to preempt to `victims` unless that is nullptr.
-bool TaskPlacer::canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims)
+// Returns true if the worker has room for a task of the step after preempting runs of lower priority that resume from a checkpoint. Runs whose stop was
+// requested a short time ago count as gone. Appends the runs to preempt to `victims` unless that is nullptr.
+bool TaskPlacer::canPreemptFor(const FleetWorker &worker, const PendingStep &pending, std::vector<RunKey> *victims, TimePoint now)
 {
     const auto &needs = pending.fit.needs();
     auto room = pending.fit.freeOn(worker);
     std::vector<std::pair<const RunKey *, const RunAllocation *>> candidates;
     const int priority = pending.spec->isLongRunning ? 0 : FleetState::queueOf(*pending.job).priority;
     for (const auto &[key, it] : worker.allocations) {
-        if (it.isStopping) {
+        if (it.isStopping && now - it.stoppingSince < LongestStop) {
             room += it.needs;
-        } else if (it.isPreemptible && it.priority > priority) {
+        } else if (!it.isStopping && it.isPreemptible && it.priority > priority) {
             candidates.emplace_back(&key, &it);
         }
     }
@@ -58,7 +60,7 @@
     std::size_t freedSlots = 0;
     for (auto *it : candidates) {
         std::vector<RunKey> victims;
-        if (!pending.fit.isAllowed(*it) || pending.fit.isFull(*it) || !canPreemptFor(*it, pending, &victims)) {
+        if (!pending.fit.isAllowed(*it) || pending.fit.isFull(*it) || !canPreemptFor(*it, pending, &victims, now)) {
             continue;
         }
         if (victims.empty()) {
--- a/tests/fleet/WaitingStepsTest.cpp
+++ b/tests/fleet/WaitingStepsTest.cpp
@@ -222,4 +222,38 @@
     BOOST_TEST(fleet.violations().empty());
 }
 
+// Guards against an urgent task that waits for the room of a run which its worker does not stop, while it could preempt another.
+BOOST_AUTO_TEST_CASE(urgentTaskPreemptsAnotherRunIfTheFirstOneIsNotStopped)
+{
+    PlannerScript script(2);
+    auto sweep = step(2, 1000, 60'000);
+    sweep.checkpoints = true;
+    script.queue.priority = 2;
+    script.submitStep("sweep", sweep);
+    script.planAndStore();
+    BOOST_REQUIRE(script.port.starts.size() == 2U);
+    for (const auto &it : script.port.starts) {
+        script.planner.handleStartResponse(it, script.done(), script.now);
+    }
+    const auto listRuns = [&script]() {
+        for (int i = 0; i < 2; ++i) {
+            const auto &start = script.port.starts[static_cast<std::size_t>(i)];
+            script.answerPoll(start.worker.id, {{start.task, start.attempt, {}, 5, 0}});
+        }
+    };
+    listRuns();
+    script.queue.priority = 0;
+    script.submitStep("urgent", step(1, 1000, 500));
+    std::set<std::string> stoppedOn;
+    for (int i = 0; i < 80; ++i) {
+        script.planAndStore();
+        for (const auto &it : std::exchange(script.port.stops, {})) {
+            stoppedOn.insert(it.worker.id);
+            script.planner.handleStopResponse(it, {WorkerCallOutcome::Unhealthy, 0, "status 503"}, script.now);
+        }
+        listRuns();
+    }
+    BOOST_TEST(stoppedOn.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
