The leases of a former leader are counted from its end, not from the opening

Callers saw lasting tasks of unreachable workers start again late beside a slow log: a successor waited for the longest lease of its predecessor from its own opening, which comes after all state is read, seconds after the fence while the log is slow.

A leader is confirmed by a heartbeat, a read of the leadership topic or an append to the stored progress. None of these is possible once its successor's claim and fence of the progress are in the log; decision 5 has the inequality. So the wait begins with the answer to that fence, and reading the state is part of it. The marks of late leases and late starts are counted from the opening, as before.

--- a/include/marjoramhaven/fleet/FleetPlanner.h
+++ b/include/marjoramhaven/fleet/FleetPlanner.h
@@ -48,6 +48,8 @@
     void restoreJob(FleetJobRequest request, std::int64_t nowUnixMs, TimePoint now);
     /// Applies a part of the stored progress of a job; part 0 comes first. The record is deleted with the next batch if the job is not known.
     void restoreProgress(const JobRecord &record, TimePoint now);
+    /// Records that no earlier leader can be confirmed from now on: the claim of this planner's process and its fence of the stored progress are in the log.
+    void earlierLeadersEnded(TimePoint now) { m_earlierLeadersEndedAt = now; }
     /// Starts planning, once all stored state is restored.
     void startPlanning(TimePoint now);
 
@@ -236,6 +238,8 @@
     std::int64_t m_newestToken;
     bool m_isOpen = false;
     TimePoint m_openedAt;
+    /// No earlier leader was confirmed after this; when the planner opened if that is not known.
+    std::optional<TimePoint> m_earlierLeadersEndedAt;
     LeadershipConfirmation m_leadership;
     FleetState m_state;
     TaskPlacer m_placer;
--- a/src/fleet/FleetPlannerRestore.cpp
+++ b/src/fleet/FleetPlannerRestore.cpp
@@ -76,10 +76,10 @@
         }
         scheduleRelease(*job);
     }
-    // An earlier leader was confirmed before this planner opened, and may be granting leases where this one can't reach.
-    const auto longest = LeadershipConfirmation::longestLease(m_limits.leadershipBound, m_limits.lease);
+    // An earlier leader was confirmed before its end, and may be granting leases where this one can't reach.
+    const auto lastLeaseEnd = m_earlierLeadersEndedAt.value_or(now) + LeadershipConfirmation::longestLease(m_limits.leadershipBound, m_limits.lease);
     for (auto &[id, worker] : m_state.workers) {
-        worker.lease.assumeGrantedUntil(now + longest);
+        worker.lease.assumeGrantedUntil(lastLeaseEnd);
         // Their age is not stored; they were sent before this planner opened.
         for (auto &it : worker.unansweredStarts) {
             it.since = now;
--- a/src/fleetnode/PlannerHostStore.cpp
+++ b/src/fleetnode/PlannerHostStore.cpp
@@ -41,6 +41,7 @@
         }
         if (result.outcome == AppendOutcome::Stored) {
             m_sequence = 1;
+            m_planner.earlierLeadersEnded(monotonicNow());
             noteLoadStep("progress-fenced");
             loadProgress({});
         } else if (result.outcome == AppendOutcome::Fenced) {
--- a/tests/fleet/SuccessorTest.cpp
+++ b/tests/fleet/SuccessorTest.cpp
@@ -147,4 +147,50 @@
     BOOST_TEST(port.throttles.size() == 2U);
 }
 
+// Guards against a lasting task that waits for longer than it must beside a slow log: the former leader can't be confirmed after the successor's claim and
+// fence, however long the successor takes to read the state. And against one that starts too early if the time of these is not known.
+BOOST_AUTO_TEST_CASE(leasesOfTheFormerLeaderAreCountedFromItsEnd)
+{
+    constexpr Millis LoadTime {3000};
+    constexpr Millis Step {50};
+    const PlannerLimits limits;
+    const auto longest = LeadershipConfirmation::longestLease(limits.leadershipBound, limits.lease);
+    for (const bool isEndKnown : {true, false}) {
+        PlannerScript script(0);
+        const auto createdAt = script.now;
+        FleetPlanner successor(script.port, script.events, limits, 8, createdAt);
+        FleetJobRequest request;
+        request.id = "j";
+        request.queue = script.queue;
+        request.steps.push_back(oneTask());
+        request.steps[0].isLongRunning = true;
+        successor.restoreJob(request, 0, createdAt);
+        successor.restoreProgress({"j", FleetJobState::Running, {{0, 0, 0, 1, {}, false, "", {{1, "w0", 1}}}}}, createdAt);
+        if (isEndKnown) {
+            successor.earlierLeadersEnded(createdAt);
+        }
+        script.now += LoadTime;
+        successor.confirmLeadership(script.now, script.now);
+        successor.startPlanning(script.now);
+        for (const char *it : {"w0", "w1"}) {
+            successor.workerReported(script.entry(it), script.now);
+        }
+        const auto end = isEndKnown ? createdAt : script.now;
+        while (script.port.starts.empty() && script.now - end < longest * 2) {
+            successor.confirmLeadership(script.now, script.now);
+            successor.tick(0, script.now);
+            successor.handlePollResponse(script.lastPoll("w0"), {}, script.now);
+            successor.handlePollResponse(script.lastPoll("w1"), script.list({}), script.now);
+            successor.plan(script.now);
+            const auto batch = successor.takeBatch(script.now);
+            successor.batchStored(batch.number, script.now);
+            script.now += Step;
+        }
+        BOOST_REQUIRE(script.port.starts.size() == 1U);
+        BOOST_TEST(script.port.starts.back().worker.id == "w1");
+        BOOST_TEST((script.now - end > longest));
+        BOOST_TEST((script.now - end <= longest + Step * 4));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
