--- a/include/marjoramhaven/fleet/FleetJob.h
+++ b/include/marjoramhaven/fleet/FleetJob.h
@@ -38,6 +38,12 @@
     friend FleetResources operator*(const FleetResources &a, std::int64_t times) { return {a.cpuMilli * times, a.memoryMb * times, a.gpus * times}; }
     /// Returns true if none of these resources exceeds the same one of `room`.
     bool fitIn(const FleetResources &room) const { return cpuMilli <= room.cpuMilli && memoryMb <= room.memoryMb && gpus <= room.gpus; }
+    /// Returns true if these resources and `others` together fit into `capacity`. Asked for each worker and each step that waits, so it makes no sums that it
+    /// does not need.
+    bool fitBeside(const FleetResources &others, const FleetResources &capacity) const
+    {
+        return cpuMilli + others.cpuMilli <= capacity.cpuMilli && memoryMb + others.memoryMb <= capacity.memoryMb && gpus + others.gpus <= capacity.gpus;
+    }
     /// Returns how many times these resources fit into `room`; a large number if they are all 0.
     std::size_t timesIn(const FleetResources &room) const;
 };
--- a/include/marjoramhaven/fleet/FleetWorker.h
+++ b/include/marjoramhaven/fleet/FleetWorker.h
@@ -173,9 +173,9 @@
     /// Returns true if the present incarnation refuses all requests that were sent to its predecessors.
     bool refusesEarlierRequests() const { return answeredToken >= requiredToken; }
     /// Returns true if the worker has these resources free.
-    bool hasRoomFor(const FleetResources &needs) const;
+    bool hasRoomFor(const FleetResources &needs) const { return needs.fitBeside(used, report.capacity); }
     /// Returns true if the worker has these resources free once all runs that end by themselves have ended.
-    bool mayHaveRoomFor(const FleetResources &needs) const;
+    bool mayHaveRoomFor(const FleetResources &needs) const { return needs.fitBeside(usedByLastingRuns, report.capacity); }
     /// Returns when the worker probably has these resources free, `now` at the earliest; TimePoint::max() if only the end of a run that lasts could free them.
     TimePoint roomExpectedAt(const FleetResources &needs, TimePoint now) const;
     /// Allocates the resources of a run; does nothing if the run has an allocation already.
--- a/include/marjoramhaven/fleet/StepFit.h
+++ b/include/marjoramhaven/fleet/StepFit.h
@@ -64,13 +64,16 @@
     /// Returns true if a worker suits the step and has room for a task now. The task may still lack a ticket.
     bool hasRoom(const FleetWorker &worker) const { return hasRoomIfSuited(worker) && isSuited(worker); }
     /// The same for a worker that is known to suit the step.
-    bool hasRoomIfSuited(const FleetWorker &worker) const;
+    bool hasRoomIfSuited(const FleetWorker &worker) const
+    {
+        return worker.hasRoomFor(m_needs) && (!worker.hold || m_needs.fitIn(freeOn(worker))) && !isFull(worker);
+    }
     /// Returns how many tasks have room on a worker now.
     std::size_t slots(const FleetWorker &worker) const;
     /// Returns true if a task has room on a worker now or will have once the runs there that end by themselves have ended.
     bool mayHaveRoom(const FleetWorker &worker) const;
     /// Returns true if a worker has as many runs of the step as one worker may have.
-    bool isFull(const FleetWorker &worker) const;
+    bool isFull(const FleetWorker &worker) const { return m_spec->maxPerWorker > 0 && runsOn(worker) >= m_spec->maxPerWorker; }
     /// Returns what the advisor has said of a worker; `Allowed` if the queue needs no advice.
     AdviceCache::Verdict verdict(const FleetWorker &worker) const;
     /// Returns true if a start on a worker needs no ticket or has a valid one.
@@ -91,6 +94,8 @@
 private:
     // Returns true if a task that starts now has probably ended by then.
     bool endsBefore(TimePoint time) const;
+    // Returns how many runs of the step are on a worker.
+    int runsOn(const FleetWorker &worker) const;
     void changeRuns(const FleetWorker &worker, int by);
     const std::map<std::string, int> &runsPerWorker() const;
 
--- a/include/marjoramhaven/fleet/TaskPlacer.h
+++ b/include/marjoramhaven/fleet/TaskPlacer.h
@@ -64,8 +64,9 @@
     void placeTasksThatGoBack(PendingStep &pending, TimePoint now);
     static PendingStepRank rankOf(const PendingStep &pending, TimePoint now);
     bool isUsable(const FleetWorker &worker, TimePoint now) const;
-    // Returns the workers that have room for a task of the step and that the advisor has not forbidden.
     static std::vector<FleetWorker *> workersWithRoom(const PendingStep &pending, const std::vector<FleetWorker *> &workers);
+    // Returns those of the workers with room that need no ticket or have a valid one, and removes those that the advisor has forbidden.
+    static std::vector<FleetWorker *> takeReadyWorkers(const PendingStep &pending, std::vector<FleetWorker *> &withRoom);
     void placeStep(PendingStep &pending, const std::vector<FleetWorker *> &workers, TimePoint now);
     void placeTasks(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
     void placeGang(PendingStep &pending, std::vector<FleetWorker *> &candidates, TimePoint now);
--- a/src/fleet/FleetWorker.cpp
+++ b/src/fleet/FleetWorker.cpp
@@ -63,16 +63,6 @@
     return m_grantedMs == 0 || (clock && *clock > m_grantedMs);
 }
 
-bool FleetWorker::hasRoomFor(const FleetResources &needs) const
-{
-    return needs.fitIn(report.capacity - used);
-}
-
-bool FleetWorker::mayHaveRoomFor(const FleetResources &needs) const
-{
-    return needs.fitIn(report.capacity - usedByLastingRuns);
-}
-
 TimePoint FleetWorker::roomExpectedAt(const FleetResources &needs, TimePoint now) const
 {
     auto free = report.capacity - used;
--- a/src/fleet/StepFit.cpp
+++ b/src/fleet/StepFit.cpp
@@ -53,23 +53,13 @@
     return !m_spec->isLongRunning && m_spec->estimateMs > 0 && m_now + longest <= time;
 }
 
-bool StepFit::hasRoomIfSuited(const FleetWorker &worker) const
-{
-    return m_needs.fitIn(freeOn(worker)) && !isFull(worker);
-}
-
 std::size_t StepFit::slots(const FleetWorker &worker) const
 {
     if (!hasRoom(worker)) {
         return 0;
     }
     const auto fitting = m_needs.timesIn(freeOn(worker));
-    if (m_spec->maxPerWorker <= 0) {
-        return fitting;
-    }
-    const auto own = runsPerWorker().find(worker.report.id);
-    const auto runs = own == runsPerWorker().end() ? 0 : own->second;
-    return std::min(fitting, static_cast<std::size_t>(m_spec->maxPerWorker - runs));
+    return m_spec->maxPerWorker <= 0 ? fitting : std::min(fitting, static_cast<std::size_t>(m_spec->maxPerWorker - runsOn(worker)));
 }
 
 bool StepFit::mayHaveRoom(const FleetWorker &worker) const
@@ -77,13 +67,10 @@
     return worker.mayHaveRoomFor(m_needs) && isSuited(worker);
 }
 
-bool StepFit::isFull(const FleetWorker &worker) const
+int StepFit::runsOn(const FleetWorker &worker) const
 {
-    if (m_spec->maxPerWorker <= 0) {
-        return false;
-    }
     const auto own = runsPerWorker().find(worker.report.id);
-    return own != runsPerWorker().end() && own->second >= m_spec->maxPerWorker;
+    return own == runsPerWorker().end() ? 0 : own->second;
 }
 
 AdviceCache::Verdict StepFit::verdict(const FleetWorker &worker) const
--- a/src/fleet/TaskPlacer.cpp
+++ b/src/fleet/TaskPlacer.cpp
@@ -178,7 +178,23 @@
 {
     std::vector<FleetWorker *> out;
     std::copy_if(workers.begin(), workers.end(), std::back_inserter(out), [&](const FleetWorker *it) {
-        return pending.fit.hasRoom(*it) && pending.fit.verdict(*it) != AdviceCache::Verdict::Forbidden;
+        return pending.fit.hasRoom(*it);
+    });
+    return out;
+}
+
+std::vector<FleetWorker *> TaskPlacer::takeReadyWorkers(const PendingStep &pending, std::vector<FleetWorker *> &withRoom)
+{
+    if (!FleetState::queueOf(*pending.job).needsAdvice) {
+        return withRoom;
+    }
+    std::vector<FleetWorker *> out;
+    std::erase_if(withRoom, [&](FleetWorker *it) {
+        const auto verdict = pending.fit.verdict(*it);
+        if (verdict == AdviceCache::Verdict::Allowed) {
+            out.push_back(it);
+        }
+        return verdict == AdviceCache::Verdict::Forbidden;
     });
     return out;
 }
@@ -189,18 +205,16 @@
         return;
     }
     auto withRoom = workersWithRoom(pending, workers);
+    auto ready = takeReadyWorkers(pending, withRoom);
     if (withRoom.empty() && mayIgnoreHolds(pending, workers, now)) {
         pending.fit.ignoreHolds();
         withRoom = workersWithRoom(pending, workers);
+        ready = takeReadyWorkers(pending, withRoom);
     }
     const bool isPreempting = m_preemptionsLeft > 0 && mayPreempt(pending, now);
     if (withRoom.empty() && !isPreempting && !pending.spec->isGang) {
         return;
     }
-    auto ready = withRoom;
-    std::erase_if(ready, [&](const FleetWorker *it) {
-        return !pending.fit.isAllowed(*it);
-    });
     if (pending.spec->isRackLocal) {
         ready = restrictToOneRack(pending, ready);
     }
