review/11: a lasting task runs twice while its late start may still be carried out

A script with three processes and twelve workers: the start of a lasting task gets no answer, its worker is cut off for 5.5 s and starts again behind the cut, and its new life carries the start out 5.45 s after it was sent. The leader starts the task elsewhere before it has called the worker again.

The cases of part one are 12 and 13 now, as the gravest comes first.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -8,7 +8,7 @@
     echo "run the build of the deploy file and review/build-3.sh first" >&2
     exit 2
 fi
-timeout 110 "$cases" changed-settings "$program" record.txt
+timeout 110 "$cases" silent-channels "$program" record.txt
 code=$?
 [[ $code -le 1 ]] || code=2
 exit $code
--- a/review/cases-3/SmallFleet.cpp
+++ b/review/cases-3/SmallFleet.cpp
@@ -169,6 +169,16 @@
         static_cast<int>(time.count()));
 }
 
+void SmallFleet::waitUntil(TimePoint time)
+{
+    constexpr int MaxWaitMs = 60'000;
+    test::waitFor(
+        [time]() {
+            return monotonicNow() >= time;
+        },
+        MaxWaitMs);
+}
+
 void SmallFleet::note(const std::string &line)
 {
     m_record << elapsed().count() << " ms  " << line << std::endl;
--- a/review/cases-3/SmallFleet.h
+++ b/review/cases-3/SmallFleet.h
@@ -63,6 +63,8 @@
     std::string stateOf(std::size_t process, const std::string &job);
     /// Runs the event loop for this long.
     static void wait(Millis time);
+    /// Runs the event loop until this time.
+    static void waitUntil(TimePoint time);
     /// Appends a line to the record of what was sent, answered and run.
     void note(const std::string &line);
     /// Returns the time since this object was created.
@@ -85,10 +87,13 @@
     NotRun = 2,
 };
 
-/// Case 11: the address of the advisor changes in the settings files, and each process gets SIGHUP.
+/// Case 13: the address of the advisor changes in the settings files, and each process gets SIGHUP.
 CaseResult playChangedSettings(SmallFleet &fleet, bool hasTrouble);
 
 /// Case 12: the open channels to the workers go silent, while new ones work.
 CaseResult playSilentChannels(SmallFleet &fleet, bool hasTrouble);
 
+/// Case 11: the start of a lasting task is carried out late, by the next life of its worker, behind a cut.
+CaseResult playLateLastingStart(SmallFleet &fleet, bool hasTrouble);
+
 } // namespace marjoramhaven::review
--- a/review/cases-3/main.cpp
+++ b/review/cases-3/main.cpp
@@ -12,11 +12,16 @@
 namespace {
 
 constexpr int Processes = 3;
-constexpr int Workers = 4;
 
-const std::map<std::string, CaseResult (*)(SmallFleet &, bool)> Cases = {
-    {"changed-settings", playChangedSettings},
-    {"silent-channels", playSilentChannels},
+struct Case {
+    CaseResult (*play)(SmallFleet &, bool);
+    int workers;
+};
+
+const std::map<std::string, Case> Cases = {
+    {"late-lasting-start", {playLateLastingStart, 12}},
+    {"silent-channels", {playSilentChannels, 4}},
+    {"changed-settings", {playChangedSettings, 4}},
 };
 
 } // namespace
@@ -34,8 +39,8 @@
     }
     const char *trouble = std::getenv("TROUBLE");
     const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
-    SmallFleet fleet(Processes, Workers, QString::fromLocal8Bit(argv[2]), argv[3]);
-    const auto result = found->second(fleet, hasTrouble);
+    SmallFleet fleet(Processes, found->second.workers, QString::fromLocal8Bit(argv[2]), argv[3]);
+    const auto result = found->second.play(fleet, hasTrouble);
     const char *text = result == CaseResult::RuleBroken ? "the rule was broken" : result == CaseResult::RuleHeld ? "the rule held" : "the case could not run";
     fleet.note(text);
     std::cout << text << std::endl;
